--- /dev/null
+++ b/test/standin/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
