--- /dev/null
+++ b/src/core/completion_api.h
@@ -0,0 +1,48 @@
+#ifndef FUCHSIAWEIR_CORE_COMPLETION_API_H_
+#define FUCHSIAWEIR_CORE_COMPLETION_API_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/frame.h"
+#include "core/inventory.h"
+#include "core/result.h"
+
+namespace fuchsiaweir {
+
+/// Which of the two completion endpoints a caller used.
+enum class CompletionKind { kText, kChat };
+
+/// A caller's request for a completion.
+struct CompletionRequest {
+  CompletionKind kind = CompletionKind::kText;
+  std::string model;
+  std::string prompt;  ///< For chats the messages joined as "ROLE: CONTENT" lines.
+  int64_t max_tokens = 256;
+  bool stream = false;
+  int64_t priority = 0;  ///< -10 to 10, higher runs first.
+};
+
+/// Parses the JSON body of a completion request. Each problem gives kBadRequest with its reason.
+Result<CompletionRequest> ParseCompletionRequest(CompletionKind kind, std::string_view body);
+
+/// Renders a whole completion as JSON.
+std::string RenderCompletion(const CompletionRequest& request, const std::string& id,
+                             const std::string& text, const std::string& finish,
+                             const Usage& usage);
+
+/// Renders server-sent events: a piece of text, the final event with usage, an error.
+std::string RenderTextEvent(const CompletionRequest& request, const std::string& id,
+                            const std::string& text);
+std::string RenderFinalEvents(const CompletionRequest& request, const std::string& id,
+                              const std::string& finish, const Usage& usage);
+std::string RenderErrorEvent(const Error& error);
+
+/// Renders the model list of GET /v1/models.
+std::string RenderModels(const std::vector<Model>& models);
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_CORE_COMPLETION_API_H_
--- a/src/core/frame.cc
+++ b/src/core/frame.cc
@@ -1,8 +1,9 @@
 #include "core/frame.h"
 
-#include <boost/json.hpp>
 #include <utility>
 
+#include "core/json_fields.h"
+
 namespace fuchsiaweir {
 namespace {
 
@@ -24,44 +25,23 @@
 
 Usage DecodeUsage(const json::object& object) {
   Usage usage;
-  for (const auto& [name, member] : kUsageFields)
-    usage.*member = object.at(name).to_number<int64_t>();
+  for (const auto& [name, member] : kUsageFields) usage.*member = IntegerField(object, name);
   return usage;
 }
 
-json::object EncodeError(const Error& error) {
-  return {{"code", std::string(Name(error.code))},
-          {"run_state", std::string(Name(error.run_state))},
-          {"message", error.message},
-          {"retry_after_ms", ToMillis(error.retry_after)}};
-}
-
-Error DecodeError(const json::object& object) {
-  Error error;
-  error.code =
-      ErrorCodeFromName(std::string(object.at("code").as_string())).value_or(ErrorCode::kInternal);
-  error.run_state = RunStateFromName(std::string(object.at("run_state").as_string()))
-                        .value_or(RunState::kUnknown);
-  error.message = std::string(object.at("message").as_string());
-  error.retry_after = Millis(object.at("retry_after_ms").to_number<int64_t>());
-  return error;
-}
-
 Frame DecodeObject(const json::object& object) {
   Frame frame;
-  frame.run = std::string(object.at("run").as_string());
-  frame.attempt = object.at("attempt").to_number<int64_t>();
-  frame.offset = object.at("offset").to_number<int64_t>();
-  for (const json::value& token : object.at("text").as_array()) {
-    frame.tokens.emplace_back(token.as_string());
-  }
-  frame.done = object.at("done").as_bool();
+  frame.run = StringField(object, "run");
+  frame.attempt = IntegerField(object, "attempt");
+  frame.offset = IntegerField(object, "offset");
+  frame.tokens = StringsField(object, "text");
+  frame.done = BooleanField(object, "done");
   if (frame.done) {
-    frame.finish = std::string(object.at("finish").as_string());
+    frame.finish = StringField(object, "finish");
     frame.usage = DecodeUsage(object.at("usage").as_object());
   }
   if (const json::value* error = object.if_contains("error")) {
-    frame.error = DecodeError(error->as_object());
+    frame.error = ErrorFromJson(error->as_object());
   }
   return frame;
 }
@@ -72,26 +52,22 @@
   json::object object{{"run", frame.run},
                       {"attempt", frame.attempt},
                       {"offset", frame.offset},
-                      {"text", json::array(frame.tokens.begin(), frame.tokens.end())},
+                      {"text", ToJsonArray(frame.tokens)},
                       {"done", frame.done}};
   if (frame.done) {
     object["finish"] = frame.finish;
     object["usage"] = EncodeUsage(frame.usage);
   }
-  if (frame.error) object["error"] = EncodeError(*frame.error);
+  if (frame.error) object["error"] = ErrorToJson(*frame.error);
   return json::serialize(object) + "\n";
 }
 
 Result<Frame> DecodeFrame(std::string_view line) {
   try {
-    // Engines may split a multi-byte character over two tokens.
-    json::parse_options options;
-    options.allow_invalid_utf8 = true;
-    return DecodeObject(
-        json::parse(json::string_view(line.data(), line.size()), {}, options).as_object());
+    return DecodeObject(ParseJsonObject(line));
   } catch (const std::exception& e) {
     return Error{ErrorCode::kIncompleteAnswer, RunState::kUnknown,
-                 std::string("malformed frame: ") + e.what()};
+                 std::string("malformed frame: ") + e.what(), Duration{0}};
   }
 }
 
--- /dev/null
+++ b/src/core/run_message.cc
@@ -0,0 +1,103 @@
+#include "core/run_message.h"
+
+#include "core/json_fields.h"
+
+namespace fuchsiaweir {
+namespace {
+
+namespace json = boost::json;
+
+/// Runs a decoder and turns its exceptions into kBadRequest.
+template <typename Message>
+Result<Message> DecodeMessage(std::string_view body, Message (*decode)(const json::object&)) {
+  try {
+    return decode(ParseJsonObject(body));
+  } catch (const std::exception& e) {
+    return Error{ErrorCode::kBadRequest, RunState::kNotRun,
+                 std::string("malformed message: ") + e.what(), Duration{0}};
+  }
+}
+
+}  // namespace
+
+std::string EncodeRunRequest(const RunRequest& request) {
+  return json::serialize(json::object{{"run", request.run},
+                                      {"attempt", request.attempt},
+                                      {"runner", request.runner},
+                                      {"team", request.team},
+                                      {"model", request.model},
+                                      {"prompt", ToJsonArray(request.prompt)},
+                                      {"produced", ToJsonArray(request.produced)},
+                                      {"max_tokens", request.max_tokens},
+                                      {"priority", request.priority},
+                                      {"deadline_ms", request.deadline_ms},
+                                      {"suspect", request.suspect}});
+}
+
+Result<RunRequest> DecodeRunRequest(std::string_view body) {
+  return DecodeMessage<RunRequest>(body, [](const json::object& object) {
+    RunRequest request;
+    request.run = StringField(object, "run");
+    request.attempt = IntegerField(object, "attempt");
+    request.runner = StringField(object, "runner");
+    request.team = StringField(object, "team");
+    request.model = StringField(object, "model");
+    request.prompt = StringsField(object, "prompt");
+    request.produced = StringsField(object, "produced");
+    request.max_tokens = IntegerField(object, "max_tokens");
+    request.priority = IntegerField(object, "priority");
+    request.deadline_ms = IntegerField(object, "deadline_ms");
+    request.suspect = BooleanField(object, "suspect");
+    return request;
+  });
+}
+
+std::string EncodeServiceCall(const ServiceCall& call) {
+  return json::serialize(json::object{{"team", call.team},
+                                      {"service", call.service},
+                                      {"replica", call.replica},
+                                      {"method", call.method},
+                                      {"path", call.path},
+                                      {"content_type", call.content_type},
+                                      {"body", call.body},
+                                      {"idempotency_key", call.idempotency_key},
+                                      {"non_idempotent", call.non_idempotent},
+                                      {"deadline_ms", call.deadline_ms}});
+}
+
+Result<ServiceCall> DecodeServiceCall(std::string_view body) {
+  return DecodeMessage<ServiceCall>(body, [](const json::object& object) {
+    ServiceCall call;
+    call.team = StringField(object, "team");
+    call.service = StringField(object, "service");
+    call.replica = StringField(object, "replica");
+    call.method = StringField(object, "method");
+    call.path = StringField(object, "path");
+    call.content_type = StringField(object, "content_type");
+    call.body = StringField(object, "body");
+    call.idempotency_key = StringField(object, "idempotency_key");
+    call.non_idempotent = BooleanField(object, "non_idempotent");
+    call.deadline_ms = IntegerField(object, "deadline_ms");
+    return call;
+  });
+}
+
+std::string EncodeServiceAnswer(const ServiceAnswer& answer) {
+  return json::serialize(json::object{{"status", answer.status},
+                                      {"content_type", answer.content_type},
+                                      {"body", answer.body},
+                                      {"replayed", answer.replayed}});
+}
+
+Result<ServiceAnswer> DecodeServiceAnswer(std::string_view body) {
+  return DecodeMessage<ServiceAnswer>(body, [](const json::object& object) {
+    ServiceAnswer answer;
+    answer.status = IntegerField(object, "status");
+    answer.content_type = StringField(object, "content_type");
+    answer.body = StringField(object, "body");
+    answer.replayed = BooleanField(object, "replayed");
+    return answer;
+  });
+}
+
+}  // namespace fuchsiaweir
--- /dev/null
+++ b/src/net/awaitable.cc
@@ -0,0 +1,33 @@
+#include "net/awaitable.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <exception>
+#include <utility>
+
+#include "net/log.h"
+
+namespace fuchsiaweir {
+
+namespace asio = boost::asio;
+
+Awaitable<void> SleepFor(Duration duration) {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  timer.expires_after(duration);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+void Spawn(asio::io_context& io, std::string name, std::function<Awaitable<void>()> body) {
+  asio::co_spawn(io, std::move(body), [name = std::move(name)](const std::exception_ptr& failure) {
+    if (failure == nullptr) return;
+    try {
+      std::rethrow_exception(failure);
+    } catch (const std::exception& e) {
+      LogError("task_failed", {{"task", name}, {"reason", e.what()}});
+    }
+  });
+}
+
+}  // namespace fuchsiaweir
--- /dev/null
+++ b/src/net/awaitable.h
@@ -0,0 +1,25 @@
+#ifndef FUCHSIAWEIR_NET_AWAITABLE_H_
+#define FUCHSIAWEIR_NET_AWAITABLE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <string>
+
+#include "core/clock.h"
+
+namespace fuchsiaweir {
+
+/// A coroutine on the process's single I/O thread.
+template <typename T>
+using Awaitable = boost::asio::awaitable<T>;
+
+/// Suspends the calling coroutine.
+Awaitable<void> SleepFor(Duration duration);
+
+/// Starts a coroutine that nobody waits for. An exception that escapes it is logged under `name`.
+void Spawn(boost::asio::io_context& io, std::string name, std::function<Awaitable<void>()> body);
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_NET_AWAITABLE_H_
--- /dev/null
+++ b/src/net/common_routes.cc
@@ -0,0 +1,45 @@
+#include "net/common_routes.h"
+
+#include <boost/json.hpp>
+#include <utility>
+
+namespace fuchsiaweir {
+namespace {
+
+HttpResponse ReadyResponse(Kernel& kernel) {
+  const bool ready = kernel.Find<Readiness>("readiness").ready() &&
+                     kernel.Find<ConfigService>("config").current()->revision > 0;
+  return {ready ? 200 : 503, {{"Content-Type", "text/plain"}}, ready ? "ready\n" : "not ready\n"};
+}
+
+HttpResponse StatusResponse(const std::string& role, Kernel& kernel) {
+  const boost::json::object status{
+      {"role", role},
+      {"revision", kernel.Find<ConfigService>("config").current()->revision},
+      {"ready", kernel.Find<Readiness>("readiness").ready()}};
+  return JsonResponse(200, boost::json::serialize(status));
+}
+
+}  // namespace
+
+Awaitable<bool> ServeCommonRoute(HttpExchange& exchange, const std::string& role, Kernel& kernel) {
+  const std::string& path = exchange.target().path;
+  HttpResponse response;
+  if (path == "/healthz") {
+    response = {200, {{"Content-Type", "text/plain"}}, "ok\n"};
+  } else if (path == "/readyz") {
+    response = ReadyResponse(kernel);
+  } else if (path == "/metrics") {
+    response = {200,
+                {{"Content-Type", "text/plain; version=0.0.4"}},
+                kernel.Find<Metrics>("metrics").Text()};
+  } else if (path == "/internal/v1/status") {
+    response = StatusResponse(role, kernel);
+  } else {
+    co_return false;
+  }
+  co_await exchange.Respond(std::move(response));
+  co_return true;
+}
+
+}  // namespace fuchsiaweir
--- /dev/null
+++ b/src/net/daemon.cc
@@ -0,0 +1,100 @@
+#include "net/daemon.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <optional>
+#include <utility>
+
+#include "core/file_text.h"
+#include "core/settings.h"
+#include "net/agent_service.h"
+#include "net/common_routes.h"
+#include "net/config_service.h"
+#include "net/entry_service.h"
+#include "net/host_list.h"
+#include "net/log.h"
+#include "net/metrics.h"
+#include "net/object_api.h"
+#include "net/timer_service.h"
+#include "net/tls_context.h"
+
+namespace fuchsiaweir {
+namespace {
+
+constexpr int kExitFindings = 2;
+
+HttpServerOptions ServerOptions(const Settings& settings, TlsContext tls) {
+  HttpServerOptions options;
+  options.listen = {settings.listen_address, static_cast<uint16_t>(settings.listen_port)};
+  options.max_body_bytes = settings.max_body_bytes;
+  options.max_header_bytes = settings.max_header_bytes;
+  options.max_connections = settings.max_connections;
+  options.read_timeout = Millis(settings.read_timeout_ms);
+  options.tls = std::move(tls);
+  return options;
+}
+
+void AddComponents(Kernel& kernel, Role role, const Settings& settings, const TlsContexts& tls) {
+  const Endpoint platform{settings.platform_address, static_cast<uint16_t>(settings.platform_port)};
+  kernel.Add<Metrics>("metrics");
+  kernel.Add<TimerService>("timer", kernel.io());
+  HttpClients& clients = kernel.Add<HttpClients>("http_clients", kernel.io(), tls.client);
+  ObjectApi& objects = kernel.Add<HttpObjectApi>("object_api", clients.outside(), platform);
+  kernel.Add<HttpHostList>("host_list", clients.outside(), platform);
+  kernel.Add<Readiness>("readiness");
+  kernel.Add<ConfigService>("config", kernel.io(), settings, objects);
+  if (role == Role::kEntry) {
+    kernel.Add<EntryService>("entry", kernel, settings, ServerOptions(settings, tls.server));
+  } else {
+    kernel.Add<AgentService>("agent", kernel, settings, ServerOptions(settings, tls.server));
+  }
+}
+
+Awaitable<void> ShutDown(Kernel& kernel) {
+  LogInfo("shutdown_started");
+  kernel.Find<Readiness>("readiness").BeginStop();
+  co_await kernel.StopAll();
+  LogInfo("shutdown_finished");
+  kernel.io().stop();
+}
+
+}  // namespace
+
+int RunDaemon(Role role, const std::string& settings_file) {
+  Findings findings;
+  std::optional<Settings> settings;
+  TlsContexts tls;
+  if (const std::optional<std::string> text = ReadFileText(settings_file, findings)) {
+    settings = ParseSettings(ParseIni(*text, settings_file, findings), findings);
+  }
+  if (settings) tls = LoadTlsContexts(*settings, findings);
+  if (!findings.empty()) {
+    std::cerr << findings.ToString();
+    return kExitFindings;
+  }
+  InitLog(settings->log_level, settings->host);
+
+  boost::asio::io_context io(1);
+  Kernel kernel(io);
+  try {
+    AddComponents(kernel, role, *settings, tls);
+    kernel.StartAll();
+  } catch (const std::exception& e) {
+    LogError("start_failed", {{"reason", e.what()}});
+    return 1;
+  }
+  LogInfo("daemon_started", {{"port", absl::StrCat(settings->listen_port)}});
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](const boost::system::error_code& failure, int) {
+    if (!failure) Spawn(io, "shutdown", [&kernel]() { return ShutDown(kernel); });
+  });
+  io.run();
+  return 0;
+}
+
+}  // namespace fuchsiaweir
--- /dev/null
+++ b/src/net/engine_client.cc
@@ -0,0 +1,220 @@
+#include "net/engine_client.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <boost/json.hpp>
+#include <utility>
+
+namespace fuchsiaweir {
+namespace {
+
+namespace json = boost::json;
+
+std::vector<std::string> Strings(const json::value& array) {
+  std::vector<std::string> strings;
+  for (const json::value& item : array.as_array()) strings.emplace_back(item.as_string());
+  return strings;
+}
+
+json::array Array(const std::vector<std::string>& strings) {
+  return json::array(strings.begin(), strings.end());
+}
+
+EngineEvent DecodeEvent(const std::string& line) {
+  EngineEvent event;
+  try {
+    json::parse_options options;
+    options.allow_invalid_utf8 = true;
+    const json::value body = json::parse(line, {}, options);
+    if (body.as_object().contains("done")) {
+      event.kind = EngineEvent::Kind::kDone;
+      event.finish = std::string(body.at("finish").as_string());
+      event.cached_tokens = body.at("cached_tokens").to_number<int64_t>();
+      return event;
+    }
+    event.kind = EngineEvent::Kind::kTokens;
+    event.offset = body.at("offset").to_number<int64_t>();
+    event.tokens = Strings(body.at("tokens"));
+  } catch (const std::exception& e) {
+    event.kind = EngineEvent::Kind::kBroken;
+    event.failure = std::string("malformed engine event: ") + e.what();
+  }
+  return event;
+}
+
+class EndedEngineStream : public EngineStream {
+ public:
+  EndedEngineStream(EngineEvent::Kind kind, std::string failure) {
+    event_.kind = kind;
+    event_.failure = std::move(failure);
+  }
+  Awaitable<EngineEvent> Next(Duration) override { co_return event_; }
+
+ private:
+  EngineEvent event_;
+};
+
+class HttpEngineStream : public EngineStream {
+ public:
+  explicit HttpEngineStream(std::unique_ptr<HttpStream> stream) : stream_(std::move(stream)) {}
+
+  Awaitable<EngineEvent> Next(Duration timeout) override {
+    const HttpStream::Line line = co_await stream_->ReadLine(timeout);
+    if (line.status == HttpStream::ReadStatus::kLine) co_return DecodeEvent(line.text);
+    EngineEvent event;
+    const bool silent = line.status == HttpStream::ReadStatus::kSilent;
+    event.kind = silent ? EngineEvent::Kind::kSilent : EngineEvent::Kind::kBroken;
+    event.failure = silent ? "engine is silent" : "engine stream ended early";
+    co_return event;
+  }
+
+ private:
+  std::unique_ptr<HttpStream> stream_;
+};
+
+EngineCall ToEngineCall(const HttpResult& result) {
+  EngineCall call;
+  call.failure = result.failure;
+  if (result.ok()) {
+    call.outcome = CallOutcome::kDone;
+  } else if (result.response) {
+    call.refused = true;
+    call.failure = absl::StrCat("engine answered ", result.response->status);
+  } else if (result.stage == CallStage::kSent) {
+    call.outcome = CallOutcome::kUnknown;
+  }
+  return call;
+}
+
+class HttpEngineClient : public EngineClient {
+ public:
+  HttpEngineClient(HttpClient& client, Endpoint endpoint)
+      : client_(client), endpoint_(std::move(endpoint)) {}
+
+  Awaitable<std::unique_ptr<EngineStream>> Generate(GenerateRequest request,
+                                                    Duration timeout) override;
+  Awaitable<EngineCall> Cancel(std::string run, Duration timeout) override;
+  Awaitable<std::optional<EngineLoad>> Load(Duration timeout) override;
+  Awaitable<std::optional<CacheEvents>> Events(int64_t after, Duration timeout) override;
+  Awaitable<EngineExport> ExportBlock(std::string block, Duration timeout) override;
+  Awaitable<EngineCall> ImportBlock(std::string block, std::string bytes,
+                                    Duration timeout) override;
+  Awaitable<EngineCall> LoadWeights(LoadOrder order, Duration timeout) override;
+
+ private:
+  Awaitable<HttpResult> Call(std::string method, std::string target, std::string body,
+                             Duration timeout);
+
+  HttpClient& client_;
+  Endpoint endpoint_;
+};
+
+Awaitable<HttpResult> HttpEngineClient::Call(std::string method, std::string target,
+                                             std::string body, Duration timeout) {
+  HttpRequest request;
+  request.method = std::move(method);
+  request.target = std::move(target);
+  request.body = std::move(body);
+  CallOptions options;
+  options.timeout = timeout;
+  co_return co_await client_.Call(endpoint_, std::move(request), options);
+}
+
+Awaitable<std::unique_ptr<EngineStream>> HttpEngineClient::Generate(GenerateRequest request,
+                                                                    Duration timeout) {
+  HttpRequest message;
+  message.method = "POST";
+  message.target = "/v1/generate";
+  message.body = json::serialize(json::object{{"run", request.run},
+                                              {"prompt", Array(request.prompt)},
+                                              {"produced", Array(request.produced)},
+                                              {"blocks", Array(request.blocks)},
+                                              {"block_tokens", request.block_tokens},
+                                              {"max_tokens", request.max_tokens},
+                                              {"priority", request.priority}});
+  CallOptions options;
+  options.timeout = timeout;
+  HttpStreamResult result = co_await client_.OpenStream(endpoint_, std::move(message), options);
+  if (result.stream != nullptr) {
+    co_return std::make_unique<HttpEngineStream>(std::move(result.stream));
+  }
+  const bool refused = result.response.has_value() || result.stage == CallStage::kNotConnected;
+  const EngineEvent::Kind kind = refused ? EngineEvent::Kind::kRefused : EngineEvent::Kind::kBroken;
+  std::string reason =
+      result.response ? absl::StrCat("engine answered ", result.response->status) : result.failure;
+  co_return std::make_unique<EndedEngineStream>(kind, std::move(reason));
+}
+
+Awaitable<EngineCall> HttpEngineClient::Cancel(std::string run, Duration timeout) {
+  std::string body = json::serialize(json::object{{"run", run}});
+  const HttpResult result = co_await Call("POST", "/v1/cancel", std::move(body), timeout);
+  co_return ToEngineCall(result);
+}
+
+Awaitable<std::optional<EngineLoad>> HttpEngineClient::Load(Duration timeout) {
+  const HttpResult result = co_await Call("GET", "/v1/load", "", timeout);
+  if (!result.ok()) co_return std::nullopt;
+  try {
+    const json::value body = json::parse(result.response->body);
+    EngineLoad load;
+    load.instance = std::string(body.at("instance").as_string());
+    load.model = std::string(body.at("model").as_string());
+    load.version = std::string(body.at("version").as_string());
+    load.running = body.at("running").to_number<int64_t>();
+    load.waiting = body.at("waiting").to_number<int64_t>();
+    co_return load;
+  } catch (const std::exception&) {
+    co_return std::nullopt;
+  }
+}
+
+Awaitable<std::optional<CacheEvents>> HttpEngineClient::Events(int64_t after, Duration timeout) {
+  const HttpResult result =
+      co_await Call("GET", absl::StrCat("/v1/cache-events?after=", after), "", timeout);
+  if (!result.ok()) co_return std::nullopt;
+  try {
+    const json::value body = json::parse(result.response->body);
+    CacheEvents events;
+    events.next = body.at("next").to_number<int64_t>();
+    events.gap = body.at("gap").as_bool();
+    events.added = Strings(body.at("added"));
+    events.evicted = Strings(body.at("evicted"));
+    co_return events;
+  } catch (const std::exception&) {
+    co_return std::nullopt;
+  }
+}
+
+Awaitable<EngineExport> HttpEngineClient::ExportBlock(std::string block, Duration timeout) {
+  HttpResult result = co_await Call("GET", "/v1/kv/" + block, "", timeout);
+  EngineExport exported;
+  if (!result.response) co_return exported;
+  exported.outcome = CallOutcome::kDone;
+  exported.found = result.response->status == 200;
+  exported.bytes = std::move(result.response->body);
+  co_return exported;
+}
+
+Awaitable<EngineCall> HttpEngineClient::ImportBlock(std::string block, std::string bytes,
+                                                    Duration timeout) {
+  const HttpResult result = co_await Call("PUT", "/v1/kv/" + block, std::move(bytes), timeout);
+  co_return ToEngineCall(result);
+}
+
+Awaitable<EngineCall> HttpEngineClient::LoadWeights(LoadOrder order, Duration timeout) {
+  std::string body = json::serialize(json::object{{"kind", "load"},
+                                                  {"model", order.model},
+                                                  {"version", order.version},
+                                                  {"fence", order.fence},
+                                                  {"proof", order.proof}});
+  const HttpResult result = co_await Call("POST", "/v1/orders", std::move(body), timeout);
+  co_return ToEngineCall(result);
+}
+
+}  // namespace
+
+std::unique_ptr<EngineClient> MakeHttpEngineClient(HttpClient& client, Endpoint endpoint) {
+  return std::make_unique<HttpEngineClient>(client, std::move(endpoint));
+}
+
+}  // namespace fuchsiaweir
--- /dev/null
+++ b/src/net/entry_service.h
@@ -0,0 +1,40 @@
+#ifndef FUCHSIAWEIR_NET_ENTRY_SERVICE_H_
+#define FUCHSIAWEIR_NET_ENTRY_SERVICE_H_
+
+#include <optional>
+
+#include "core/settings.h"
+#include "net/config_service.h"
+#include "net/http_server.h"
+#include "net/kernel.h"
+#include "net/model_router.h"
+#include "net/service_router.h"
+
+namespace fuchsiaweir {
+
+/// The process that callers reach through the balancer.
+class EntryService : public Component {
+ public:
+  EntryService(Kernel& kernel, const Settings& settings, HttpServerOptions options);
+
+  void Start() override;
+  Awaitable<void> Stop() override;
+
+ private:
+  Awaitable<void> Handle(HttpExchange& exchange);
+  Awaitable<void> HandleCompletion(HttpExchange& exchange, CompletionKind kind, Team team);
+
+  /// Returns the team whose bearer key the request carries.
+  std::optional<Team> Authenticate(const HttpRequest& request) const;
+
+  Kernel& kernel_;
+  const Settings& settings_;
+  ConfigService& config_;
+  ModelRouter models_;
+  ServiceRouter services_;
+  HttpServer server_;
+};
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_NET_ENTRY_SERVICE_H_
--- /dev/null
+++ b/src/net/host_list.h
@@ -0,0 +1,41 @@
+#ifndef FUCHSIAWEIR_NET_HOST_LIST_H_
+#define FUCHSIAWEIR_NET_HOST_LIST_H_
+
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/result.h"
+#include "net/awaitable.h"
+#include "net/http_client.h"
+#include "net/kernel.h"
+
+namespace fuchsiaweir {
+
+/// A host as the platform's lagging list shows it.
+struct ListedHost {
+  std::string name;
+  bool leaving = false;
+};
+
+/// The platform's host list.
+class HostList : public Component {
+ public:
+  /// Reads the whole list.
+  virtual Awaitable<Result<std::vector<ListedHost>>> Read(Duration timeout) = 0;
+};
+
+/// Host list over HTTP: GET /hosts.
+class HttpHostList : public HostList {
+ public:
+  HttpHostList(HttpClient& client, Endpoint endpoint);
+  Awaitable<Result<std::vector<ListedHost>>> Read(Duration timeout) override;
+
+ private:
+  HttpClient& client_;
+  Endpoint endpoint_;
+};
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_NET_HOST_LIST_H_
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,244 @@
+#include "net/http_client.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <deque>
+#include <map>
+#include <utility>
+
+#include "net/http_transport.h"
+
+namespace fuchsiaweir {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using ResponseParser = http::response_parser<http::string_body>;
+
+constexpr size_t kMaxIdlePerEndpoint = 16;
+constexpr Duration kMaxIdleTime = Seconds(60);  // Below the server's idle timeout of 75 s.
+constexpr size_t kMaxLineBytes = 4'000'000;
+
+std::string Serialize(const Endpoint& endpoint, const HttpRequest& request) {
+  std::string message = absl::StrCat(request.method, " ", request.target,
+                                     " HTTP/1.1\r\nHost: ", ToString(endpoint), "\r\n");
+  for (const auto& [name, value] : request.headers) {
+    absl::StrAppend(&message, name, ": ", value, "\r\n");
+  }
+  absl::StrAppend(&message, "Content-Length: ", request.body.size(), "\r\n\r\n", request.body);
+  return message;
+}
+
+HttpResponse ToResponse(http::response<http::string_body>& message) {
+  HttpResponse response;
+  response.status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+  }
+  response.body = std::move(message.body());
+  return response;
+}
+
+struct IdleConnection {
+  std::unique_ptr<HttpTransport> transport;
+  TimePoint since;
+};
+
+}  // namespace
+
+struct HttpStream::Impl {
+  std::unique_ptr<HttpTransport> transport;
+  ResponseParser parser;
+  HttpResponse header;
+  std::string pending;  ///< Received bytes that are not a whole line yet.
+};
+
+HttpStream::HttpStream(std::unique_ptr<HttpTransport> transport) : impl_(std::make_unique<Impl>()) {
+  impl_->transport = std::move(transport);
+  impl_->parser.body_limit(boost::none);
+  impl_->parser.eager(true);
+}
+
+HttpStream::~HttpStream() = default;
+
+const HttpResponse& HttpStream::header() const { return impl_->header; }
+
+void HttpStream::Close() { impl_->transport->Close(); }
+
+Awaitable<HttpStream::Line> HttpStream::ReadLine(Duration timeout) {
+  Impl& impl = *impl_;
+  impl.transport->ExpireAfter(timeout);
+  while (true) {
+    std::string& received = impl.parser.get().body();
+    impl.pending += received;
+    received.clear();
+    const size_t newline = impl.pending.find('\n');
+    if (newline != std::string::npos) {
+      Line line{ReadStatus::kLine, impl.pending.substr(0, newline)};
+      impl.pending.erase(0, newline + 1);
+      co_return line;
+    }
+    if (impl.parser.is_done()) {
+      co_return Line{impl.pending.empty() ? ReadStatus::kEnd : ReadStatus::kBroken, ""};
+    }
+    if (impl.pending.size() > kMaxLineBytes) co_return Line{};
+    const auto failure = co_await impl.transport->ReadSome(impl.parser);
+    if (failure == beast::error::timeout) co_return Line{ReadStatus::kSilent, ""};
+    if (failure) co_return Line{};
+  }
+}
+
+struct HttpClient::Impl {
+  Impl(asio::io_context& io_context, TlsContext tls_context)
+      : io(io_context), tls(std::move(tls_context)) {}
+
+  std::unique_ptr<HttpTransport> TakeIdle(const Endpoint& endpoint);
+  void PutIdle(const Endpoint& endpoint, std::unique_ptr<HttpTransport> transport);
+  Awaitable<std::unique_ptr<HttpTransport>> Connect(Endpoint endpoint, Duration timeout,
+                                                    std::string& failure);
+  Awaitable<std::unique_ptr<HttpTransport>> Acquire(Endpoint endpoint, CallOptions options,
+                                                    std::string& failure);
+
+  asio::io_context& io;
+  TlsContext tls;
+  std::map<Endpoint, std::deque<IdleConnection>> idle;
+};
+
+std::unique_ptr<HttpTransport> HttpClient::Impl::TakeIdle(const Endpoint& endpoint) {
+  const auto found = idle.find(endpoint);
+  if (found == idle.end()) return nullptr;
+  std::deque<IdleConnection>& connections = found->second;
+  const TimePoint now = SteadyNow();
+  while (!connections.empty()) {
+    IdleConnection connection = std::move(connections.back());
+    connections.pop_back();
+    if (now - connection.since < kMaxIdleTime && !connection.transport->PeerClosed()) {
+      return std::move(connection.transport);
+    }
+  }
+  idle.erase(found);
+  return nullptr;
+}
+
+void HttpClient::Impl::PutIdle(const Endpoint& endpoint, std::unique_ptr<HttpTransport> transport) {
+  std::deque<IdleConnection>& connections = idle[endpoint];
+  if (connections.size() >= kMaxIdlePerEndpoint) connections.pop_front();
+  transport->tcp().expires_never();
+  connections.push_back({std::move(transport), SteadyNow()});
+}
+
+Awaitable<std::unique_ptr<HttpTransport>> HttpClient::Impl::Connect(Endpoint endpoint,
+                                                                    Duration timeout,
+                                                                    std::string& failure) {
+  boost::system::error_code error;
+  const asio::ip::address address = asio::ip::make_address(endpoint.address, error);
+  if (error) {
+    failure = absl::StrCat("\"", endpoint.address, "\" is not an IP address");
+    co_return nullptr;
+  }
+  auto transport = std::make_unique<HttpTransport>(tcp::socket(io), tls);
+  transport->ExpireAfter(timeout);
+  const tcp::endpoint peer(address, endpoint.port);
+  co_await transport->tcp().async_connect(peer, asio::redirect_error(asio::use_awaitable, error));
+  if (!error) {
+    transport->tcp().socket().set_option(tcp::no_delay(true), error);
+    error = co_await transport->Handshake(asio::ssl::stream_base::client);
+  }
+  if (error) {
+    failure = absl::StrCat("cannot connect to ", ToString(endpoint), ": ", error.message());
+    co_return nullptr;
+  }
+  co_return transport;
+}
+
+Awaitable<std::unique_ptr<HttpTransport>> HttpClient::Impl::Acquire(Endpoint endpoint,
+                                                                    CallOptions options,
+                                                                    std::string& failure) {
+  if (!options.fresh_connection) {
+    std::unique_ptr<HttpTransport> pooled = TakeIdle(endpoint);
+    if (pooled != nullptr) co_return pooled;
+  }
+  const Duration timeout = std::min(options.connect_timeout, options.timeout);
+  co_return co_await Connect(endpoint, timeout, failure);
+}
+
+HttpClient::HttpClient(asio::io_context& io, TlsContext tls)
+    : impl_(std::make_shared<Impl>(io, std::move(tls))) {}
+
+HttpClient::~HttpClient() = default;
+
+int64_t HttpClient::idle_connections() const {
+  int64_t count = 0;
+  for (const auto& [endpoint, connections] : impl_->idle) {
+    count += static_cast<int64_t>(connections.size());
+  }
+  return count;
+}
+
+Awaitable<HttpResult> HttpClient::Call(Endpoint endpoint, HttpRequest request,
+                                       CallOptions options) {
+  const std::shared_ptr<Impl> impl = impl_;
+  HttpResult result;
+  std::unique_ptr<HttpTransport> transport =
+      co_await impl->Acquire(endpoint, options, result.failure);
+  if (transport == nullptr) co_return result;
+
+  result.stage = CallStage::kSent;
+  transport->ExpireAfter(options.timeout);
+  const std::string message = Serialize(endpoint, request);
+  auto failure = co_await transport->WriteAll(message);
+  ResponseParser parser;
+  parser.body_limit(boost::none);
+  if (!failure) failure = co_await transport->Read(parser);
+  if (failure) {
+    result.failure = absl::StrCat("call to ", ToString(endpoint), " failed: ", failure.message());
+    co_return result;
+  }
+  result.stage = CallStage::kAnswered;
+  const bool keep_alive = parser.get().keep_alive();
+  result.response = ToResponse(parser.get());
+  if (keep_alive) impl->PutIdle(endpoint, std::move(transport));
+  co_return result;
+}
+
+Awaitable<HttpStreamResult> HttpClient::OpenStream(Endpoint endpoint, HttpRequest request,
+                                                   CallOptions options) {
+  const std::shared_ptr<Impl> impl = impl_;
+  HttpStreamResult result;
+  // A stream's connection is closed with it, so it never comes from the pool.
+  std::unique_ptr<HttpTransport> transport = co_await impl->Connect(
+      endpoint, std::min(options.connect_timeout, options.timeout), result.failure);
+  if (transport == nullptr) co_return result;
+
+  result.stage = CallStage::kSent;
+  transport->ExpireAfter(options.timeout);
+  auto stream = std::make_unique<HttpStream>(std::move(transport));
+  HttpStream::Impl& state = *stream->impl_;
+  const std::string message = Serialize(endpoint, request);
+  auto failure = co_await state.transport->WriteAll(message);
+  if (!failure) failure = co_await state.transport->ReadHeader(state.parser);
+  const bool refused = !failure && state.parser.get().result_int() / 100 != 2;
+  if (refused) failure = co_await state.transport->Read(state.parser);
+  if (failure) {
+    result.failure = absl::StrCat("call to ", ToString(endpoint), " failed: ", failure.message());
+    co_return result;
+  }
+  result.stage = CallStage::kAnswered;
+  if (refused) {
+    result.response = ToResponse(state.parser.get());
+    co_return result;
+  }
+  std::string received = std::move(state.parser.get().body());
+  state.header = ToResponse(state.parser.get());
+  state.parser.get().body().clear();
+  state.pending = std::move(received);
+  result.stream = std::move(stream);
+  co_return result;
+}
+
+}  // namespace fuchsiaweir
--- /dev/null
+++ b/src/net/http_server.cc
@@ -0,0 +1,300 @@
+#include "net/http_server.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/json.hpp>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "net/http_transport.h"
+#include "net/log.h"
+
+namespace fuchsiaweir {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using RequestParser = http::request_parser<http::string_body>;
+
+constexpr Duration kDrainPoll = Millis(20);
+
+HttpRequest ToRequest(http::request<http::string_body>&& message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+/// Returns the response to a message that could not be read, or nothing when the peer is gone.
+std::optional<HttpResponse> ReadFailureResponse(const boost::system::error_code& failure) {
+  if (failure == http::error::header_limit) {
+    HttpResponse response = ErrorResponse(
+        {ErrorCode::kTooLarge, RunState::kNotRun, "request header is too large", Duration{0}});
+    response.status = 431;
+    return response;
+  }
+  if (failure == http::error::body_limit) {
+    return ErrorResponse(
+        {ErrorCode::kTooLarge, RunState::kNotRun, "request body is too large", Duration{0}});
+  }
+  if (failure == asio::error::operation_aborted) {
+    return ErrorResponse({ErrorCode::kTimeout, RunState::kNotRun,
+                          "request was not received within the read timeout", Duration{0}});
+  }
+  if (failure == http::error::partial_message) {
+    return ErrorResponse({ErrorCode::kBadRequest, RunState::kNotRun,
+                          "request ended before its announced length", Duration{0}});
+  }
+  if (failure.category() == http::make_error_code(http::error::bad_method).category() &&
+      failure != http::error::end_of_stream) {
+    return ErrorResponse({ErrorCode::kBadRequest, RunState::kNotRun,
+                          "malformed HTTP request: " + failure.message(), Duration{0}});
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+HttpExchange::HttpExchange(HttpTransport& transport, HttpRequest request, Duration write_timeout)
+    : transport_(transport),
+      request_(std::move(request)),
+      target_(ParseTarget(request_.target)),
+      write_timeout_(write_timeout) {}
+
+bool HttpExchange::peer_gone() const { return transport_.PeerClosed(); }
+
+void HttpExchange::Abort() {
+  state_ = State::kFailed;
+  keep_alive_ = false;
+  transport_.Close();
+}
+
+std::string HttpExchange::Header(int status, const HttpHeaders& headers) const {
+  const auto reason = http::obsolete_reason(http::int_to_status(status));
+  std::string text =
+      absl::StrCat("HTTP/1.1 ", status, " ", std::string(reason.data(), reason.size()), "\r\n");
+  for (const auto& [name, value] : headers) absl::StrAppend(&text, name, ": ", value, "\r\n");
+  if (!keep_alive_) absl::StrAppend(&text, "Connection: close\r\n");
+  return text;
+}
+
+Awaitable<bool> HttpExchange::Write(std::string data, State next) {
+  transport_.ExpireAfter(write_timeout_);
+  const auto failure = co_await transport_.WriteAll(data);
+  state_ = failure ? State::kFailed : next;
+  if (failure) keep_alive_ = false;
+  co_return !failure;
+}
+
+Awaitable<bool> HttpExchange::Respond(HttpResponse response) {
+  if (state_ != State::kWaiting) co_return false;
+  std::string message = Header(response.status, response.headers);
+  absl::StrAppend(&message, "Content-Length: ", response.body.size(), "\r\n\r\n");
+  if (request_.method != "HEAD") message += response.body;
+  co_return co_await Write(std::move(message), State::kAnswered);
+}
+
+Awaitable<bool> HttpExchange::BeginStream(int status, HttpHeaders headers) {
+  if (state_ != State::kWaiting) co_return false;
+  std::string message = Header(status, headers) + "Transfer-Encoding: chunked\r\n\r\n";
+  co_return co_await Write(std::move(message), State::kStreaming);
+}
+
+Awaitable<bool> HttpExchange::WriteChunk(std::string data) {
+  if (state_ != State::kStreaming) co_return false;
+  if (data.empty()) co_return true;
+  std::string chunk = absl::StrCat(absl::Hex(data.size()), "\r\n", data, "\r\n");
+  co_return co_await Write(std::move(chunk), State::kStreaming);
+}
+
+Awaitable<bool> HttpExchange::EndStream() {
+  if (state_ != State::kStreaming) co_return false;
+  std::string last = "0\r\n\r\n";
+  co_return co_await Write(std::move(last), State::kAnswered);
+}
+
+HttpResponse JsonResponse(int status, std::string body) {
+  return {status, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+HttpResponse ErrorResponse(const Error& error) {
+  const boost::json::object body{{"error",
+                                  {{"code", std::string(Name(error.code))},
+                                   {"message", error.message},
+                                   {"run_state", std::string(Name(error.run_state))}}}};
+  HttpResponse response = JsonResponse(HttpStatus(error.code), boost::json::serialize(body));
+  if (error.retry_after > Duration{0}) {
+    const int64_t seconds = (error.retry_after + Seconds(1) - Micros(1)) / Seconds(1);
+    response.headers.emplace_back("Retry-After", absl::StrCat(seconds));
+  }
+  return response;
+}
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+  Impl(asio::io_context& io_context, HttpServerOptions server_options, HttpHandler request_handler)
+      : io(io_context),
+        options(std::move(server_options)),
+        handler(std::move(request_handler)),
+        acceptor(io_context) {}
+
+  void Listen();
+  Awaitable<void> AcceptLoop();
+  Awaitable<void> Serve(std::shared_ptr<HttpTransport> transport);
+  Awaitable<bool> ServeOne(HttpTransport& transport);
+  Awaitable<boost::system::error_code> ReadRequest(HttpTransport& transport, RequestParser& parser);
+  Awaitable<boost::system::error_code> ReadParts(HttpTransport& transport, RequestParser& parser);
+  Awaitable<void> Handle(HttpExchange& exchange);
+
+  asio::io_context& io;
+  HttpServerOptions options;
+  HttpHandler handler;
+  tcp::acceptor acceptor;
+  std::set<HttpTransport*> idle;  ///< Connections that wait for their next request.
+  int64_t connections = 0;
+  int64_t active = 0;
+  bool draining = false;
+};
+
+void HttpServer::Impl::Listen() {
+  const tcp::endpoint endpoint(asio::ip::make_address(options.listen.address), options.listen.port);
+  acceptor.open(endpoint.protocol());
+  acceptor.set_option(tcp::acceptor::reuse_address(true));
+  acceptor.bind(endpoint);
+  acceptor.listen(asio::socket_base::max_listen_connections);
+}
+
+Awaitable<void> HttpServer::Impl::AcceptLoop() {
+  while (acceptor.is_open()) {
+    boost::system::error_code failure;
+    tcp::socket socket =
+        co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+      if (!acceptor.is_open()) break;
+      co_await SleepFor(Millis(10));  // Out of descriptors: wait until one is closed.
+      continue;
+    }
+    if (connections >= options.max_connections) continue;  // The socket's destructor closes it.
+    auto transport = std::make_shared<HttpTransport>(std::move(socket), options.tls);
+    ++connections;
+    Spawn(io, "http_connection", [self = shared_from_this(), transport]() -> Awaitable<void> {
+      co_await self->Serve(transport);
+      --self->connections;
+    });
+  }
+}
+
+Awaitable<void> HttpServer::Impl::Serve(std::shared_ptr<HttpTransport> transport) {
+  transport->ExpireAfter(options.read_timeout);
+  const auto failure = co_await transport->Handshake(asio::ssl::stream_base::server);
+  bool open = !failure;
+  while (open) {
+    transport->ExpireAfter(options.idle_timeout);
+    idle.insert(transport.get());
+    const auto closed = co_await transport->WaitReadable();
+    idle.erase(transport.get());
+    if (closed) break;
+    ++active;
+    open = co_await ServeOne(*transport);
+    --active;
+    open = open && !draining;
+  }
+  transport->Close();
+}
+
+Awaitable<boost::system::error_code> HttpServer::Impl::ReadRequest(HttpTransport& transport,
+                                                                   RequestParser& parser) {
+  parser.header_limit(static_cast<uint32_t>(options.max_header_bytes));
+  parser.body_limit(static_cast<uint64_t>(options.max_body_bytes));
+  // The stream's own timeout closes the socket, which would leave no way to answer a slow sender.
+  transport.tcp().expires_never();
+  asio::steady_timer deadline(io);
+  deadline.expires_after(options.read_timeout);
+  deadline.async_wait([&transport](const boost::system::error_code& cancelled) {
+    if (!cancelled) transport.tcp().cancel();
+  });
+  const auto failure = co_await ReadParts(transport, parser);
+  // Once the deadline has expired its handler has run or is about to run on this thread; yielding
+  // until it has run keeps it from reaching a destroyed transport.
+  if (deadline.cancel() == 0) co_await asio::post(io, asio::use_awaitable);
+  co_return failure;
+}
+
+Awaitable<boost::system::error_code> HttpServer::Impl::ReadParts(HttpTransport& transport,
+                                                                 RequestParser& parser) {
+  auto failure = co_await transport.ReadHeader(parser);
+  if (failure) co_return failure;
+  const auto expect = parser.get()[http::field::expect];
+  if (absl::EqualsIgnoreCase(std::string(expect.data(), expect.size()), "100-continue")) {
+    failure = co_await transport.WriteAll("HTTP/1.1 100 Continue\r\n\r\n");
+    if (failure) co_return failure;
+  }
+  co_return co_await transport.Read(parser);
+}
+
+Awaitable<bool> HttpServer::Impl::ServeOne(HttpTransport& transport) {
+  RequestParser parser;
+  const auto failure = co_await ReadRequest(transport, parser);
+  if (failure) {
+    std::optional<HttpResponse> response = ReadFailureResponse(failure);
+    if (!response) co_return false;
+    HttpExchange exchange(transport, HttpRequest{}, options.write_timeout);
+    exchange.CloseAfterResponse();
+    co_await exchange.Respond(std::move(*response));
+    co_return false;
+  }
+  const bool keep_alive = parser.get().keep_alive();
+  HttpExchange exchange(transport, ToRequest(parser.release()), options.write_timeout);
+  if (!keep_alive || draining) exchange.CloseAfterResponse();
+  co_await Handle(exchange);
+  co_return exchange.keep_alive() && exchange.answered();
+}
+
+Awaitable<void> HttpServer::Impl::Handle(HttpExchange& exchange) {
+  std::string failure;
+  try {
+    co_await handler(exchange);
+  } catch (const std::exception& e) {
+    failure = e.what();
+  }
+  if (!failure.empty()) LogError("handler_failed", {{"reason", failure}});
+  if (!exchange.waiting()) co_return;
+  const Error error{ErrorCode::kInternal, RunState::kUnknown, "the request was not answered",
+                    Duration{0}};
+  HttpResponse response = ErrorResponse(error);
+  co_await exchange.Respond(std::move(response));
+}
+
+HttpServer::HttpServer(asio::io_context& io, HttpServerOptions options, HttpHandler handler)
+    : impl_(std::make_shared<Impl>(io, std::move(options), std::move(handler))) {}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::Start() {
+  impl_->Listen();
+  Spawn(impl_->io, "http_accept", [impl = impl_]() { return impl->AcceptLoop(); });
+}
+
+Awaitable<void> HttpServer::Drain() {
+  const std::shared_ptr<Impl> impl = impl_;
+  impl->draining = true;
+  boost::system::error_code ignored;
+  impl->acceptor.close(ignored);
+  for (HttpTransport* transport : impl->idle) transport->Close();
+  while (impl->active > 0) co_await SleepFor(kDrainPoll);
+}
+
+int64_t HttpServer::active_requests() const { return impl_->active; }
+
+}  // namespace fuchsiaweir
--- /dev/null
+++ b/src/net/http_transport.cc
@@ -0,0 +1,81 @@
+#include "net/http_transport.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <utility>
+
+namespace fuchsiaweir {
+
+namespace asio = boost::asio;
+
+HttpTransport::HttpTransport(asio::ip::tcp::socket socket, const TlsContext& tls) {
+  ErrorCode ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  if (tls == nullptr) {
+    plain_ = std::make_unique<boost::beast::tcp_stream>(std::move(socket));
+  } else {
+    tls_ = std::make_unique<boost::beast::ssl_stream<boost::beast::tcp_stream>>(std::move(socket),
+                                                                                *tls);
+  }
+}
+
+boost::beast::tcp_stream& HttpTransport::tcp() {
+  return tls_ != nullptr ? tls_->next_layer() : *plain_;
+}
+
+Awaitable<HttpTransport::ErrorCode> HttpTransport::Handshake(
+    asio::ssl::stream_base::handshake_type type) {
+  ErrorCode failure;
+  if (tls_ != nullptr) {
+    co_await tls_->async_handshake(type, asio::redirect_error(asio::use_awaitable, failure));
+  }
+  co_return failure;
+}
+
+Awaitable<HttpTransport::ErrorCode> HttpTransport::WaitReadable() {
+  ErrorCode failure;
+  if (buffer_.size() > 0) co_return failure;
+
+  if (tls_ == nullptr) {
+    auto space = buffer_.prepare(4096);
+    const size_t count =
+        co_await plain_->async_read_some(space, asio::redirect_error(asio::use_awaitable, failure));
+    buffer_.commit(count);
+  } else {
+    auto space = buffer_.prepare(4096);
+    const size_t count =
+        co_await tls_->async_read_some(space, asio::redirect_error(asio::use_awaitable, failure));
+    buffer_.commit(count);
+  }
+  co_return failure;
+}
+
+Awaitable<HttpTransport::ErrorCode> HttpTransport::WriteAll(std::string_view data) {
+  ErrorCode failure;
+  const asio::const_buffer bytes(data.data(), data.size());
+  auto token = asio::redirect_error(asio::use_awaitable, failure);
+  if (tls_ != nullptr) {
+    co_await asio::async_write(*tls_, bytes, token);
+  } else {
+    co_await asio::async_write(*plain_, bytes, token);
+  }
+  co_return failure;
+}
+
+bool HttpTransport::PeerClosed() {
+  if (!tcp().socket().is_open()) return true;
+  char byte = 0;
+  const ssize_t count =
+      recv(tcp().socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  if (count == 0) return true;
+  return count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+}
+
+void HttpTransport::Close() {
+  ErrorCode ignored;
+  tcp().socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  tcp().socket().close(ignored);
+}
+
+}  // namespace fuchsiaweir
--- /dev/null
+++ b/src/net/http_transport.h
@@ -0,0 +1,83 @@
+#ifndef FUCHSIAWEIR_NET_HTTP_TRANSPORT_H_
+#define FUCHSIAWEIR_NET_HTTP_TRANSPORT_H_
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/ssl/ssl_stream.hpp>
+#include <memory>
+#include <string_view>
+
+#include "core/clock.h"
+#include "net/awaitable.h"
+#include "net/tls_context.h"
+
+namespace fuchsiaweir {
+
+/// A TCP or TLS connection with the buffer that HTTP messages are read through. Every operation
+/// fails with a timeout error when the time set by `ExpireAfter` has passed.
+class HttpTransport {
+ public:
+  using ErrorCode = boost::system::error_code;
+
+  HttpTransport(boost::asio::ip::tcp::socket socket, const TlsContext& tls);
+
+  void ExpireAfter(Duration timeout) { tcp().expires_after(timeout); }
+  Awaitable<ErrorCode> Handshake(boost::asio::ssl::stream_base::handshake_type type);
+  Awaitable<ErrorCode> WaitReadable();
+  Awaitable<ErrorCode> WriteAll(std::string_view data);
+
+  template <typename Parser>
+  Awaitable<ErrorCode> ReadHeader(Parser& parser) {
+    ErrorCode failure;
+    auto token = boost::asio::redirect_error(boost::asio::use_awaitable, failure);
+    if (tls_ != nullptr) {
+      co_await boost::beast::http::async_read_header(*tls_, buffer_, parser, token);
+    } else {
+      co_await boost::beast::http::async_read_header(*plain_, buffer_, parser, token);
+    }
+    co_return failure;
+  }
+
+  template <typename Parser>
+  Awaitable<ErrorCode> Read(Parser& parser) {
+    ErrorCode failure;
+    auto token = boost::asio::redirect_error(boost::asio::use_awaitable, failure);
+    if (tls_ != nullptr) {
+      co_await boost::beast::http::async_read(*tls_, buffer_, parser, token);
+    } else {
+      co_await boost::beast::http::async_read(*plain_, buffer_, parser, token);
+    }
+    co_return failure;
+  }
+
+  template <typename Parser>
+  Awaitable<ErrorCode> ReadSome(Parser& parser) {
+    ErrorCode failure;
+    auto token = boost::asio::redirect_error(boost::asio::use_awaitable, failure);
+    if (tls_ != nullptr) {
+      co_await boost::beast::http::async_read_some(*tls_, buffer_, parser, token);
+    } else {
+      co_await boost::beast::http::async_read_some(*plain_, buffer_, parser, token);
+    }
+    co_return failure;
+  }
+
+  /// Whether the peer has closed or reset the connection; does not block or consume data.
+  bool PeerClosed();
+  void Close();
+  boost::beast::tcp_stream& tcp();
+
+ private:
+  std::unique_ptr<boost::beast::tcp_stream> plain_;
+  std::unique_ptr<boost::beast::ssl_stream<boost::beast::tcp_stream>> tls_;
+  boost::beast::flat_buffer buffer_;
+};
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_NET_HTTP_TRANSPORT_H_
--- /dev/null
+++ b/src/net/service_router.cc
@@ -0,0 +1,130 @@
+#include "net/service_router.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "core/rendezvous.h"
+#include "net/peer_error.h"
+
+namespace fuchsiaweir {
+namespace {
+
+constexpr char kServicesPath[] = "/v1/services/";
+constexpr size_t kMaxReplicas = 3;
+
+bool IsNonIdempotent(const Service& service, const ServiceCall& call) {
+  if (call.method == "GET" || call.method == "HEAD") return false;
+  for (const std::string& prefix : service.non_idempotent) {
+    if (absl::StartsWith(call.path, prefix)) return true;
+  }
+  return false;
+}
+
+std::vector<Service> ReplicasInService(const Inventory& inventory, const ServiceCall& call) {
+  std::vector<std::string> names;
+  for (const Service& service : inventory.services) {
+    const Host* host = FindByName(inventory.hosts, service.host);
+    const DataCentre* data_centre =
+        host == nullptr ? nullptr : FindByName(inventory.data_centres, host->data_centre);
+    const bool in_service =
+        host != nullptr && host->in_service && data_centre != nullptr && data_centre->in_service;
+    if (in_service && service.service == call.service) names.push_back(service.name);
+  }
+  const std::string key = absl::StrCat(call.team, "/", call.service, "/", call.idempotency_key);
+  std::vector<Service> replicas;
+  for (const std::string& name : RendezvousTop(key, names, kMaxReplicas)) {
+    replicas.push_back(*FindByName(inventory.services, name));
+  }
+  return replicas;
+}
+
+bool ServiceExists(const Inventory& inventory, const std::string& name) {
+  for (const Service& service : inventory.services) {
+    if (service.service == name) return true;
+  }
+  return false;
+}
+
+ServiceCall MakeCall(const HttpExchange& exchange, const Team& team) {
+  const HttpRequest& request = exchange.request();
+  const std::string rest = request.target.substr(std::string(kServicesPath).size());
+  const size_t slash = rest.find('/');
+  ServiceCall call;
+  call.team = team.name;
+  call.service = rest.substr(0, slash);
+  call.path = slash == std::string::npos ? "/" : rest.substr(slash);
+  call.method = request.method;
+  call.content_type = HeaderValue(request.headers, "Content-Type");
+  call.idempotency_key = HeaderValue(request.headers, "Idempotency-Key");
+  call.body = request.body;
+  return call;
+}
+
+}  // namespace
+
+ServiceRouter::ServiceRouter(ConfigService& config, HttpClient& agents)
+    : config_(config), agents_(agents) {}
+
+Awaitable<void> ServiceRouter::Serve(HttpExchange& exchange, Team team) {
+  const std::shared_ptr<const ConfigSnapshot> config = config_.current();
+  ServiceCall call = MakeCall(exchange, team);
+  const Result<ServiceAnswer> answer = co_await Route(std::move(call), config);
+  HttpResponse response;
+  if (answer) {
+    response.status = static_cast<int>(answer.value().status);
+    response.headers.emplace_back("Content-Type", answer.value().content_type);
+    if (answer.value().replayed) response.headers.emplace_back("Idempotent-Replayed", "true");
+    response.body = answer.value().body;
+  } else {
+    response = ErrorResponse(answer.error());
+  }
+  co_await exchange.Respond(std::move(response));
+}
+
+Awaitable<Result<ServiceAnswer>> ServiceRouter::Route(
+    ServiceCall call, std::shared_ptr<const ConfigSnapshot> config) {
+  const Inventory& inventory = config->inventory;
+  if (!ServiceExists(inventory, call.service)) {
+    co_return Error{ErrorCode::kUnknownService, RunState::kNotRun,
+                    "unknown service \"" + call.service + "\"", Duration{0}};
+  }
+  call.deadline_ms = inventory.rules.request_deadline_ms;
+  Error failure{ErrorCode::kNoTarget, RunState::kNotRun, "no replica of the service is in service",
+                Seconds(1)};
+  const std::vector<Service> replicas = ReplicasInService(inventory, call);
+  for (const Service& service : replicas) {
+    call.replica = service.name;
+    call.non_idempotent = IsNonIdempotent(service, call);
+    const Host* host = FindByName(inventory.hosts, service.host);
+    Result<ServiceAnswer> answer = co_await CallAgent(call, *host);
+    if (answer) co_return answer;
+    failure = answer.error();
+    const bool retryable = failure.run_state == RunState::kNotRun ||
+                           (!call.non_idempotent && failure.run_state == RunState::kUnknown);
+    if (!retryable) break;
+  }
+  co_return failure;
+}
+
+Awaitable<Result<ServiceAnswer>> ServiceRouter::CallAgent(const ServiceCall& call, Host host) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/internal/v1/calls";
+  request.body = EncodeServiceCall(call);
+  CallOptions options;
+  options.timeout = Millis(call.deadline_ms);
+  options.fresh_connection = call.non_idempotent;
+  const Endpoint agent{host.address, static_cast<uint16_t>(host.port)};
+  const HttpResult result = co_await agents_.Call(agent, std::move(request), options);
+  if (result.ok()) co_return DecodeServiceAnswer(result.response->body);
+  if (result.response) co_return DecodeErrorResponse(*result.response);
+  const bool sent = result.stage == CallStage::kSent;
+  co_return Error{ErrorCode::kTargetFailed, sent ? RunState::kUnknown : RunState::kNotRun,
+                  result.failure, Duration{0}};
+}
+
+}  // namespace fuchsiaweir
--- /dev/null
+++ b/src/net/service_router.h
@@ -0,0 +1,33 @@
+#ifndef FUCHSIAWEIR_NET_SERVICE_ROUTER_H_
+#define FUCHSIAWEIR_NET_SERVICE_ROUTER_H_
+
+#include <string>
+#include <vector>
+
+#include "core/inventory.h"
+#include "core/run_message.h"
+#include "net/config_service.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+namespace fuchsiaweir {
+
+/// Routes calls under /v1/services/NAME/ to the agent beside a replica of the service.
+class ServiceRouter {
+ public:
+  ServiceRouter(ConfigService& config, HttpClient& agents);
+
+  Awaitable<void> Serve(HttpExchange& exchange, Team team);
+
+ private:
+  Awaitable<Result<ServiceAnswer>> Route(ServiceCall call,
+                                         std::shared_ptr<const ConfigSnapshot> config);
+  Awaitable<Result<ServiceAnswer>> CallAgent(const ServiceCall& call, Host host);
+
+  ConfigService& config_;
+  HttpClient& agents_;
+};
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_NET_SERVICE_ROUTER_H_
--- /dev/null
+++ b/test/standin/engine.h
@@ -0,0 +1,39 @@
+#ifndef FUCHSIAWEIR_TEST_STANDIN_ENGINE_H_
+#define FUCHSIAWEIR_TEST_STANDIN_ENGINE_H_
+
+#include <cstdint>
+#include <string>
+
+namespace fuchsiaweir::standin {
+
+/// Options of the engine stand-in.
+struct EngineOptions {
+  int port = 0;
+  std::string model = "model";
+  std::string version = "v1";
+  int64_t prefill_tokens_per_second = 100'000;
+  int64_t token_micros = 2'000;  ///< Time between two output tokens of one run.
+  int64_t cache_blocks = 64;     ///< Blocks in accelerator memory.
+  int64_t max_concurrent = 16;   ///< Runs in one batch; more wait.
+  int64_t cold_limit = 1;        ///< A cold engine fails all runs when it gets more.
+  int64_t warm_up_runs = 4;      ///< Completed runs after which the engine is warm.
+  int64_t event_lag_ms = 200;    ///< Cache events and load reports are this late.
+  int64_t kv_bytes_per_token = 16;
+  bool checks_fence = true;
+  std::string platform;  ///< "ADDRESS:PORT" of the weight store; empty loads at once.
+};
+
+/// Stand-in for a model engine: continuous batching with a prefill and decode time model, prefix
+/// cache, priorities, resume, cancel, KV export and import, late cache events, lagging load
+/// reports, cold start and orders. The output is a function of the prompt, so that a caller can
+/// check it: token i is " t" + (digest of the prompt and i).
+///
+/// Faults by POST /fault: "crash" (end the process), "crash_on" (end it when a prompt contains
+/// this text), "cold" (turn cold unannounced), "silent" (streams stop sending), "cut_after"
+/// (streams break after so many tokens), "drop_events" (lose the next cache events).
+/// GET /stats returns counters.
+void RunEngine(const EngineOptions& options);
+
+}  // namespace fuchsiaweir::standin
+
+#endif  // FUCHSIAWEIR_TEST_STANDIN_ENGINE_H_
--- /dev/null
+++ b/test/standin/platform.cc
@@ -0,0 +1,224 @@
+#include "platform.h"
+
+#include <absl/strings/match.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "core/json_fields.h"
+#include "standin_server.h"
+
+namespace fuchsiaweir::standin {
+namespace {
+
+namespace json = boost::json;
+
+constexpr size_t kMaxValueBytes = 1'000'000;
+constexpr char kObjects[] = "/objects/";
+/// Weight loads beyond this number slow each other down.
+constexpr int kFullSpeedLoads = 2;
+constexpr Duration kWeightLoadTime = Millis(1'500);
+
+struct Object {
+  int64_t version = 0;
+  std::string value;
+  int64_t previous_version = 0;
+  std::string previous_value;
+};
+
+struct Faults {
+  bool down = false;
+  bool stale = false;
+  int64_t delay_ms = 0;
+  int64_t lose_answers = 0;
+  int64_t writes_per_second = 1'000'000;
+  int64_t reads_per_second = 1'000'000;
+};
+
+constexpr std::pair<const char*, int64_t Faults::*> kNumericFaults[] = {
+    {"delay_ms", &Faults::delay_ms},
+    {"lose_answers", &Faults::lose_answers},
+    {"writes_per_second", &Faults::writes_per_second},
+    {"reads_per_second", &Faults::reads_per_second}};
+
+struct Stats {
+  int64_t reads = 0;
+  int64_t writes = 0;
+  int64_t watches = 0;
+  int64_t conflicts = 0;
+  int64_t refused = 0;
+  int64_t weight_loads = 0;
+  int64_t max_concurrent_loads = 0;
+};
+
+/// Counts calls per whole second of the clock.
+class RateLimit {
+ public:
+  bool Take(int64_t per_second) {
+    const int64_t second = SteadyNow().time_since_epoch() / Seconds(1);
+    if (second != second_) count_ = 0;
+    second_ = second;
+    return ++count_ <= per_second;
+  }
+
+ private:
+  int64_t second_ = 0;
+  int64_t count_ = 0;
+};
+
+class Platform {
+ public:
+  explicit Platform(boost::asio::io_context& io) : changed_(io) {}
+
+  Awaitable<void> Handle(HttpExchange& exchange);
+
+ private:
+  Awaitable<void> SetFault(HttpExchange& exchange);
+  Awaitable<void> SendStats(HttpExchange& exchange);
+  Awaitable<void> Get(HttpExchange& exchange, std::string key);
+  Awaitable<void> Put(HttpExchange& exchange, std::string key);
+  Awaitable<void> WaitForVersion(std::string key, int64_t after, Duration wait);
+  Awaitable<void> Hosts(HttpExchange& exchange);
+  Awaitable<void> LoadWeights(HttpExchange& exchange);
+
+  std::map<std::string, Object> objects_;
+  std::string hosts_ = R"({"hosts":[]})";
+  Faults faults_;
+  Stats stats_;
+  RateLimit reads_;
+  RateLimit writes_;
+  int loads_ = 0;
+  boost::asio::steady_timer changed_;
+};
+
+Awaitable<void> Platform::Handle(HttpExchange& exchange) {
+  const std::string path = exchange.target().path;
+  const std::string method = exchange.request().method;
+  if (path == "/fault") co_return co_await SetFault(exchange);
+  if (path == "/stats") co_return co_await SendStats(exchange);
+  if (faults_.delay_ms > 0) co_await SleepFor(Millis(faults_.delay_ms));
+  if (faults_.down) co_return co_await SendJson(exchange, 503, R"({"error":"down"})");
+  if (path == "/hosts") co_return co_await Hosts(exchange);
+  if (absl::StartsWith(path, "/weights/")) co_return co_await LoadWeights(exchange);
+  if (!absl::StartsWith(path, kObjects)) {
+    co_return co_await SendJson(exchange, 404, R"({"error":"no such route"})");
+  }
+  std::string key = path.substr(sizeof(kObjects) - 1);
+  if (method == "PUT") co_return co_await Put(exchange, std::move(key));
+  co_await Get(exchange, std::move(key));
+}
+
+Awaitable<void> Platform::SetFault(HttpExchange& exchange) {
+  const json::object body = ParseJsonObject(exchange.request().body);
+  if (body.contains("down")) faults_.down = BooleanField(body, "down");
+  if (body.contains("stale")) faults_.stale = BooleanField(body, "stale");
+  for (const auto& [name, member] : kNumericFaults) {
+    if (body.contains(name)) faults_.*member = IntegerField(body, name);
+  }
+  changed_.cancel();  // A platform that goes down also ends its watches.
+  co_await SendJson(exchange, 200, "{}");
+}
+
+Awaitable<void> Platform::SendStats(HttpExchange& exchange) {
+  const json::object body{{"reads", stats_.reads},
+                          {"writes", stats_.writes},
+                          {"watches", stats_.watches},
+                          {"conflicts", stats_.conflicts},
+                          {"refused", stats_.refused},
+                          {"weight_loads", stats_.weight_loads},
+                          {"max_concurrent_loads", stats_.max_concurrent_loads}};
+  co_await SendJson(exchange, 200, json::serialize(body));
+}
+
+Awaitable<void> Platform::WaitForVersion(std::string key, int64_t after, Duration wait) {
+  const TimePoint end = SteadyNow() + wait;
+  while (objects_[key].version <= after && SteadyNow() < end && !faults_.down) {
+    boost::system::error_code woken;
+    changed_.expires_at(end);
+    co_await changed_.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, woken));
+  }
+}
+
+std::string RenderObject(const Object& object, bool stale) {
+  const json::object body{{"version", stale ? object.previous_version : object.version},
+                          {"value", stale ? object.previous_value : object.value}};
+  return json::serialize(body);
+}
+
+Awaitable<void> Platform::Get(HttpExchange& exchange, std::string key) {
+  if (!reads_.Take(faults_.reads_per_second)) {
+    ++stats_.refused;
+    co_return co_await SendJson(exchange, 429, R"({"error":"too many reads"})");
+  }
+  const int64_t wait_ms = exchange.target().QueryInteger("wait_ms", 0);
+  ++(wait_ms > 0 ? stats_.watches : stats_.reads);
+  const int64_t after = exchange.target().QueryInteger("after", 0);
+  if (wait_ms > 0) co_await WaitForVersion(key, after, Millis(wait_ms));
+  if (faults_.down) co_return co_await SendJson(exchange, 503, R"({"error":"down"})");
+  const Object& object = objects_[key];
+  const bool stale = faults_.stale && object.previous_version > 0;
+  if (object.version == 0) co_return co_await SendJson(exchange, 404, R"({"error":"not found"})");
+  co_await SendJson(exchange, 200, RenderObject(object, stale));
+}
+
+std::string RenderVersion(int64_t version) {
+  return json::serialize(json::object{{"version", version}});
+}
+
+Awaitable<void> Platform::Put(HttpExchange& exchange, std::string key) {
+  if (!writes_.Take(faults_.writes_per_second)) {
+    ++stats_.refused;
+    co_return co_await SendJson(exchange, 429, R"({"error":"too many writes"})");
+  }
+  ++stats_.writes;
+  Object& object = objects_[key];
+  if (exchange.request().body.size() > kMaxValueBytes) {
+    co_return co_await SendJson(exchange, 413, R"({"error":"value too large"})");
+  }
+  if (exchange.target().QueryInteger("expect", 0) != object.version) {
+    ++stats_.conflicts;
+    co_return co_await SendJson(exchange, 409, RenderVersion(object.version));
+  }
+  object.previous_version = object.version;
+  object.previous_value = std::move(object.value);
+  object.value = exchange.request().body;
+  ++object.version;
+  changed_.cancel();
+  if (faults_.lose_answers > 0) {
+    --faults_.lose_answers;
+    co_return co_await LoseAnswer(exchange);
+  }
+  co_await SendJson(exchange, 200, RenderVersion(object.version));
+}
+
+Awaitable<void> Platform::Hosts(HttpExchange& exchange) {
+  if (exchange.request().method != "PUT") co_return co_await SendJson(exchange, 200, hosts_);
+  std::string hosts = exchange.request().body;
+  co_await SleepFor(Millis(exchange.target().QueryInteger("lag_ms", 0)));
+  hosts_ = std::move(hosts);
+  co_await SendJson(exchange, 200, "{}");
+}
+
+Awaitable<void> Platform::LoadWeights(HttpExchange& exchange) {
+  ++stats_.weight_loads;
+  ++loads_;
+  stats_.max_concurrent_loads = std::max<int64_t>(stats_.max_concurrent_loads, loads_);
+  const int slowdown = std::max(1, loads_ - kFullSpeedLoads + 1);
+  co_await SleepFor(kWeightLoadTime * slowdown);
+  --loads_;
+  co_await SendJson(exchange, 200, "{}");
+}
+
+}  // namespace
+
+void RunPlatform(int port) {
+  boost::asio::io_context io(1);
+  Platform platform(io);
+  Serve(io, port, [&platform](HttpExchange& exchange) { return platform.Handle(exchange); });
+}
+
+}  // namespace fuchsiaweir::standin
--- /dev/null
+++ b/test/standin/standin_server.cc
@@ -0,0 +1,30 @@
+#include "standin_server.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <utility>
+
+namespace fuchsiaweir::standin {
+
+void Serve(boost::asio::io_context& io, int port, Handler handler) {
+  HttpServerOptions options;
+  options.listen = {"127.0.0.1", static_cast<uint16_t>(port)};
+  options.max_body_bytes = 64'000'000;
+  HttpServer server(io, options, std::move(handler));
+  server.Start();
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&io](const boost::system::error_code&, int) { io.stop(); });
+  io.run();
+}
+
+Awaitable<void> SendJson(HttpExchange& exchange, int status, std::string body) {
+  HttpResponse response = JsonResponse(status, std::move(body));
+  co_await exchange.Respond(std::move(response));
+}
+
+Awaitable<void> LoseAnswer(HttpExchange& exchange) {
+  exchange.Abort();
+  co_return;
+}
+
+}  // namespace fuchsiaweir::standin
--- /dev/null
+++ b/test/standin/standin_server.h
@@ -0,0 +1,26 @@
+#ifndef FUCHSIAWEIR_TEST_STANDIN_STANDIN_SERVER_H_
+#define FUCHSIAWEIR_TEST_STANDIN_STANDIN_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <string>
+
+#include "net/http_server.h"
+
+namespace fuchsiaweir::standin {
+
+/// Answers one request of a stand-in.
+using Handler = std::function<Awaitable<void>(HttpExchange&)>;
+
+/// Serves a stand-in on 127.0.0.1 until SIGTERM.
+void Serve(boost::asio::io_context& io, int port, Handler handler);
+
+/// Sends a JSON body.
+Awaitable<void> SendJson(HttpExchange& exchange, int status, std::string body);
+
+/// Closes the connection without an answer, as if the answer had been lost.
+Awaitable<void> LoseAnswer(HttpExchange& exchange);
+
+}  // namespace fuchsiaweir::standin
+
+#endif  // FUCHSIAWEIR_TEST_STANDIN_STANDIN_SERVER_H_
