Add rendezvous hashing

Cause: candidate runners, stores and the home of a call are found without a directory, so every process must order the nodes of a key alike. Proof seen to fail first: placement by key modulo node count fails the removal and the order test; a score that ignores the key fails the spread test. Conclusion: removing a node moves only its own keys; 20,000 keys over 20 nodes spread evenly.

--- /dev/null
+++ b/src/core/rendezvous.cc
@@ -0,0 +1,40 @@
+#include "core/rendezvous.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsiaweir {
+
+uint64_t RendezvousHash(const std::string& text) { return XXH3_64bits(text.data(), text.size()); }
+
+uint64_t RendezvousMix(uint64_t key_hash, uint64_t node_hash) {
+  return XXH3_64bits_withSeed(&node_hash, sizeof(node_hash), key_hash);
+}
+
+uint64_t RendezvousScore(const std::string& key, const std::string& node) {
+  return RendezvousMix(RendezvousHash(key), RendezvousHash(node));
+}
+
+std::vector<std::string> RendezvousTop(const std::string& key,
+                                       const std::vector<std::string>& nodes, size_t count) {
+  const uint64_t key_hash = RendezvousHash(key);
+  std::vector<std::pair<uint64_t, const std::string*>> scored;
+  scored.reserve(nodes.size());
+  for (const std::string& node : nodes) {
+    scored.emplace_back(RendezvousMix(key_hash, RendezvousHash(node)), &node);
+  }
+  const size_t kept = std::min(count, scored.size());
+  // The name settles equal scores, so that every process orders the nodes alike.
+  std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(kept),
+                    scored.end(), [](const auto& a, const auto& b) {
+                      return a.first != b.first ? a.first > b.first : *a.second < *b.second;
+                    });
+  std::vector<std::string> top;
+  top.reserve(kept);
+  for (size_t i = 0; i < kept; ++i) top.push_back(*scored[i].second);
+  return top;
+}
+
+}  // namespace fuchsiaweir
--- /dev/null
+++ b/src/core/rendezvous.h
@@ -0,0 +1,27 @@
+#ifndef FUCHSIAWEIR_CORE_RENDEZVOUS_H_
+#define FUCHSIAWEIR_CORE_RENDEZVOUS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fuchsiaweir {
+
+/// Hash of a key or of a node name, for callers that keep it across decisions.
+uint64_t RendezvousHash(const std::string& text);
+
+/// Score of a node for a key, from their hashes. The highest score wins.
+uint64_t RendezvousMix(uint64_t key_hash, uint64_t node_hash);
+
+/// Equals `RendezvousMix(RendezvousHash(key), RendezvousHash(node))`.
+uint64_t RendezvousScore(const std::string& key, const std::string& node);
+
+/// Returns the `count` nodes with the highest score, best first; all nodes when there are fewer.
+/// The result does not depend on the order of `nodes`.
+std::vector<std::string> RendezvousTop(const std::string& key,
+                                       const std::vector<std::string>& nodes, size_t count);
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_CORE_RENDEZVOUS_H_
