--- /dev/null
+++ b/test/correctness/cold_start_gate.cc
@@ -0,0 +1,112 @@
+#include "core/cold_start_gate.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <vector>
+
+#include "property.h"
+
+namespace fuchsiaweir {
+namespace {
+
+const RunEnd kHealthy{true, Millis(20)};
+const RunEnd kSlow{true, Millis(200)};
+const RunEnd kFailed{false, Millis(20)};
+
+/// Raises the gate to its maximum with healthy runs.
+void Warm(ColdStartGate& gate) {
+  std::vector<Admission> admissions;
+  for (int i = 0; i < 100; ++i) {
+    while (const auto admission = gate.TryAdmit()) admissions.push_back(*admission);
+    gate.OnRunEnd(admissions.back(), kHealthy);
+    admissions.pop_back();
+  }
+  for (const Admission& admission : admissions) gate.OnRunEnd(admission, kFailed);
+}
+
+}  // namespace
+
+TEST_GROUP(ColdStartGate){};
+
+// Guards against a gate that lets a runner have more runs than its current limit.
+TEST(ColdStartGate, LimitIsNeverExceededUnderAnyInterleaving) {
+  CheckProperty("an admission keeps own and foreign runs within the limit", [] {
+    const int64_t cold_limit = *rc::gen::inRange(1, 4);
+    const int64_t max_concurrent = *rc::gen::inRange<int64_t>(cold_limit, 20);
+    ColdStartGate gate({cold_limit, max_concurrent, Millis(46)});
+    std::vector<Admission> open;
+    for (const int step : *rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 100))) {
+      const int64_t before = gate.limit();
+      if (step < 50) {
+        if (const auto admission = gate.TryAdmit()) {
+          open.push_back(*admission);
+          RC_ASSERT(gate.running() + gate.foreign() <= gate.limit());
+        }
+      } else if (step < 90 && !open.empty()) {
+        const bool stale = step % 2 == 0;
+        const Admission admission = stale ? open.front() : open.back();
+        open.erase(stale ? open.begin() : open.end() - 1);
+        const RunEnd end = step < 80 ? kHealthy : step < 85 ? kSlow : kFailed;
+        gate.OnRunEnd(admission, end);
+        if (step >= 80) RC_ASSERT(gate.limit() <= before);
+      } else if (step < 93) {
+        gate.OnEngineInstance(std::to_string(step));
+        RC_ASSERT(gate.limit() <= before);
+      } else {
+        gate.OnLoadReport({step - 90, 0, Millis(step)});
+        RC_ASSERT(gate.limit() <= before);
+      }
+      RC_ASSERT(gate.running() == static_cast<int64_t>(open.size()));
+      RC_ASSERT(gate.limit() >= cold_limit);
+      RC_ASSERT(gate.limit() <= max_concurrent);
+    }
+  });
+}
+
+// Guards against a runner that turned cold and still gets its warm load.
+TEST(ColdStartGate, DropsAtOnceOnEverySignOfColdStart) {
+  const GateLimits limits{2, 16, Millis(46)};
+  for (int sign = 0; sign < 4; ++sign) {
+    ColdStartGate gate(limits);
+    gate.OnEngineInstance("a");
+    Warm(gate);
+    LONGS_EQUAL(16, gate.limit());
+    if (sign == 0) gate.OnEngineInstance("b");
+    if (sign == 1) gate.OnLoadReport({40, 0, Millis(20)});
+    if (sign == 2) gate.OnLoadReport({0, 40, Millis(20)});
+    if (sign == 3) gate.OnLoadReport({1, 0, Millis(150)});
+    LONGS_EQUAL(2, gate.limit());
+  }
+  LONGS_EQUAL(2, ColdStartGate(limits).limit());
+}
+
+// Guards against runs of the former instance that raise the limit of a cold one.
+TEST(ColdStartGate, RunsAdmittedBeforeTheDropDoNotRaiseTheLimit) {
+  ColdStartGate gate({1, 16, Millis(46)});
+  Warm(gate);
+  std::vector<Admission> old;
+  while (const auto admission = gate.TryAdmit()) old.push_back(*admission);
+  gate.OnEngineInstance("new");
+  CHECK(!gate.TryAdmit());
+  for (const Admission& admission : old) gate.OnRunEnd(admission, kHealthy);
+  LONGS_EQUAL(1, gate.limit());
+}
+
+// Guards against a limit that rises although the runner was never seen at its current limit.
+TEST(ColdStartGate, RunsBelowTheLimitDoNotRaiseIt) {
+  ColdStartGate gate({4, 16, Millis(46)});
+  for (int i = 0; i < 100; ++i) gate.OnRunEnd(*gate.TryAdmit(), kHealthy);
+  LONGS_EQUAL(4, gate.limit());
+}
+
+// Guards against a restarted agent that adds its work to the runs of its predecessor.
+TEST(ColdStartGate, RunsOfAFormerAgentCount) {
+  ColdStartGate gate({2, 16, Millis(46)});
+  gate.OnLoadReport({2, 0, Millis(20)});
+  CHECK(!gate.TryAdmit());
+  gate.OnLoadReport({1, 0, Millis(20)});
+  CHECK(gate.TryAdmit().has_value());
+  CHECK(!gate.TryAdmit());
+}
+
+}  // namespace fuchsiaweir
