--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -82,7 +82,7 @@
 /// HTTP/1.1 client with pooled connections.
 class HttpClient {
  public:
-  HttpClient(boost::asio::io_context& io, TlsContext tls = nullptr);
+  explicit HttpClient(boost::asio::io_context& io, TlsContext tls = nullptr);
   ~HttpClient();
 
   Awaitable<HttpResult> Call(Endpoint endpoint, HttpRequest request, CallOptions options);
--- a/src/net/http_types.cc
+++ b/src/net/http_types.cc
@@ -75,8 +75,8 @@
   for (const std::string& pair : std::vector<std::string>(absl::StrSplit(query, '&'))) {
     const size_t equals = pair.find('=');
     if (equals == std::string::npos) continue;
-    parsed.query.emplace_back(PercentDecode(std::string_view(pair).substr(0, equals)),
-                              PercentDecode(std::string_view(pair).substr(equals + 1)));
+    parsed.query.emplace_back(PercentDecode(pair.substr(0, equals)),
+                              PercentDecode(pair.substr(equals + 1)));
   }
   return parsed;
 }
