--- /dev/null
+++ b/src/core/config_adoption.cc
@@ -0,0 +1,47 @@
+#include "core/config_adoption.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "core/findings.h"
+#include "core/ini_document.h"
+
+namespace fuchsiaweir {
+namespace {
+
+bool AllSourcesSettled(const StartAnswers& answers) {
+  const bool platform_settled = answers.platform.has_value() || answers.platform_failed;
+  const size_t failed = std::min(answers.peers_failed, answers.peers_asked);
+  const size_t awaited = std::min(kStartPeers, answers.peers_asked - failed);
+  return platform_settled && answers.peers.size() >= awaited;
+}
+
+}  // namespace
+
+Adoption ConfigAdoption::Offer(const ConfigDocument& document) {
+  if (!IsNewer(document.revision)) return Adoption::kNotNewer;
+  Findings findings;
+  const IniDocument ini =
+      ParseIni(document.inventory_ini, absl::StrCat("revision ", document.revision), findings);
+  std::optional<Inventory> inventory = ParseInventory(ini, findings);
+  if (!findings.empty() || !inventory) {
+    rejection_ = findings.ToString();
+    return Adoption::kInvalid;
+  }
+  active_ =
+      std::make_shared<const ActiveConfig>(ActiveConfig{document, std::move(inventory).value()});
+  return Adoption::kAdopted;
+}
+
+const ConfigDocument* ChooseStartDocument(const StartAnswers& answers) {
+  if (!answers.deadline_passed && !AllSourcesSettled(answers)) return nullptr;
+  const ConfigDocument* newest = answers.platform ? &*answers.platform : nullptr;
+  for (const ConfigDocument& document : answers.peers) {
+    if (newest == nullptr || document.revision > newest->revision) newest = &document;
+  }
+  return newest;
+}
+
+}  // namespace fuchsiaweir
