--- /dev/null
+++ b/src/core/tokenizer.h
@@ -0,0 +1,18 @@
+#ifndef FUCHSIAWEIR_CORE_TOKENIZER_H_
+#define FUCHSIAWEIR_CORE_TOKENIZER_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fuchsiaweir {
+
+/// Splits text into tokens. Concatenating the tokens gives the text.
+using Tokenizer = std::vector<std::string> (*)(std::string_view text);
+
+/// Returns the tokenizer that a model section names, or null when the name is unknown.
+Tokenizer FindTokenizer(std::string_view name);
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_CORE_TOKENIZER_H_
