--- /dev/null
+++ b/test/correctness/retention_policy.cc
@@ -0,0 +1,145 @@
+#include "core/retention_policy.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+#include "core/block_arena.h"
+#include "property.h"
+
+namespace fuchsiaweir {
+namespace {
+
+constexpr int64_t kBytes = 16;
+
+/// An arena whose contents the policy decides, as in the agent.
+struct Tier {
+  explicit Tier(int64_t blocks) : arena(blocks * kBytes), policy({.capacity = blocks * kBytes}) {}
+
+  void Visit(const std::string& team, const BlockId& id, Duration recompute = Millis(100)) {
+    policy.Observe(team, "class", {id}, now);
+    const RetainedBlock block{team, kBytes, recompute};
+    const auto handle =
+        arena.Reserve(id, kBytes, policy.AdmissionValue(id, block, now),
+                      [&](const BlockId& kept) { return policy.EvictionValue(kept, team, now); });
+    for (const BlockId& evicted : arena.TakeEvicted()) policy.Dropped(evicted);
+    if (!handle) return;
+    arena.Write(*handle, std::string(kBytes, 'x'));
+    arena.Seal(*handle);
+    policy.Stored(id, block);
+  }
+
+  TimePoint now{Seconds(1'000'000)};
+  BlockArena arena;
+  RetentionPolicy policy;
+  uint64_t one_offs = 0;
+
+  BlockId OneOff() { return {2, ++one_offs}; }
+};
+
+Duration SomeGap() {
+  return Seconds(*rc::gen::element<int64_t>(120, 1'800, 14'400, 72'000, 172'800));
+}
+
+}  // namespace
+
+TEST_GROUP(RetentionPolicy){};
+
+// Guards against a flood of one-off prompts of the same team and class that evicts prompts which
+// return, at gaps from minutes to days.
+TEST(RetentionPolicy, OneOffFloodEvictsNoReturningPrompt) {
+  CheckProperty("returning prompts stay through a flood of one-offs", [] {
+    Tier tier(8);
+    const Duration gap = SomeGap();
+    const int flood = *rc::gen::inRange(20, 60);
+    for (int visit = 0; visit < 5; ++visit) {
+      for (uint64_t prompt = 0; prompt < 4; ++prompt) tier.Visit("team", {1, prompt});
+      for (int i = 0; i < flood; ++i) {
+        tier.now += gap / flood;
+        tier.Visit("team", tier.OneOff());
+        for (uint64_t prompt = 0; visit > 1 && prompt < 4; ++prompt) {
+          RC_ASSERT(tier.arena.Find({1, prompt}) != nullptr);
+        }
+      }
+    }
+  });
+}
+
+// Guards against a repeated request that makes a one-off prompt look like a returning one.
+TEST(RetentionPolicy, RepeatedRequestIsNoReturn) {
+  Tier tier(8);
+  const BlockId once = tier.OneOff();
+  const BlockId repeated = tier.OneOff();
+  tier.Visit("team", once);
+  tier.Visit("team", repeated);
+  tier.now += Seconds(2);
+  tier.Visit("team", repeated);
+  DOUBLES_EQUAL(tier.policy.ReturnChance(once, tier.now),
+                tier.policy.ReturnChance(repeated, tier.now), 1e-9);
+}
+
+// Guards against a chance of return that ignores the learned gap or the one-off prompts.
+TEST(RetentionPolicy, LearnsGapsAndOneOffs) {
+  CheckProperty("the chance is high until the usual gap and low after it", [] {
+    ReturnGaps gaps(10'000);
+    TimePoint now(Seconds(1'000'000));
+    const Duration gap = SomeGap();
+    for (int visit = 0; visit < 40; ++visit) {
+      for (uint64_t i = 0; i < 10; ++i) gaps.Observe("team", "class", {{1, i}}, now);
+      for (uint64_t i = 0; i < 10; ++i) {
+        gaps.Observe("team", "once", {{2, static_cast<uint64_t>(visit) * 10 + i}}, now);
+      }
+      now += gap;
+    }
+    const TimePoint last = now - gap;
+    RC_ASSERT(gaps.Chance({1, 1}, gap * 2, last) > 0.8);
+    RC_ASSERT(gaps.Chance({1, 1}, gap * 2, last + gap * 2) < 0.4);
+    RC_ASSERT(gaps.Chance({1, 1}, gap / 8, last) < 0.4);
+    RC_ASSERT(gaps.Chance({2, 391}, gap * 2, last) < 0.1);
+  });
+}
+
+// Guards against one team's blocks, however valuable, taking the share of another team.
+TEST(RetentionPolicy, TeamWithinItsShareLosesNothingToOthers) {
+  CheckProperty("a team within its share keeps its blocks", [] {
+    Tier tier(8);
+    for (uint64_t i = 0; i < 4; ++i) tier.Visit("small", {1, i}, Micros(10));
+    for (int i = 0; i < 40; ++i) {
+      tier.now += Seconds(*rc::gen::inRange(11, 60));
+      tier.Visit("large", {3, *rc::gen::inRange<uint64_t>(0, 10)}, Seconds(10));
+      for (uint64_t kept = 0; kept < 4; ++kept) {
+        RC_ASSERT(tier.arena.Find({1, kept}) != nullptr);
+      }
+    }
+    // After the last possible return the room goes to the active team.
+    tier.now += Seconds(86'400 * 12);
+    for (uint64_t i = 0; i < 8; ++i) tier.Visit("large", {3, i}, Seconds(10));
+    RC_ASSERT(tier.arena.Find({1, 0}) == nullptr);
+  });
+}
+
+// Guards against write-back of one-off prompts and of blocks that are faster to recompute.
+TEST(RetentionPolicy, WritesBackReturningBlocksWithinTheBudget) {
+  Tier tier(200);
+  for (int visit = 0; visit < 4; ++visit) {
+    for (const char* team : {"a", "b"}) {
+      for (uint64_t i = 0; i < 3; ++i) tier.Visit(team, {static_cast<uint64_t>(*team), i});
+    }
+    for (int i = 0; i < 30; ++i) tier.Visit("a", tier.OneOff());
+    tier.now += Seconds(600);
+  }
+  const BlockId once = tier.OneOff();
+  tier.Visit("a", once);
+  const std::vector<BlockId> all = {{'a', 0}, {'a', 1}, {'a', 2}, {'b', 0}, {'b', 1}, once};
+  const auto chosen = tier.policy.ChooseWriteBack(all, {4 * kBytes, 1e6}, tier.now);
+  LONGS_EQUAL(4, chosen.size());
+  LONGS_EQUAL(2, std::count_if(chosen.begin(), chosen.end(),
+                               [](const BlockId& id) { return id.high == 'a'; }));
+  const auto rest = tier.policy.ChooseWriteBack(all, {100 * kBytes, 1e6}, tier.now);
+  CHECK(tier.arena.Find(once) != nullptr);
+  LONGS_EQUAL(5, rest.size());
+  CHECK(std::find(rest.begin(), rest.end(), once) == rest.end());
+  CHECK(tier.policy.ChooseWriteBack(all, {100 * kBytes, 100.0}, tier.now).empty());
+}
+
+}  // namespace fuchsiaweir
