--- a/src/net/host_list.h
+++ b/src/net/host_list.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "core/listed_host.h"
 #include "core/result.h"
 #include "net/awaitable.h"
 #include "net/http_client.h"
@@ -12,12 +13,6 @@
 
 namespace fuchsiaweir {
 
-/// A host as the platform's lagging list shows it.
-struct ListedHost {
-  std::string name;
-  bool leaving = false;
-};
-
 /// The platform's host list.
 class HostList : public Component {
  public:
