--- /dev/null
+++ b/src/core/hot_prefix.cc
@@ -0,0 +1,55 @@
+#include "core/hot_prefix.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "core/rendezvous.h"
+
+namespace fuchsiaweir {
+namespace {
+
+// Decay in steps keeps the pass over the sketch rare; counts are stale by at most 8% of their
+// value.
+constexpr int64_t kStepsPerHalfLife = 8;
+
+}  // namespace
+
+HotPrefix::HotPrefix(const HotPrefixRules& rules) : rules_(rules), rows_(kRows) {
+  for (auto& row : rows_) row.fill(0);
+}
+
+void HotPrefix::Decay(TimePoint now) {
+  if (!decayed_at_) decayed_at_ = now;
+  const Duration step = std::max(Duration(1), rules_.half_life / kStepsPerHalfLife);
+  const int64_t steps = (now - *decayed_at_) / step;
+  if (steps <= 0) return;
+  *decayed_at_ += step * steps;
+  const double factor =
+      std::exp2(-static_cast<double>(steps) / static_cast<double>(kStepsPerHalfLife));
+  for (auto& row : rows_) {
+    for (float& count : row) count *= static_cast<float>(factor);
+  }
+}
+
+double HotPrefix::Record(const std::string& prefix, TimePoint now) {
+  Decay(now);
+  const uint64_t hash = RendezvousHash(prefix);
+  float least = std::numeric_limits<float>::max();
+  for (size_t row = 0; row < kRows; ++row) {
+    float& count = rows_[row][RendezvousMix(row, hash) % kColumns];
+    count += 1;
+    least = std::min(least, count);
+  }
+  // A steady rate r settles at a count of r x half_life / ln 2.
+  return least * std::log(2.0) / ToSeconds(rules_.half_life);
+}
+
+size_t HotPrefix::Candidates(double rate, size_t base) const {
+  if (!IsHot(rate)) return base;
+  const double added =
+      std::min(rate / rules_.requests_per_candidate, static_cast<double>(rules_.max_candidates));
+  return std::max(base, std::min(base + static_cast<size_t>(added), rules_.max_candidates));
+}
+
+}  // namespace fuchsiaweir
