--- a/src/net/host_list.cc
+++ b/src/net/host_list.cc
@@ -17,8 +17,11 @@
     std::vector<ListedHost> hosts;
     const json::value document = json::parse(body);
     for (const json::value& item : document.at("hosts").as_array()) {
-      hosts.push_back(
-          {std::string(item.at("name").as_string()), item.at("state").as_string() == "leaving"});
+      ListedHost host;
+      host.name = std::string(item.at("name").as_string());
+      host.data_centre = std::string(item.at("data_centre").as_string());
+      host.leaving = item.at("state").as_string() == "leaving";
+      hosts.push_back(std::move(host));
     }
     return hosts;
   } catch (const std::exception& e) {
