--- a/test/correctness/fetch_plan.cc
+++ b/test/correctness/fetch_plan.cc
@@ -127,6 +127,10 @@
   const FetchPlan mixed = PlanFetch(runs, {{0, 1250.0, Duration(0)}}, idle, Seconds(60));
   LONGS_EQUAL(4000, ToMillis(mixed.finish));
   LONGS_EQUAL(3000, mixed.recomputed_tokens);
+  // Fetching one run more ends at 4.17 s instead of 4 s and saves prefill, if the deadline allows.
+  const std::vector<LinkState> slower = {{0, 1200.0, Duration(0)}};
+  LONGS_EQUAL(3000, PlanFetch(runs, slower, idle, Seconds(60)).recomputed_tokens);
+  LONGS_EQUAL(4000, PlanFetch(runs, slower, idle, Millis(4100)).recomputed_tokens);
   // A backlog hides the fetch entirely, so prefill is saved and no race is needed.
   const FetchPlan busy = PlanFetch(runs, {{0, 1000.0, Duration(0)}}, {8000, 1000.0}, Seconds(60));
   LONGS_EQUAL(0, busy.recomputed_tokens);
