Route completions by bids and resume them on other runners

Change: candidates by rendezvous over team, model and first block; bids of their agents; bounded load and spread for hot prefixes; quotas per team; retries under a budget; frames checked by the stream assembly; a silent or broken connection is replaced and attached at the delivered offset; a caller that leaves cancels its run.

--- /dev/null
+++ b/src/net/bid_collector.cc
@@ -0,0 +1,86 @@
+#include "net/bid_collector.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <memory>
+#include <utility>
+
+#include "net/peer_error.h"
+
+namespace fuchsiaweir {
+namespace {
+
+/// Wait for further bids once one has arrived. Agents answer from memory, and a message between
+/// data centres takes 3 ms there and back, so a later bid comes from an agent in trouble.
+constexpr Duration kBidWindow = Millis(25);
+
+struct Collection {
+  explicit Collection(boost::asio::io_context& io) : changed(io) {}
+
+  CollectedBids result;
+  size_t pending = 0;
+  boost::asio::steady_timer changed;
+};
+
+void AddRefusal(CollectedBids& result, const Error& refusal) {
+  if (!result.refusal || refusal.retry_after < result.refusal->retry_after) {
+    result.refusal = refusal;
+  }
+}
+
+void AddAnswer(Collection& collection, const BidTarget& target, const HttpResult& answer) {
+  CollectedBids& result = collection.result;
+  if (!answer.response) {
+    ++result.silent;
+    return;
+  }
+  Result<std::vector<Bid>> bids = DecodeBidAnswer(answer.response->body);
+  if (bids) {
+    for (Bid& bid : bids.value()) result.bids.push_back({std::move(bid), target});
+  } else if (bids.error().code == ErrorCode::kIncompleteAnswer) {
+    ++result.silent;
+  } else {
+    AddRefusal(result, bids.error());
+  }
+}
+
+Awaitable<void> AskAgent(std::shared_ptr<Collection> collection, HttpClient& client,
+                         BidTarget target, HttpRequest request, Duration timeout) {
+  CallOptions options;
+  options.timeout = timeout;
+  const HttpResult answer = co_await client.Call(target.agent, std::move(request), options);
+  AddAnswer(*collection, target, answer);
+  --collection->pending;
+  collection->changed.cancel();
+}
+
+}  // namespace
+
+Awaitable<CollectedBids> CollectBids(boost::asio::io_context& io, HttpClient& client,
+                                     std::vector<BidTarget> targets, BidRequest request,
+                                     HttpHeaders headers, Duration timeout) {
+  auto collection = std::make_shared<Collection>(io);
+  collection->pending = targets.size();
+  HttpRequest message{"POST", "/internal/v1/bids", std::move(headers), EncodeBidRequest(request)};
+  for (const BidTarget& target : targets) {
+    Spawn(io, "bid", [collection, &client, target, message, timeout]() {
+      return AskAgent(collection, client, target, message, timeout);
+    });
+  }
+  const TimePoint started = SteadyNow();
+  while (collection->pending > 0) {
+    const bool any = !collection->result.bids.empty();
+    const TimePoint end = started + (any ? std::min(kBidWindow, timeout) : timeout);
+    if (SteadyNow() >= end) break;
+    boost::system::error_code woken;
+    collection->changed.expires_at(end);
+    co_await collection->changed.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, woken));
+  }
+  CollectedBids result = collection->result;
+  result.silent += collection->pending;
+  co_return result;
+}
+
+}  // namespace fuchsiaweir
--- /dev/null
+++ b/src/net/caller_stream.h
@@ -0,0 +1,41 @@
+#ifndef FUCHSIAWEIR_NET_CALLER_STREAM_H_
+#define FUCHSIAWEIR_NET_CALLER_STREAM_H_
+
+#include <string>
+#include <vector>
+
+#include "core/completion_api.h"
+#include "core/result.h"
+#include "net/http_server.h"
+
+namespace fuchsiaweir {
+
+/// Writes one completion to its caller, as server-sent events or as one JSON body. All functions
+/// return false when the caller has gone.
+class CallerStream {
+ public:
+  CallerStream(HttpExchange& exchange, CompletionRequest request, std::string id);
+
+  const CompletionRequest& request() const { return request_; }
+  const std::vector<std::string>& output() const { return output_; }
+
+  /// Passes on tokens; a body that is not streamed is sent by `Finish`.
+  Awaitable<bool> Deliver(std::vector<std::string> tokens);
+  Awaitable<bool> Finish(std::string finish, Usage usage);
+  /// Ends with an error: a response of its own, or an event when the stream has begun.
+  Awaitable<bool> Fail(Error error);
+
+  bool caller_gone() const { return exchange_.peer_gone(); }
+
+ private:
+  Awaitable<bool> BeginEvents();
+
+  HttpExchange& exchange_;
+  CompletionRequest request_;
+  std::string id_;
+  std::vector<std::string> output_;
+};
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_NET_CALLER_STREAM_H_
--- a/src/net/model_router.cc
+++ b/src/net/model_router.cc
@@ -1,210 +1,302 @@
 #include "net/model_router.h"
 
-#include <absl/random/random.h>
+#include <absl/random/distributions.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_join.h>
 
-#include <optional>
+#include <algorithm>
 #include <utility>
 
-#include "core/rendezvous.h"
+#include "core/block_chain.h"
+#include "core/tokenizer.h"
+#include "net/caller_stream.h"
 #include "net/log.h"
-#include "net/peer_error.h"
 
 namespace fuchsiaweir {
 namespace {
 
-constexpr int64_t kMaxAttempts = 4;
+constexpr Duration kBidTimeout = Millis(400);
+constexpr int64_t kRetryBurst = 20;
+/// A second round asks this many times as many runners as the first.
+constexpr size_t kSecondRoundFactor = 3;
 
-std::string NewRunId() {
-  thread_local absl::BitGen generator;
-  return absl::StrCat(absl::Hex(absl::Uniform<uint64_t>(generator), absl::kZeroPad16),
-                      absl::Hex(absl::Uniform<uint64_t>(generator), absl::kZeroPad16));
+std::string NewRunId(absl::BitGen& random) {
+  return absl::StrCat(absl::Hex(absl::Uniform<uint64_t>(random), absl::kZeroPad16),
+                      absl::Hex(absl::Uniform<uint64_t>(random), absl::kZeroPad16));
 }
 
-/// Splits text into tokens that begin at white space; joining them gives the text again.
-std::vector<std::string> SplitTokens(const std::string& text) {
-  std::vector<std::string> tokens;
-  size_t begin = 0;
-  while (begin < text.size()) {
-    size_t end = text.find(' ', begin + 1);
-    if (end == std::string::npos) end = text.size();
-    tokens.push_back(text.substr(begin, end - begin));
-    begin = end;
-  }
-  return tokens;
+Error NotRun(ErrorCode code, std::string message, Duration retry_after = Duration{0}) {
+  return {code, RunState::kNotRun, std::move(message), retry_after};
+}
+
+/// Maps the caller's -10 to 10 to the queue's background, normal and urgent.
+int64_t QueuePriority(int64_t priority) { return priority < 0 ? 0 : (priority == 0 ? 1 : 2); }
+
+std::vector<std::string> HexIds(const std::vector<BlockId>& chain) {
+  std::vector<std::string> ids;
+  ids.reserve(chain.size());
+  for (const BlockId& id : chain) ids.push_back(ToHex(id));
+  return ids;
 }
 
 }  // namespace
 
+/// Runner and agent that an attempt goes to.
+struct ModelRouter::Target {
+  std::string runner;
+  Endpoint agent;
+};
+
+/// One caller's request on its way.
 struct ModelRouter::Session {
-  HttpExchange& exchange;
-  CompletionRequest request;
+  Session(HttpExchange& exchange, CompletionRequest completion, Team caller,
+          std::shared_ptr<const ConfigSnapshot> snapshot, const std::string& run_id)
+      : caller(exchange, std::move(completion), run_id),
+        team(std::move(caller)),
+        config(std::move(snapshot)),
+        assembly(run_id, 1),
+        started(SteadyNow()) {}
+
+  const CompletionRequest& request() const { return caller.request(); }
+  const Rules& rules() const { return config->inventory.rules; }
+
+  CallerStream caller;
   Team team;
   std::shared_ptr<const ConfigSnapshot> config;
-  std::string run;
+  StreamAssembly assembly;
+  TimePoint started;
+  TimePoint deadline;
   std::vector<std::string> prompt;
-  std::vector<std::string> output;  ///< Tokens received so far.
-  int64_t attempt = 0;
-  bool done = false;
+  std::vector<std::string> blocks;  ///< Block ids in hex.
+  std::string prefix;               ///< Names the prompt's family for the choice of candidates.
+  bool hot = false;
+  size_t candidate_count = 0;
+  std::vector<std::string> failed_runners;
+  int64_t attempts = 0;
+  RequestStage last_stage = RequestStage::kNotDispatched;
+  std::vector<RunState> outcomes;
+  std::optional<Duration> first_token;
   bool caller_gone = false;
-  std::string finish;
-  Usage usage;
 };
 
-ModelRouter::ModelRouter(ConfigService& config, HttpClient& agents)
-    : config_(config), agents_(agents) {}
+ModelRouter::ModelRouter(Kernel& kernel)
+    : io_(kernel.io()),
+      config_(kernel.Find<ConfigService>("config")),
+      agents_(kernel.Find<HttpClients>("http_clients").peers()),
+      metrics_(kernel.Find<Metrics>("metrics")),
+      hot_prefixes_(HotPrefixRules{}),
+      retry_budget_(Rules{}.retry_budget_percent, kRetryBurst) {}
 
-std::vector<Runner> ModelRouter::Candidates(const Session& session) const {
+void ModelRouter::Configure() {
+  const std::shared_ptr<const ConfigSnapshot> config = config_.current();
+  if (config->revision == configured_revision_) return;
+  configured_revision_ = config->revision;
+  const Inventory& inventory = config->inventory;
+  const auto entries = std::count_if(inventory.hosts.begin(), inventory.hosts.end(),
+                                     [](const Host& host) { return host.role == "entry"; });
+  candidates_ = std::make_unique<CandidateTable>(inventory);
+  quota_.Configure(inventory.teams, static_cast<size_t>(std::max<int64_t>(1, entries)));
+  retry_budget_ = RetryBudget(inventory.rules.retry_budget_percent, kRetryBurst);
+}
+
+std::optional<Error> ModelRouter::Check(Session& session) {
   const Inventory& inventory = session.config->inventory;
-  std::vector<std::string> names;
-  for (const Runner& runner : inventory.runners) {
-    const Host* host = FindByName(inventory.hosts, runner.host);
-    const DataCentre* data_centre =
-        host == nullptr ? nullptr : FindByName(inventory.data_centres, host->data_centre);
-    const bool in_service =
-        host != nullptr && host->in_service && data_centre != nullptr && data_centre->in_service;
-    if (in_service && runner.model == session.request.model) names.push_back(runner.name);
-  }
-  const std::string key = absl::StrCat(session.team.name, "/", session.request.model, "/",
-                                       session.request.prompt.substr(0, 256));
-  std::vector<Runner> runners;
-  for (const std::string& name : RendezvousTop(key, names, kMaxAttempts)) {
-    runners.push_back(*FindByName(inventory.runners, name));
+  const Model* model = FindByName(inventory.models, session.request().model);
+  if (model == nullptr) {
+    return NotRun(ErrorCode::kUnknownModel, "unknown model \"" + session.request().model + "\"");
   }
-  return runners;
+  session.prompt = FindTokenizer(model->tokenizer)(session.request().prompt);
+  const BlockScope scope{session.team.name, model->name, model->adapter, model->version};
+  session.blocks = HexIds(BlockChain(scope, session.prompt, model->block_tokens));
+  session.deadline = session.started + Millis(session.rules().request_deadline_ms);
+  // A prompt shorter than a block has nothing to reuse, so it goes to any runner.
+  session.prefix = session.blocks.empty() ? session.assembly.run() : session.blocks.front();
+  const double rate = hot_prefixes_.Record(session.prefix, session.started);
+  session.hot = hot_prefixes_.IsHot(rate);
+  session.candidate_count =
+      hot_prefixes_.Candidates(rate, static_cast<size_t>(session.rules().bid_candidates));
+  const int64_t tokens = static_cast<int64_t>(session.prompt.size()) + session.request().max_tokens;
+  return quota_.Admit(session.team.name, tokens, session.started);
 }
 
 Awaitable<void> ModelRouter::Serve(HttpExchange& exchange, CompletionRequest request, Team team) {
-  Session session{exchange,
-                  std::move(request),
-                  std::move(team),
-                  config_.current(),
-                  NewRunId(),
-                  {},
-                  {},
-                  0,
-                  false,
-                  false,
-                  "",
-                  {}};
-  session.prompt = SplitTokens(session.request.prompt);
-  if (FindByName(session.config->inventory.models, session.request.model) == nullptr) {
-    co_return co_await Fail(session,
-                            {ErrorCode::kUnknownModel, RunState::kNotRun,
-                             "unknown model \"" + session.request.model + "\"", Duration{0}});
-  }
-  std::optional<Error> failure = Error{ErrorCode::kNoTarget, RunState::kNotRun,
-                                       "no runner in service has the model", Seconds(1)};
-  const std::vector<Runner> candidates = Candidates(session);
-  for (const Runner& runner : candidates) {
-    const Host* host = FindByName(session.config->inventory.hosts, runner.host);
-    ++session.attempt;
-    failure = co_await RunAttempt(session, runner, *host);
-    if (!failure || session.caller_gone) break;
-    LogWarning("attempt_failed",
-               {{"run", session.run}, {"runner", runner.name}, {"reason", failure->message}});
+  Configure();
+  Session session(exchange, std::move(request), std::move(team), config_.current(),
+                  NewRunId(random_));
+  std::optional<Error> failure = Check(session);
+  if (!failure) {
+    retry_budget_.OnFirstAttempt();
+    failure = co_await RunAttempts(session);
+    quota_.Release(session.team.name);
   }
+  CountEnd(session, failure);
   if (session.caller_gone) co_return;
-  if (failure) co_return co_await Fail(session, *failure);
-  co_await Finish(session);
+  if (failure) {
+    co_await session.caller.Fail(FinalError(session, *failure));
+    co_return;
+  }
+  co_await session.caller.Finish(session.assembly.finish(), session.assembly.usage());
 }
 
-Awaitable<std::optional<Error>> ModelRouter::RunAttempt(Session& session, Runner runner,
-                                                        Host host) {
-  const Rules& rules = session.config->inventory.rules;
-  RunRequest run;
-  run.run = session.run;
-  run.attempt = session.attempt;
-  run.runner = runner.name;
-  run.team = session.team.name;
-  run.model = session.request.model;
-  run.prompt = session.prompt;
-  run.produced = session.output;
-  run.max_tokens = session.request.max_tokens;
-  run.priority = session.request.priority;
-  run.deadline_ms = rules.request_deadline_ms;
-  HttpRequest message;
-  message.method = "POST";
-  message.target = "/internal/v1/runs";
-  message.body = EncodeRunRequest(run);
-  CallOptions options;
-  options.timeout = Millis(rules.request_deadline_ms);
-  const Endpoint agent{host.address, static_cast<uint16_t>(host.port)};
-  HttpStreamResult opened = co_await agents_.OpenStream(agent, std::move(message), options);
-  if (opened.response) co_return DecodeErrorResponse(*opened.response);
-  if (opened.stream == nullptr) {
-    co_return Error{ErrorCode::kTargetFailed, RunState::kUnknown, opened.failure, Duration{0}};
-  }
+Awaitable<std::optional<Error>> ModelRouter::RunAttempts(Session& session) {
   while (true) {
-    const HttpStream::Line line =
-        co_await opened.stream->ReadLine(Millis(rules.progress_deadline_ms));
-    if (line.status != HttpStream::ReadStatus::kLine) {
-      co_return Error{ErrorCode::kIncompleteAnswer, RunState::kUnknown,
-                      "the stream from the agent ended early", Duration{0}};
-    }
-    Result<Frame> frame = DecodeFrame(line.text);
-    if (!frame) co_return frame.error();
-    const Frame& received = frame.value();
-    if (received.run != session.run || received.attempt != session.attempt) continue;
-    if (received.offset != static_cast<int64_t>(session.output.size())) {
-      co_return Error{ErrorCode::kIncompleteAnswer, RunState::kUnknown,
-                      "the stream from the agent has a gap", Duration{0}};
-    }
-    if (!co_await Deliver(session, received.tokens)) {
-      session.caller_gone = true;
-      co_return std::nullopt;
-    }
-    if (received.error) co_return received.error;
-    if (received.done) {
-      session.finish = received.finish;
-      session.usage = received.usage;
-      co_return std::nullopt;
-    }
+    std::optional<Error> failure = co_await RunAttempt(session);
+    if (!failure || session.caller_gone) co_return failure;
+    LogWarning("attempt_failed", {{"run", session.assembly.run()},
+                                  {"code", std::string(Name(failure->code))},
+                                  {"reason", failure->message}});
+    session.outcomes.push_back(RunOutcome(session.last_stage));
+    const bool retry = co_await PrepareRetry(session, *failure);
+    if (!retry) co_return failure;
   }
 }
 
-Awaitable<bool> ModelRouter::Deliver(Session& session, const std::vector<std::string>& tokens) {
-  session.output.insert(session.output.end(), tokens.begin(), tokens.end());
-  if (session.exchange.peer_gone()) co_return false;
-  if (tokens.empty() || !session.request.stream) co_return true;
-  if (!session.exchange.streaming()) {
-    HttpHeaders headers{{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-store"}};
-    const bool begun = co_await session.exchange.BeginStream(200, std::move(headers));
-    if (!begun) co_return false;
+Awaitable<bool> ModelRouter::PrepareRetry(Session& session, const Error& failure) {
+  FailedAttempt attempt;
+  attempt.stage = session.last_stage;
+  attempt.code = failure.code;
+  attempt.repeatable = true;  // A resumed run continues after the tokens that were delivered.
+  attempt.attempts = session.attempts;
+  attempt.retry_after = failure.retry_after;
+  attempt.time_left = session.deadline - SteadyNow();
+  const RetryDecision decision =
+      DecideRetry(retry_rules_, attempt, retry_budget_, absl::Uniform(random_, 0.0, 1.0));
+  if (!decision.retry) co_return false;
+  co_await SleepFor(decision.delay);
+  co_return !session.caller.caller_gone();
+}
+
+Awaitable<CollectedBids> ModelRouter::AskForBids(Session& session,
+                                                 std::vector<const CandidateRunner*> from) {
+  std::vector<BidTarget> targets;
+  for (const CandidateRunner* candidate : from) {
+    const Host* host = FindByName(session.config->inventory.hosts, candidate->host);
+    const bool asked = std::any_of(targets.begin(), targets.end(), [&](const BidTarget& target) {
+      return target.host == candidate->host;
+    });
+    if (asked) continue;
+    targets.push_back({host->name, {host->address, static_cast<uint16_t>(host->port)}});
   }
-  std::string event = RenderTextEvent(session.request, session.run, absl::StrJoin(tokens, ""));
-  co_return co_await session.exchange.WriteChunk(std::move(event));
+  BidRequest request;
+  request.team = session.team.name;
+  request.model = session.request().model;
+  request.blocks = session.blocks;
+  request.prompt_tokens = static_cast<int64_t>(session.prompt.size());
+  request.max_tokens = session.request().max_tokens;
+  request.priority = QueuePriority(session.request().priority);
+  request.deadline_ms = ToMillis(session.deadline - SteadyNow());
+  HttpHeaders headers;
+  co_return co_await CollectBids(io_, agents_, std::move(targets), std::move(request),
+                                 std::move(headers), kBidTimeout);
 }
 
-Awaitable<void> ModelRouter::Finish(Session& session) {
-  HttpExchange& exchange = session.exchange;
-  if (!session.request.stream) {
-    HttpResponse response = JsonResponse(
-        200, RenderCompletion(session.request, session.run, absl::StrJoin(session.output, ""),
-                              session.finish, session.usage));
-    co_await exchange.Respond(std::move(response));
-    co_return;
+Result<ModelRouter::Target> ModelRouter::PickBid(Session& session, const CollectedBids& collected,
+                                                 const std::string& home) {
+  std::vector<Bid> bids;
+  std::vector<const BidTarget*> targets;
+  for (const CollectedBid& candidate : collected.bids) {
+    const bool failed = std::count(session.failed_runners.begin(), session.failed_runners.end(),
+                                   candidate.bid.runner) > 0;
+    if (failed) continue;
+    bids.push_back(candidate.bid);
+    targets.push_back(&candidate.target);
   }
-  if (!exchange.streaming()) {
-    HttpHeaders headers{{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-store"}};
-    co_await exchange.BeginStream(200, std::move(headers));
+  const std::optional<size_t> choice =
+      ChooseBid(bids, home, session.hot, DispatchRules{}, absl::Uniform<uint64_t>(random_));
+  if (choice) return Target{bids[*choice].runner, targets[*choice]->agent};
+  return collected.refusal.value_or(
+      NotRun(ErrorCode::kNoTarget, "no runner made a bid", Millis(200)));
+}
+
+Awaitable<Result<ModelRouter::Target>> ModelRouter::ChooseTarget(Session& session) {
+  CandidateQuery query;
+  query.team = session.team.name;
+  query.model = session.request().model;
+  query.prefix_block = session.prefix;
+  query.count = session.candidate_count;
+  query.excluded = session.failed_runners;
+  Result<Target> target =
+      NotRun(ErrorCode::kNoTarget, "no runner in service has the model", Seconds(1));
+  for (int round = 0; round < 2; ++round) {
+    const std::vector<const CandidateRunner*> candidates = candidates_->Choose(query);
+    if (candidates.empty()) break;
+    const std::string home = candidates.front()->name;
+    const CollectedBids collected = co_await AskForBids(session, candidates);
+    target = PickBid(session, collected, home);
+    if (target) break;
+    for (const CandidateRunner* candidate : candidates) query.excluded.push_back(candidate->name);
+    query.count = session.candidate_count * kSecondRoundFactor;
   }
-  std::string events =
-      RenderFinalEvents(session.request, session.run, session.finish, session.usage);
-  co_await exchange.WriteChunk(std::move(events));
-  co_await exchange.EndStream();
+  co_return target;
 }
 
-Awaitable<void> ModelRouter::Fail(Session& session, Error error) {
-  if (session.exchange.streaming()) {
-    std::string event = RenderErrorEvent(error);
-    co_await session.exchange.WriteChunk(std::move(event));
-    co_await session.exchange.EndStream();
-    co_return;
+Awaitable<std::optional<Error>> ModelRouter::RunAttempt(Session& session) {
+  session.last_stage = RequestStage::kNotDispatched;
+  ++session.attempts;
+  const Result<Target> target = co_await ChooseTarget(session);
+  if (!target) co_return target.error();
+  session.assembly.Resume(session.attempts);
+
+  RunRequest run;
+  run.run = session.assembly.run();
+  run.attempt = session.assembly.attempt();
+  run.runner = target.value().runner;
+  run.team = session.team.name;
+  run.model = session.request().model;
+  run.prompt = session.prompt;
+  run.produced = session.caller.output();
+  run.max_tokens = session.request().max_tokens;
+  run.priority = QueuePriority(session.request().priority);
+  run.deadline_ms = ToMillis(session.deadline - SteadyNow());
+  ProgressRules rules;
+  rules.silence = Millis(session.rules().progress_deadline_ms);
+  rules.attach_window = Millis(session.rules().attach_window_ms);
+  RunStream stream(agents_, target.value().agent, session.assembly, rules, session.deadline);
+  HttpHeaders headers;
+  RunEvent last = co_await stream.Open(std::move(run), std::move(headers));
+  if (last.kind != RunEvent::Kind::kFailed) last = co_await Relay(session, stream);
+  session.last_stage = last.stage;
+  const bool done = last.kind == RunEvent::Kind::kDone;
+  if (!done) session.failed_runners.push_back(target.value().runner);
+  // A run that the agent refused needs no cancelling.
+  if (!done && RunOutcome(last.stage) != RunState::kNotRun) co_await stream.Cancel();
+  if (done || session.caller_gone) co_return std::nullopt;
+  co_return last.error;
+}
+
+Awaitable<RunEvent> ModelRouter::Relay(Session& session, RunStream& stream) {
+  while (true) {
+    RunEvent event = co_await stream.Next();
+    if (!event.tokens.empty() && !session.first_token) {
+      session.first_token = SteadyNow() - session.started;
+    }
+    const bool delivered = co_await session.caller.Deliver(std::move(event.tokens));
+    if (!delivered) {
+      session.caller_gone = true;
+      event.kind = RunEvent::Kind::kFailed;
+      event.stage = RequestStage::kAnswerIncomplete;
+    }
+    const bool over = event.kind == RunEvent::Kind::kDone || event.kind == RunEvent::Kind::kFailed;
+    if (over) co_return event;
   }
-  HttpResponse response = ErrorResponse(error);
-  co_await session.exchange.Respond(std::move(response));
+}
+
+Error ModelRouter::FinalError(const Session& session, Error last) const {
+  last.run_state = CombineOutcomes(session.outcomes);
+  return last;
+}
+
+void ModelRouter::CountEnd(const Session& session, const std::optional<Error>& failure) {
+  std::string result = failure ? std::string(Name(failure->code)) : "ok";
+  if (session.caller_gone) result = "caller_gone";
+  metrics_
+      .Counter("fw_completions_total", "Completions by team and result.",
+               {{"team", session.team.name}, {"result", result}})
+      .Increment();
+  if (!session.first_token) return;
+  metrics_
+      .Seconds("fw_time_to_first_token_seconds", "Time from the request to its first token.",
+               {{"model", session.request().model}})
+      .Observe(ToSeconds(*session.first_token));
 }
 
 }  // namespace fuchsiaweir
--- a/src/net/model_router.h
+++ b/src/net/model_router.h
@@ -1,38 +1,70 @@
 #ifndef FUCHSIAWEIR_NET_MODEL_ROUTER_H_
 #define FUCHSIAWEIR_NET_MODEL_ROUTER_H_
 
+#include <absl/random/random.h>
+
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "core/candidate_choice.h"
 #include "core/completion_api.h"
+#include "core/dispatch_choice.h"
+#include "core/hot_prefix.h"
 #include "core/inventory.h"
-#include "core/run_message.h"
+#include "core/retry_budget.h"
+#include "core/retry_policy.h"
+#include "core/team_quota.h"
+#include "net/bid_collector.h"
 #include "net/config_service.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/kernel.h"
+#include "net/metrics.h"
+#include "net/run_stream.h"
 
 namespace fuchsiaweir {
 
-/// Runs completions: chooses a runner, relays its output to the caller and resumes on another
-/// runner when the first one fails.
+/// Runs completions: asks candidate runners for bids, dispatches to the best one, relays its output
+/// to the caller and resumes on another runner when the first one fails.
 class ModelRouter {
  public:
-  ModelRouter(ConfigService& config, HttpClient& agents);
+  explicit ModelRouter(Kernel& kernel);
 
   Awaitable<void> Serve(HttpExchange& exchange, CompletionRequest request, Team team);
 
  private:
   struct Session;
+  struct Target;
+
+  /// Runs attempts until one completes, the caller leaves or no retry is allowed.
+  Awaitable<std::optional<Error>> RunAttempts(Session& session);
+  Awaitable<std::optional<Error>> RunAttempt(Session& session);
+  Awaitable<Result<Target>> ChooseTarget(Session& session);
+  Awaitable<CollectedBids> AskForBids(Session& session, std::vector<const CandidateRunner*> from);
+  Awaitable<RunEvent> Relay(Session& session, RunStream& stream);
+  Awaitable<bool> PrepareRetry(Session& session, const Error& failure);
+  Error FinalError(const Session& session, Error last) const;
 
-  Awaitable<std::optional<Error>> RunAttempt(Session& session, Runner runner, Host host);
-  Awaitable<bool> Deliver(Session& session, const std::vector<std::string>& tokens);
-  Awaitable<void> Finish(Session& session);
-  Awaitable<void> Fail(Session& session, Error error);
-  std::vector<Runner> Candidates(const Session& session) const;
+  void Configure();
+  std::optional<Error> Check(Session& session);
+  Result<Target> PickBid(Session& session, const CollectedBids& collected, const std::string& home);
+  void CountEnd(const Session& session, const std::optional<Error>& failure);
 
+  boost::asio::io_context& io_;
   ConfigService& config_;
   HttpClient& agents_;
+  Metrics& metrics_;
+
+  int64_t configured_revision_ = -1;
+  std::unique_ptr<CandidateTable> candidates_;
+  HotPrefix hot_prefixes_;
+  TeamQuota quota_;
+  RetryBudget retry_budget_;
+  RetryRules retry_rules_;
+  absl::BitGen random_;
 };
 
 }  // namespace fuchsiaweir
--- /dev/null
+++ b/src/net/run_stream.cc
@@ -0,0 +1,152 @@
+#include "net/run_stream.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+#include "net/peer_error.h"
+
+namespace fuchsiaweir {
+namespace {
+
+constexpr Duration kCancelTimeout = Seconds(1);
+/// Pause before a new connection, for an agent whose process is being replaced.
+constexpr Duration kReconnectPause = Millis(20);
+constexpr char kRunsPath[] = "/internal/v1/runs";
+
+RunEvent Failed(Error error, RequestStage stage) {
+  RunEvent event;
+  event.error = std::move(error);
+  event.stage = stage;
+  return event;
+}
+
+Error Incomplete(std::string message) {
+  return {ErrorCode::kIncompleteAnswer, RunState::kUnknown, std::move(message), Duration{0}};
+}
+
+}  // namespace
+
+RunStream::RunStream(HttpClient& client, Endpoint agent, StreamAssembly& assembly,
+                     ProgressRules rules, TimePoint deadline)
+    : client_(client),
+      agent_(std::move(agent)),
+      assembly_(assembly),
+      rules_(rules),
+      deadline_(deadline),
+      progress_(rules, SteadyNow(), deadline) {}
+
+std::string RunStream::RunTarget() const {
+  return absl::StrCat(kRunsPath, "/", assembly_.run(), "?attempt=", assembly_.attempt());
+}
+
+Awaitable<RunEvent> RunStream::Open(RunRequest request, HttpHeaders headers) {
+  headers_ = std::move(headers);
+  HttpRequest message{"POST", kRunsPath, headers_, EncodeRunRequest(request)};
+  CallOptions options;
+  options.timeout = rules_.silence;
+  attempt_.OnConnecting();
+  HttpStreamResult opened = co_await client_.OpenStream(agent_, std::move(message), options);
+  if (opened.stage == CallStage::kNotConnected) {
+    co_return Failed({ErrorCode::kTargetFailed, attempt_.outcome(), opened.failure, Duration{0}},
+                     attempt_.stage());
+  }
+  attempt_.OnConnected();
+  attempt_.OnWriteStarting();
+  if (opened.response) {
+    Error refusal = DecodeErrorResponse(*opened.response);
+    if (refusal.run_state == RunState::kNotRun) attempt_.OnRefused(/*by_engine=*/false);
+    co_return Failed(std::move(refusal), attempt_.stage());
+  }
+  if (opened.stream == nullptr) {
+    progress_.LostConnection();
+    co_return co_await Recover(opened.failure);
+  }
+  attempt_.OnAnswerStarted();
+  progress_.HeardBytes(SteadyNow());
+  stream_ = std::move(opened.stream);
+  RunEvent accepted;
+  accepted.kind = RunEvent::Kind::kHeartbeat;
+  co_return accepted;
+}
+
+RunEvent RunStream::ToEvent(const Frame& frame, Delivery delivery) {
+  RunEvent event;
+  event.tokens = std::move(delivery.tokens);
+  event.kind = event.tokens.empty() ? RunEvent::Kind::kHeartbeat : RunEvent::Kind::kTokens;
+  if (!event.tokens.empty()) progress_.HeardToken(SteadyNow());
+  if (delivery.verdict == FrameVerdict::kFailed) {
+    const bool refused = frame.error->run_state == RunState::kNotRun;
+    const RequestStage stage =
+        refused ? RequestStage::kRefusedBeforeDispatch : RequestStage::kAnswerIncomplete;
+    event.kind = RunEvent::Kind::kFailed;
+    event.error = *frame.error;
+    event.stage = stage;
+  } else if (assembly_.complete()) {
+    attempt_.OnAnswerComplete();
+    event.kind = RunEvent::Kind::kDone;
+  }
+  return event;
+}
+
+Awaitable<RunEvent> RunStream::Next() {
+  const HttpStream::Line line = co_await stream_->ReadLine(rules_.silence);
+  if (line.status != HttpStream::ReadStatus::kLine) {
+    progress_.LostConnection();
+    co_return co_await Recover("the stream from the agent broke off");
+  }
+  progress_.HeardBytes(SteadyNow());
+  const Result<Frame> frame = DecodeFrame(line.text);
+  if (!frame) {
+    progress_.LostConnection();
+    co_return co_await Recover(frame.error().message);
+  }
+  Delivery delivery = assembly_.Accept(frame.value());
+  if (delivery.verdict == FrameVerdict::kGap) {
+    progress_.LostConnection();
+    co_return co_await Recover("the stream from the agent has a gap");
+  }
+  co_return ToEvent(frame.value(), std::move(delivery));
+}
+
+Awaitable<HttpStreamResult> RunStream::Attach() {
+  HttpRequest message;
+  message.target = absl::StrCat(RunTarget(), "&offset=", assembly_.position());
+  message.headers = headers_;
+  CallOptions options;
+  options.timeout = rules_.silence;
+  co_return co_await client_.OpenStream(agent_, std::move(message), options);
+}
+
+Awaitable<RunEvent> RunStream::Recover(std::string failure) {
+  if (stream_ != nullptr) stream_->Close();
+  while (progress_.Next(SteadyNow()) == HopAction::kReconnect) {
+    co_await SleepFor(kReconnectPause);
+    HttpStreamResult attached = co_await Attach();
+    if (attached.stream != nullptr) {
+      stream_ = std::move(attached.stream);
+      attempt_.OnAnswerStarted();
+      progress_.HeardBytes(SteadyNow());
+      RunEvent event;
+      event.kind = RunEvent::Kind::kHeartbeat;
+      co_return event;
+    }
+    // An agent that answers does not have the run any more; a silent one may.
+    if (attached.response) break;
+    progress_.LostConnection();
+  }
+  co_return Failed(Incomplete(std::move(failure)), attempt_.stage());
+}
+
+Awaitable<void> RunStream::Cancel() {
+  if (stream_ != nullptr) stream_->Close();
+  HttpRequest message;
+  message.method = "DELETE";
+  message.target = RunTarget();
+  message.headers = headers_;
+  CallOptions options;
+  options.timeout = kCancelTimeout;
+  co_await client_.Call(agent_, std::move(message), options);
+}
+
+}  // namespace fuchsiaweir
--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -135,6 +135,7 @@
     }
   }
   for (int i = 0; i < options_.entries; ++i) ports_[absl::StrCat("entry", i)] = FreePort();
+  for (int i = 0; i < options_.stores; ++i) ports_[absl::StrCat("store", i)] = FreePort();
 }
 
 void Deployment::WriteFiles() {
@@ -162,6 +163,10 @@
                     "\naddress = 127.0.0.1\nport = ", ports_[absl::StrCat("service", i)],
                     "\nnon_idempotent = /book\n");
   }
+  for (int i = 0; i < options_.stores; ++i) {
+    absl::StrAppend(&text, "[store store", i, "]\ndata_centre = ", kDataCentres[i % 2],
+                    "\naddress = 127.0.0.1\nport = ", ports_[absl::StrCat("store", i)], "\n");
+  }
   for (const char* team : {"alpha", "beta"}) {
     absl::StrAppend(&text, "[team ", team,
                     "]\nkey_digests = ", Sha256Hex(absl::StrCat("key-", team)), "\n");
@@ -201,6 +206,10 @@
     const std::string service = absl::StrCat("service", i);
     AddProcess(service, {standin, "service", port_flag(service)});
   }
+  for (int i = 0; i < options_.stores; ++i) {
+    const std::string store = absl::StrCat("store", i);
+    AddProcess(store, {standin, "store", port_flag(store)});
+  }
   Eventually([this]() { return Send("GET", port("platform"), "/stats").status == 200; });
   Apply(inventory_);
   for (const auto& [name, unused] : ports_) {
--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -41,9 +41,11 @@
   struct Options {
     int agents = 2;
     int entries = 1;
+    int stores = 0;
     std::vector<std::string> engine_flags;
-    std::string rules;     ///< Further lines of [rules].
-    std::string settings;  ///< Further sections of every settings file.
+    std::string runner_settings;  ///< Further lines of every [runner].
+    std::string rules;            ///< Further lines of [rules].
+    std::string settings;         ///< Further sections of every settings file.
   };
 
   Deployment() : Deployment(Options{}) {}
