Report quarantined blocks as lost

Cause: BlockArena reported only evicted ids, so the retention policy would have counted the bytes of a quarantined block for its team forever.

Change: TakeEvicted becomes TakeLost and includes quarantined ids.

Conclusion: the owner passes each id of TakeLost to RetentionPolicy::Dropped.

--- a/src/core/block_arena.cc
+++ b/src/core/block_arena.cc
@@ -79,7 +79,7 @@
   }
   if (missing > 0) return false;
   for (size_t i = 0; i < count; ++i) {
-    evicted_.push_back(slots_[victims[i].second].header.id);
+    lost_.push_back(slots_[victims[i].second].header.id);
     Release(victims[i].second);
     ++stats_.evicted;
   }
@@ -140,6 +140,7 @@
 void BlockArena::Quarantine(size_t index) {
   BlockHeader& header = slots_[index].header;
   index_.erase(header.id);
+  lost_.push_back(header.id);
   header.state = BlockState::kQuarantined;
   header.generation = next_generation_++;
   ++stats_.quarantined;
--- a/src/core/block_arena.h
+++ b/src/core/block_arena.h
@@ -114,8 +114,8 @@
   /// Returns the header of a readable block, or null.
   const BlockHeader* Find(const BlockId& id) const;
 
-  /// Ids evicted since the last call, for the owner of the retention policy.
-  std::vector<BlockId> TakeEvicted() { return std::exchange(evicted_, {}); }
+  /// Ids evicted or quarantined since the last call, for `RetentionPolicy::Dropped`.
+  std::vector<BlockId> TakeLost() { return std::exchange(lost_, {}); }
 
   int64_t capacity() const { return capacity_; }
   int64_t used() const { return used_; }
@@ -141,7 +141,7 @@
   std::vector<size_t> free_slots_;
   std::deque<size_t> quarantine_;
   absl::flat_hash_map<BlockId, size_t> index_;
-  std::vector<BlockId> evicted_;
+  std::vector<BlockId> lost_;
   ArenaStats stats_;
 };
 
--- a/test/correctness/retention_policy.cc
+++ b/test/correctness/retention_policy.cc
@@ -22,7 +22,7 @@
     const auto handle =
         arena.Reserve(id, kBytes, policy.AdmissionValue(id, block, now),
                       [&](const BlockId& kept) { return policy.EvictionValue(kept, team, now); });
-    for (const BlockId& evicted : arena.TakeEvicted()) policy.Dropped(evicted);
+    for (const BlockId& evicted : arena.TakeLost()) policy.Dropped(evicted);
     if (!handle) return;
     arena.Write(*handle, std::string(kBytes, 'x'));
     arena.Seal(*handle);
