--- a/src/core/candidate_choice.cc
+++ b/src/core/candidate_choice.cc
@@ -66,13 +66,17 @@
     }
     scored.emplace_back(RendezvousMix(key_hash, runner.hash), &runner);
   }
-  // Hosts carry few runners, so the best candidates of distinct hosts are near the top.
-  const size_t sorted = std::min(scored.size(), query.count * 4);
-  std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(sorted),
-                    scored.end(), Before);
   std::vector<const CandidateRunner*> chosen;
   std::vector<const CandidateRunner*> same_host;
-  for (size_t i = 0; i < sorted && chosen.size() < query.count; ++i) {
+  // Sorts only as far as needed: runners of one host are rarely neighbours in a large fleet.
+  size_t sorted = 0;
+  for (size_t i = 0; i < scored.size() && chosen.size() < query.count; ++i) {
+    if (i == sorted) {
+      const size_t next = std::min(scored.size(), sorted + query.count + 1);
+      std::partial_sort(scored.begin() + static_cast<std::ptrdiff_t>(sorted),
+                        scored.begin() + static_cast<std::ptrdiff_t>(next), scored.end(), Before);
+      sorted = next;
+    }
     const CandidateRunner& runner = *scored[i].second;
     (HostIsIn(chosen, runner) ? same_host : chosen).push_back(&runner);
   }
--- a/src/core/rendezvous.cc
+++ b/src/core/rendezvous.cc
@@ -9,10 +9,6 @@
 
 uint64_t RendezvousHash(const std::string& text) { return XXH3_64bits(text.data(), text.size()); }
 
-uint64_t RendezvousMix(uint64_t key_hash, uint64_t node_hash) {
-  return XXH3_64bits_withSeed(&node_hash, sizeof(node_hash), key_hash);
-}
-
 uint64_t RendezvousScore(const std::string& key, const std::string& node) {
   return RendezvousMix(RendezvousHash(key), RendezvousHash(node));
 }
--- a/src/core/rendezvous.h
+++ b/src/core/rendezvous.h
@@ -11,8 +11,14 @@
 /// Hash of a key or of a node name, for callers that keep it across decisions.
 uint64_t RendezvousHash(const std::string& text);
 
-/// Score of a node for a key, from their hashes. The highest score wins.
-uint64_t RendezvousMix(uint64_t key_hash, uint64_t node_hash);
+/// Score of a node for a key, from their hashes. The highest score wins. It is the finalizer of
+/// SplitMix64, inline because a decision calls it for every runner of a model.
+inline uint64_t RendezvousMix(uint64_t key_hash, uint64_t node_hash) {
+  uint64_t x = node_hash + key_hash * 0x9E3779B97F4A7C15;
+  x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9;
+  x = (x ^ (x >> 27)) * 0x94D049BB133111EB;
+  return x ^ (x >> 31);
+}
 
 /// Equals `RendezvousMix(RendezvousHash(key), RendezvousHash(node))`.
 uint64_t RendezvousScore(const std::string& key, const std::string& node);
--- a/test/correctness/candidate_choice.cc
+++ b/test/correctness/candidate_choice.cc
@@ -86,6 +86,23 @@
   CHECK(CandidateTable(Fleet(2)).Choose({"t", "other", "p", 3, {}}).empty());
 }
 
+// Guards against a partial sort that leaves candidates out of order when hosts repeat at the top.
+TEST(CandidateChoice, FollowsTheWholeRanking) {
+  CheckProperty("candidates are the first of each host in the ranking", [](const std::string& p) {
+    const CandidateTable table(Fleet(12));
+    const size_t count = *rc::gen::inRange<size_t>(1, 7);
+    std::vector<std::string> expected;
+    std::set<std::string> hosts;
+    std::vector<std::string> ranked;
+    for (int i = 0; i < 12; ++i) {
+      const CandidateRunner& home = *table.Choose({"t", "m", p, 1, ranked}).front();
+      ranked.push_back(home.name);
+      if (expected.size() < count && hosts.insert(home.host).second) expected.push_back(home.name);
+    }
+    RC_ASSERT(Names(table.Choose({"t", "m", p, count, {}})) == expected);
+  });
+}
+
 // Guards against teams whose prompts share homes because the parts of the key run together.
 TEST(CandidateChoice, PartsOfTheKeyAreKeptApart) {
   const CandidateTable table(Fleet(600));
