Add the experiment program with baselines and an oracle

Cause: routing and reuse decisions need a repeatable comparison before the daemons exist. Change: test/experiment draws a seeded trace per deployment, runs it on a virtual clock against one fake per interface, and compares round robin, least loaded, prefix affinity, the product's policy and an oracle in eight scenarios. The product's policy is a placeholder that knows every queue; the core's decisions replace it as they land. Conclusion: the harness is ready to take the core's decisions.

--- /dev/null
+++ b/test/experiment/policy.h
@@ -0,0 +1,86 @@
+#ifndef FUCHSIAWEIR_EXPERIMENT_POLICY_H_
+#define FUCHSIAWEIR_EXPERIMENT_POLICY_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "experiment/time_model.h"
+
+namespace fuchsiaweir::experiment {
+
+constexpr int kRefuse = -1;
+
+/// The decisions under comparison. The defaults are those of a plain stack: first come, first
+/// served, every stored block fetched, the least recently used block evicted from a store.
+class Policy {
+ public:
+  virtual ~Policy() = default;
+
+  /// Picks a runner for the request, or kRefuse.
+  virtual int Place(const Request& request, const Fleet& fleet, TimePoint now) = 0;
+
+  /// Round trips between entry and agents before dispatch.
+  virtual int bid_round_trips() const { return 0; }
+
+  /// Delay until an order to drain a data centre reaches the policy. Plain stacks read it from the
+  /// platform's host list, which lags by 5 s.
+  virtual Duration drain_delay() const { return Seconds(5); }
+
+  /// Whether the runner may start one more run.
+  virtual bool Admits(const Runner& runner, TimePoint now);
+
+  /// Jobs with a lower value start and compute first.
+  virtual double PrefillOrder(const Job& job, TimePoint now);
+
+  /// Blocks to fetch of the `stored` ones that follow the resident ones.
+  virtual int FetchBlocks(const Job& job, int resident, int stored, const Fleet& fleet,
+                          TimePoint now);
+
+  /// How long a job waits for its fetches before it recomputes.
+  virtual Duration FetchPatience(const Job& job, int fetched);
+
+  /// Transfers with a lower value use the link first.
+  virtual double LinkOrder(const Transfer& transfer, TimePoint now);
+
+  /// Whether the blocks of a prompt are written to the stores.
+  virtual bool Retains(const Request&, TimePoint) { return true; }
+
+  /// Write-backs that may wait at a link.
+  virtual size_t MaxWriteBacks() const { return 256; }
+
+  /// The stored block with the lowest value is evicted first.
+  virtual double BlockValue(BlockKey block, const StoredBlock& stored, TimePoint now);
+
+  /// Refuses a queued job that cannot meet its deadline.
+  virtual bool RefusesLate(const Job& job, TimePoint now);
+
+  virtual void Refused(const Job&) {}
+  virtual void FirstToken(const Job&, const Runner&, Duration /*ttft*/, TimePoint) {}
+  virtual void Finished(const Job&, const Runner&, bool /*healthy*/, TimePoint) {}
+};
+
+struct PolicyEntry {
+  std::string name;
+  std::unique_ptr<Policy> (*make)(const Deployment&);
+};
+
+/// The policies by name, in the order of the report.
+const std::vector<PolicyEntry>& Policies();
+
+std::unique_ptr<Policy> MakeProductPolicy(const Deployment& deployment);
+
+/// Whether new work may be sent to the runner as far as the drain orders and the host list tell.
+bool Serves(const Runner& runner, const Request& request, bool sees_orders);
+
+/// Exact estimate of a request's time to first token, from full knowledge of a runner and links.
+struct Estimate {
+  double ttft = 0;  ///< Seconds.
+  int fetch = 0;    ///< Best number of blocks to fetch.
+};
+Estimate EstimateOn(Policy& policy, const Job& job, const Fleet& fleet, TimePoint now);
+
+}  // namespace fuchsiaweir::experiment
+
+#endif  // FUCHSIAWEIR_EXPERIMENT_POLICY_H_
--- /dev/null
+++ b/test/experiment/simulation.cc
@@ -0,0 +1,456 @@
+#include "experiment/simulation.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+
+#include "experiment/virtual_clock.h"
+
+namespace fuchsiaweir::experiment {
+namespace {
+
+constexpr Duration kReportInterval = Millis(200);
+constexpr Duration kDrainPromise = Seconds(3);
+constexpr int kParallelWeightLoads = 2;
+
+class Simulation {
+ public:
+  Simulation(const Deployment& deployment, const PolicyEntry& policy)
+      : deployment_(deployment), fleet_(MakeFleet(deployment)), policy_(policy.make(deployment)) {}
+
+  RunResult Run(const Scenario& scenario, int64_t requests, uint64_t seed);
+
+ private:
+  TimePoint now() const { return clock_.now(); }
+  Runner& RunnerOf(const Job& job) { return fleet_.runners[job.runner]; }
+  Outcome& OutcomeOf(const Job& job) { return result_.outcomes[job.id]; }
+
+  // Requests.
+  void Arrive(int id);
+  void Enqueue(Job& job);
+  void Refuse(Job& job);
+  void Admit(Runner& runner);
+  void Start(Job& job);
+  void StartPlainCall(Job& job);
+  void FirstToken(Job& job);
+  void Finish(Job& job);
+  void Remove(std::vector<Job*>& jobs, const Job* job) { std::erase(jobs, job); }
+
+  // Prefill.
+  void PumpPrefill(Runner& runner);
+  bool SkipReadyBlocks(Job& job);
+  void PrefillChunk(Job& job);
+  void ChunkDone(Job& job, int64_t tokens);
+
+  // Links.
+  void StartFetches(Job& job);
+  void PumpLink(int store);
+  void TransferDone(int store, const Transfer& transfer);
+  void FetchArrived(const Transfer& transfer);
+  void StopFetches(Job& job);
+  void WriteBack(const Job& job);
+  void StoreBlock(Store& store, const Transfer& transfer);
+  void EvictOne(Store& store);
+
+  // Changes.
+  void Apply(const Change& change);
+  void LoseStore(Store& store);
+  void SetCentre(int centre, void (Simulation::*action)(Runner&));
+  void DrainRunner(Runner& runner);
+  void StopRunner(Runner& runner);
+  void RestoreRunner(Runner& runner);
+  void SwapWeights();
+  void LoadNextWeights();
+  void ReportLoad();
+
+  const Deployment& deployment_;
+  VirtualClock clock_;
+  Fleet fleet_;
+  std::unique_ptr<Policy> policy_;
+  RunResult result_;
+  std::deque<Job> jobs_;
+  std::map<int, TimePoint> drained_;  ///< Data centre -> time of the order.
+  std::vector<int> swaps_;            ///< Runners that wait for new weights.
+};
+
+RunResult Simulation::Run(const Scenario& scenario, int64_t requests, uint64_t seed) {
+  result_.length = RunLength(deployment_, requests);
+  result_.trace = DrawTrace(deployment_, scenario.surge, requests, seed);
+  result_.outcomes.resize(result_.trace.size());
+  for (size_t i = 0; i < result_.trace.size(); ++i) {
+    Job& job = jobs_.emplace_back();
+    job.request = &result_.trace[i];
+    job.id = static_cast<int>(i);
+    result_.outcomes[i].request = job.request;
+    clock_.After(job.request->arrival - TimePoint{}, [this, i] { Arrive(static_cast<int>(i)); });
+  }
+  for (const Change& change : scenario.changes) {
+    const auto at = static_cast<int64_t>(change.at * static_cast<double>(result_.length.count()));
+    clock_.After(Micros(at) + change.plus, [this, &change] { Apply(change); });
+  }
+  ReportLoad();
+  clock_.Run();
+  return std::move(result_);
+}
+
+void Simulation::ReportLoad() {
+  for (Runner& runner : fleet_.runners) runner.reported_load = runner.load();
+  if (now() - TimePoint{} < result_.length) clock_.After(kReportInterval, [this] { ReportLoad(); });
+}
+
+void Simulation::Arrive(int id) {
+  Job& job = jobs_[id];
+  job.runner = policy_->Place(*job.request, fleet_, now());
+  if (job.runner == kRefuse) {
+    job.runner = 0;
+    return Refuse(job);
+  }
+  Runner& runner = RunnerOf(job);
+  runner.reported_load += 1;
+  const auto drained = drained_.find(runner.data_centre);
+  if (drained != drained_.end() && now() - drained->second > kDrainPromise) {
+    result_.late_dispatches += 1;
+  }
+  // Bids cost a round trip each, dispatch one way.
+  const Duration way = deployment_.one_way * (1 + 2 * policy_->bid_round_trips());
+  clock_.After(deployment_.client_one_way + way, [this, &job] { Enqueue(job); });
+}
+
+void Simulation::Refuse(Job& job) {
+  OutcomeOf(job).fate = Fate::kRefused;
+  policy_->Refused(job);
+}
+
+void Simulation::Enqueue(Job& job) {
+  Runner& runner = RunnerOf(job);
+  job.queued_at = now();
+  if (!runner.up || runner.queue.size() >= kMaxQueue) return Refuse(job);
+  runner.queue.push_back(&job);
+  Admit(runner);
+}
+
+void Simulation::Admit(Runner& runner) {
+  const auto before = [this](const Job* a, const Job* b) {
+    return policy_->PrefillOrder(*a, now()) < policy_->PrefillOrder(*b, now());
+  };
+  while (runner.up && !runner.loading && !runner.queue.empty() && policy_->Admits(runner, now())) {
+    Job* job = *std::min_element(runner.queue.begin(), runner.queue.end(), before);
+    Remove(runner.queue, job);
+    const bool gave_up = now() - job->request->arrival > kCallerPatience;
+    if (gave_up || policy_->RefusesLate(*job, now())) {
+      Refuse(*job);
+      if (gave_up) OutcomeOf(*job).fate = Fate::kTimedOut;
+      continue;
+    }
+    runner.active.push_back(job);
+    if (static_cast<int>(runner.active.size()) > runner.cold_capacity && runner.cold()) {
+      result_.cold_overloads += 1;
+    }
+    Start(*job);
+  }
+}
+
+void Simulation::StartPlainCall(Job& job) {
+  const int rounds = 1 + static_cast<int>(RunnerOf(job).active.size()) / kServiceSlots;
+  clock_.After(kServiceTime * rounds, [this, &job] { FirstToken(job); });
+}
+
+void Simulation::Start(Job& job) {
+  job.admitted = true;
+  if (job.request->plain_call) return StartPlainCall(job);
+  Runner& runner = RunnerOf(job);
+  job.blocks = BlocksOf(*job.request, runner.weight_version);
+  job.fetched.assign(job.blocks.size(), false);
+  StartFetches(job);
+  PumpPrefill(runner);
+}
+
+void Simulation::StartFetches(Job& job) {
+  const int resident = RunnerOf(job).cache.Prefix(job.blocks);
+  job.position = resident * kBlockTokens;
+  for (int i = 0; i < resident; ++i) RunnerOf(job).cache.Use(job.blocks[i]);
+  const int stored = fleet_.StoredRun(job.blocks, resident);
+  if (stored == 0) return;
+  const int fetch = std::min(stored, policy_->FetchBlocks(job, resident, stored, fleet_, now()));
+  if (fetch <= 0) return;
+  job.pending_fetches = fetch;
+  const Duration patience = policy_->FetchPatience(job, fetch);
+  for (int i = resident; i < resident + fetch; ++i) {
+    Store& store = fleet_.stores[fleet_.StoreOf(job.blocks[i])];
+    store.queue.push_back({job.blocks[i], job.id, i, now(), now() + patience, {}});
+  }
+  clock_.After(patience, [this, &job] { StopFetches(job); });
+  for (int store = 0; store < static_cast<int>(fleet_.stores.size()); ++store) PumpLink(store);
+}
+
+void Simulation::StopFetches(Job& job) {
+  if (job.pending_fetches == 0) return;
+  job.pending_fetches = 0;
+  for (Store& store : fleet_.stores) {
+    std::erase_if(store.queue, [&](const Transfer& t) { return t.job == job.id; });
+  }
+  PumpPrefill(RunnerOf(job));
+}
+
+void Simulation::PumpLink(int index) {
+  Store& store = fleet_.stores[index];
+  if (store.busy || !store.up || store.queue.empty()) return;
+  const auto next = std::min_element(
+      store.queue.begin(), store.queue.end(), [this](const Transfer& a, const Transfer& b) {
+        return policy_->LinkOrder(a, now()) < policy_->LinkOrder(b, now());
+      });
+  const Transfer transfer = *next;
+  store.queue.erase(next);
+  store.busy = true;
+  store.busy_until = now() + store.block_time();
+  result_.link_bytes += kBlockBytes;
+  clock_.After(store.block_time(), [this, index, transfer] { TransferDone(index, transfer); });
+}
+
+void Simulation::TransferDone(int index, const Transfer& transfer) {
+  Store& store = fleet_.stores[index];
+  store.busy = false;
+  if (transfer.write_back()) {
+    if (store.up) StoreBlock(store, transfer);
+  } else if (!store.up) {
+    StopFetches(jobs_[transfer.job]);
+  } else {
+    const auto stored = store.blocks.find(transfer.block);
+    if (stored != store.blocks.end()) {
+      stored->second.read = true;
+      stored->second.last_use = now();
+    }
+    FetchArrived(transfer);
+  }
+  PumpLink(index);
+}
+
+void Simulation::FetchArrived(const Transfer& transfer) {
+  Job& job = jobs_[transfer.job];
+  if (job.pending_fetches == 0) {
+    // The job stopped waiting, or it left.
+    result_.wasted_bytes += kBlockBytes;
+    return;
+  }
+  job.fetched[transfer.index] = true;
+  RunnerOf(job).cache.Use(transfer.block);
+  job.pending_fetches -= 1;
+  if (job.pending_fetches == 0) PumpPrefill(RunnerOf(job));
+}
+
+void Simulation::StoreBlock(Store& store, const Transfer& transfer) {
+  if (store.blocks.count(transfer.block) != 0) return;
+  if (store.blocks.size() >= kStoreBlocks) EvictOne(store);
+  StoredBlock stored = transfer.stored;
+  stored.last_use = now();
+  store.blocks[transfer.block] = stored;
+}
+
+void Simulation::EvictOne(Store& store) {
+  auto victim = store.blocks.begin();
+  double lowest = policy_->BlockValue(victim->first, victim->second, now());
+  for (auto block = store.blocks.begin(); block != store.blocks.end(); ++block) {
+    const double value = policy_->BlockValue(block->first, block->second, now());
+    if (value > lowest || (value == lowest && block->first >= victim->first)) continue;
+    victim = block;
+    lowest = value;
+  }
+  if (!victim->second.read) result_.wasted_bytes += kBlockBytes;
+  store.blocks.erase(victim);
+}
+
+void Simulation::WriteBack(const Job& job) {
+  for (size_t i = 0; i < job.blocks.size(); ++i) {
+    const int index = fleet_.StoreOf(job.blocks[i]);
+    Store& store = fleet_.stores[index];
+    const auto stored = store.blocks.find(job.blocks[i]);
+    if (stored != store.blocks.end()) {
+      stored->second.last_use = now();
+      stored->second.next_return = job.request->next_return;
+      continue;
+    }
+    const auto waiting = std::count_if(store.queue.begin(), store.queue.end(),
+                                       [](const Transfer& t) { return t.write_back(); });
+    if (!store.up || static_cast<size_t>(waiting) >= policy_->MaxWriteBacks()) continue;
+    StoredBlock fresh{now(), job.request->next_return, job.request->team, false};
+    store.queue.push_back({job.blocks[i], -1, static_cast<int>(i), now(), now(), fresh});
+    PumpLink(index);
+  }
+}
+
+bool Simulation::SkipReadyBlocks(Job& job) {
+  while (job.position % kBlockTokens == 0) {
+    const auto index = static_cast<size_t>(job.position / kBlockTokens);
+    if (index >= job.blocks.size()) break;
+    if (!job.fetched[index] && !RunnerOf(job).cache.Contains(job.blocks[index])) break;
+    job.position += kBlockTokens;
+  }
+  return job.remaining() <= 0;
+}
+
+void Simulation::PumpPrefill(Runner& runner) {
+  if (runner.computing != nullptr || !runner.up) return;
+  Job* next = nullptr;
+  for (Job* job : runner.active) {
+    if (job->decoding || job->pending_fetches > 0 || job->request->plain_call) continue;
+    if (next == nullptr ||
+        policy_->PrefillOrder(*job, now()) < policy_->PrefillOrder(*next, now())) {
+      next = job;
+    }
+  }
+  if (next != nullptr) PrefillChunk(*next);
+}
+
+void Simulation::PrefillChunk(Job& job) {
+  Runner& runner = RunnerOf(job);
+  // The last token is always computed, also when every block is resident.
+  const int64_t tokens =
+      SkipReadyBlocks(job) ? 1 : std::min<int64_t>(kBlockTokens, job.remaining());
+  const auto time =
+      static_cast<int64_t>(static_cast<double>(PrefillTime(tokens).count()) * runner.slowdown());
+  runner.computing = &job;
+  runner.chunk_end = now() + Micros(time);
+  clock_.After(Micros(time), [this, &job, tokens] { ChunkDone(job, tokens); });
+}
+
+void Simulation::ChunkDone(Job& job, int64_t tokens) {
+  Runner& runner = RunnerOf(job);
+  runner.computing = nullptr;
+  if (!runner.up) return;
+  job.position += tokens;
+  job.computed += tokens;
+  if (job.position % kBlockTokens == 0) {
+    const auto index = static_cast<size_t>(job.position / kBlockTokens - 1);
+    if (index < job.blocks.size()) runner.cache.Use(job.blocks[index]);
+  }
+  if (job.remaining() <= 0) FirstToken(job);
+  PumpPrefill(runner);
+}
+
+void Simulation::FirstToken(Job& job) {
+  Runner& runner = RunnerOf(job);
+  if (!runner.up) return;
+  job.decoding = true;
+  Outcome& outcome = OutcomeOf(job);
+  outcome.ttft = now() - job.request->arrival + deployment_.one_way + deployment_.client_one_way;
+  outcome.recomputed =
+      std::max<int64_t>(0, job.computed - (job.request->prompt_tokens - job.request->known_tokens));
+  policy_->FirstToken(job, runner, outcome.ttft, now());
+  const bool retain = !job.request->plain_call && policy_->Retains(*job.request, now());
+  if (retain) WriteBack(job);
+  const Duration decode =
+      DecodeTime(job.request->output_tokens, static_cast<int>(runner.active.size()));
+  const auto slowed = static_cast<int64_t>(static_cast<double>(decode.count()) * runner.slowdown());
+  clock_.After(Micros(slowed), [this, &job] { Finish(job); });
+}
+
+void Simulation::Finish(Job& job) {
+  Runner& runner = RunnerOf(job);
+  if (OutcomeOf(job).fate == Fate::kLost) return;
+  const bool healthy = static_cast<int>(runner.active.size()) <= runner.cold_capacity;
+  if (runner.cold() && healthy)
+    runner.cold_capacity = std::min(kRunnerSlots, runner.cold_capacity + 1);
+  Remove(runner.active, &job);
+  const bool in_time = OutcomeOf(job).ttft <= kCallerPatience;
+  OutcomeOf(job).fate = in_time ? Fate::kServed : Fate::kTimedOut;
+  policy_->Finished(job, runner, healthy, now());
+  Admit(runner);
+}
+
+void Simulation::Apply(const Change& change) {
+  using Kind = Change::Kind;
+  switch (change.kind) {
+    case Kind::kStoreDies:
+      return LoseStore(fleet_.stores[change.index]);
+    case Kind::kStoreReturns:
+      fleet_.stores[change.index].up = true;
+      return;
+    case Kind::kLinkSlow:
+      fleet_.stores[change.index].bytes_per_second = kLinkBytesPerSecond / 10;
+      return;
+    case Kind::kLinkNormal:
+      fleet_.stores[change.index].bytes_per_second = kLinkBytesPerSecond;
+      return;
+    case Kind::kRunnerCold:
+      return fleet_.runners[change.index].TurnCold();
+    case Kind::kWeightSwap:
+      return SwapWeights();
+    case Kind::kDrain:
+      drained_[change.index] = now();
+      return SetCentre(change.index, &Simulation::DrainRunner);
+    case Kind::kHostsStop:
+      return SetCentre(change.index, &Simulation::StopRunner);
+    case Kind::kRestore:
+      drained_.erase(change.index);
+      return SetCentre(change.index, &Simulation::RestoreRunner);
+  }
+}
+
+void Simulation::LoseStore(Store& store) {
+  store.up = false;
+  store.blocks.clear();
+  std::vector<Transfer> lost;
+  lost.swap(store.queue);
+  for (const Transfer& transfer : lost) {
+    if (!transfer.write_back()) StopFetches(jobs_[transfer.job]);
+  }
+}
+
+void Simulation::SetCentre(int centre, void (Simulation::*action)(Runner&)) {
+  for (Runner& runner : fleet_.runners) {
+    if (runner.data_centre == centre) (this->*action)(runner);
+  }
+}
+
+void Simulation::DrainRunner(Runner& runner) {
+  clock_.After(policy_->drain_delay(), [&runner] { runner.draining = true; });
+  clock_.After(Seconds(5), [&runner] { runner.listed = false; });
+}
+
+void Simulation::StopRunner(Runner& runner) {
+  runner.up = false;
+  for (std::vector<Job*>* jobs : {&runner.queue, &runner.active}) {
+    for (Job* job : *jobs) OutcomeOf(*job).fate = Fate::kLost;
+    for (Job* job : *jobs) StopFetches(*job);
+    jobs->clear();
+  }
+}
+
+void Simulation::RestoreRunner(Runner& runner) {
+  runner.up = true;
+  runner.listed = true;
+  runner.draining = false;
+  runner.computing = nullptr;
+  if (!runner.plain) runner.TurnCold();
+}
+
+void Simulation::SwapWeights() {
+  for (const Runner& runner : fleet_.runners) {
+    if (!runner.plain) swaps_.push_back(runner.id);
+  }
+  for (int i = 0; i < kParallelWeightLoads; ++i) LoadNextWeights();
+}
+
+void Simulation::LoadNextWeights() {
+  if (swaps_.empty()) return;
+  Runner& runner = fleet_.runners[swaps_.front()];
+  swaps_.erase(swaps_.begin());
+  runner.loading = true;
+  clock_.After(kWeightLoad, [this, &runner] {
+    runner.loading = false;
+    runner.weight_version += 1;
+    runner.TurnCold();
+    Admit(runner);
+    LoadNextWeights();
+  });
+}
+
+}  // namespace
+
+RunResult Simulate(const Deployment& deployment, const Scenario& scenario,
+                   const PolicyEntry& policy, int64_t requests, uint64_t seed) {
+  return Simulation(deployment, policy).Run(scenario, requests, seed);
+}
+
+}  // namespace fuchsiaweir::experiment
