Wire the bid and the retention policy into the product policy

Cause: estimates and store evictions were placeholders. Change: agents answer with MakeBid; stores admit and evict by RetentionPolicy on uncompressed gaps.

--- a/test/experiment/policy.cc
+++ b/test/experiment/policy.cc
@@ -130,10 +130,15 @@
     return request.next_return != TimePoint::max() || request.shared_blocks > 0;
   }
 
-  double BlockValue(BlockKey, const StoredBlock& stored, TimePoint now) override {
+  double BlockValue(BlockKey, const StoredBlock& stored, const StoredBlock&,
+                    TimePoint now) override {
     // Belady's rule: the block whose next use is farthest away leaves first.
     return stored.next_return < now ? -1e15 : -Seconds(stored.next_return);
   }
+
+  double AdmissionValue(BlockKey, const StoredBlock& incoming, TimePoint) override {
+    return -Seconds(incoming.next_return);
+  }
 };
 
 template <typename T>
@@ -188,10 +193,14 @@
   return Seconds(transfer.queued_at);
 }
 
-double Policy::BlockValue(BlockKey, const StoredBlock& stored, TimePoint) {
+double Policy::BlockValue(BlockKey, const StoredBlock& stored, const StoredBlock&, TimePoint) {
   return Seconds(stored.last_use);
 }
 
+double Policy::AdmissionValue(BlockKey, const StoredBlock&, TimePoint) {
+  return std::numeric_limits<double>::infinity();
+}
+
 bool Policy::Push(Job&, const Runner& runner, TimePoint) { return runner.queue.size() < kMaxQueue; }
 
 Job* Policy::Pop(const Runner& runner, TimePoint now) {
--- a/test/experiment/policy.h
+++ b/test/experiment/policy.h
@@ -71,7 +71,14 @@
   virtual size_t MaxWriteBacks() const { return 256; }
 
   /// The stored block with the lowest value is evicted first.
-  virtual double BlockValue(BlockKey block, const StoredBlock& stored, TimePoint now);
+  virtual double BlockValue(BlockKey block, const StoredBlock& stored, const StoredBlock& incoming,
+                            TimePoint now);
+
+  /// A new block replaces the lowest stored one only when this value is higher.
+  virtual double AdmissionValue(BlockKey block, const StoredBlock& incoming, TimePoint now);
+
+  virtual void BlockStored(BlockKey, const StoredBlock&) {}
+  virtual void BlockDropped(BlockKey) {}
 
   virtual void Started(const Job&) {}
   virtual void Finished(const Job&, Duration /*token_time*/) {}
--- a/test/experiment/product_policy.cc
+++ b/test/experiment/product_policy.cc
@@ -1,12 +1,14 @@
 #include <algorithm>
-#include <limits>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <utility>
 
+#include "core/bid.h"
 #include "core/cold_start_gate.h"
 #include "core/fair_queue.h"
 #include "core/rendezvous.h"
+#include "core/retention_policy.h"
 #include "experiment/policy.h"
 
 namespace fuchsiaweir::experiment {
@@ -16,13 +18,35 @@
 /// Tokens that may wait for prefill inside an engine, where the fair queue no longer orders them.
 /// Of 2,000, 4,000, 10,000 and no bound, 4,000 gave the lowest p95 in Etnee's weight swaps.
 constexpr int64_t kEngineBacklogTokens = 4000;
+constexpr char kModel[] = "model";
 constexpr double kAfterFetches = 1e12;
 
-/// The product's decisions from src/core, fed with what entries and agents know. Bids, dispatch,
-/// quotas, retention and fetch plans are placeholders until the core has them.
+/// The uncompressed time that the learned return gaps are about.
+TimePoint GapTime(TimePoint now) { return TimePoint{} + (now - TimePoint{}) * kGapCompression; }
+
+BlockId IdOf(BlockKey block) { return {block, 0}; }
+
+RetainedBlock Retained(const StoredBlock& block) {
+  return {std::to_string(block.team), kBlockBytes, PrefillTime(kBlockTokens)};
+}
+
+/// Prompts of similar length tend to return alike.
+std::string PromptClass(const Request& request) {
+  if (request.prompt_tokens < 2 * kBlockTokens) return "short";
+  return request.prompt_tokens < 4 * kBlockTokens ? "medium" : "long";
+}
+
+RetentionOptions StoreOptions(const Deployment& deployment) {
+  RetentionOptions options;
+  options.capacity = static_cast<int64_t>(deployment.stores * kStoreBlocks) * kBlockBytes;
+  return options;
+}
+
+/// The product's decisions from src/core, fed with what entries and agents know. Fetch plans,
+/// link schedules and quotas are placeholders until the core has them.
 class Product : public Policy {
  public:
-  explicit Product(const Deployment& deployment) {
+  explicit Product(const Deployment& deployment) : retention_(StoreOptions(deployment)) {
     GateLimits limits;
     limits.cold_limit = kColdLimit;
     limits.max_concurrent = kRunnerSlots;
@@ -34,20 +58,14 @@
   }
 
   int Place(const Request& request, const Fleet& fleet, TimePoint now) override {
-    Job job;
-    job.request = &request;
-    job.queued_at = now;
-    int best = kRefuse;
-    double best_ttft = std::numeric_limits<double>::max();
-    for (const int candidate : Candidates(request, fleet)) {
-      job.runner = candidate;
-      job.blocks = BlocksOf(request, fleet.runners[candidate].weight_version);
-      const double ttft = EstimateOn(*this, job, fleet, now).ttft;
-      if (ttft >= best_ttft) continue;
-      best = candidate;
-      best_ttft = ttft;
+    Observe(request, fleet, now);
+    const std::vector<int> ranked = Ranked(request, fleet);
+    for (size_t first = 0; first < ranked.size(); first += kBidCandidates) {
+      const size_t end = std::min(first + kBidCandidates, ranked.size());
+      const int runner = BestBid(request, fleet, now, {&ranked[first], end - first});
+      if (runner != kRefuse) return runner;
     }
-    return best;
+    return kRefuse;
   }
 
   int bid_round_trips() const override { return 1; }
@@ -108,6 +126,21 @@
     return transfer.write_back() ? kAfterFetches + deadline : deadline;
   }
 
+  double BlockValue(BlockKey block, const StoredBlock&, const StoredBlock& incoming,
+                    TimePoint now) override {
+    return retention_.EvictionValue(IdOf(block), std::to_string(incoming.team), GapTime(now));
+  }
+
+  double AdmissionValue(BlockKey block, const StoredBlock& incoming, TimePoint now) override {
+    return retention_.AdmissionValue(IdOf(block), Retained(incoming), GapTime(now));
+  }
+
+  void BlockStored(BlockKey block, const StoredBlock& stored) override {
+    retention_.Stored(IdOf(block), Retained(stored));
+  }
+
+  void BlockDropped(BlockKey block) override { retention_.Dropped(IdOf(block)); }
+
   void Started(const Job& job) override {
     if (job.request->plain_call) return;
     if (const auto admission = gates_[job.runner].TryAdmit()) admissions_[job.id] = *admission;
@@ -127,8 +160,8 @@
   }
 
  private:
-  /// The runners with the highest rendezvous score for the first block of the prompt.
-  std::vector<int> Candidates(const Request& request, const Fleet& fleet) const {
+  /// The runners in service by rendezvous score for the first block of the prompt, best first.
+  std::vector<int> Ranked(const Request& request, const Fleet& fleet) const {
     const std::vector<BlockKey> blocks = BlocksOf(request, 0);
     const uint64_t key =
         blocks.empty() ? RendezvousHash(std::to_string(request.session)) : blocks[0];
@@ -138,11 +171,74 @@
       scored.emplace_back(RendezvousMix(key, node_hashes_[runner.id]), runner.id);
     }
     std::sort(scored.rbegin(), scored.rend());
-    scored.resize(std::min(scored.size(), kBidCandidates));
-    std::vector<int> candidates;
-    candidates.reserve(scored.size());
-    for (const auto& [score, runner] : scored) candidates.push_back(runner);
-    return candidates;
+    std::vector<int> ranked;
+    ranked.reserve(scored.size());
+    for (const auto& [score, runner] : scored) ranked.push_back(runner);
+    return ranked;
+  }
+
+  /// Asks the runners for bids and returns the one with the lowest estimate, or kRefuse.
+  int BestBid(const Request& request, const Fleet& fleet, TimePoint now,
+              std::span<const int> runners) {
+    BidRequest question;
+    question.model = kModel;
+    question.prompt_tokens = request.prompt_tokens;
+    question.deadline_ms = ToMillis(request.arrival + request.ttft_deadline - now);
+    int best = kRefuse;
+    Duration lowest = Duration::max();
+    for (const int runner : runners) {
+      if (request.plain_call) return runner;
+      const Result<Bid> bid = MakeBid(question, LoadOf(request, fleet, fleet.runners[runner]));
+      if (!bid || bid.value().estimate >= lowest) continue;
+      best = runner;
+      lowest = bid.value().estimate;
+    }
+    return best;
+  }
+
+  RunnerLoad LoadOf(const Request& request, const Fleet& fleet, const Runner& runner) const {
+    const std::vector<BlockKey> blocks = BlocksOf(request, runner.weight_version);
+    RunnerLoad load;
+    load.model = kModel;
+    load.queue_items = static_cast<int64_t>(queues_[runner.id].size());
+    load.max_queue = kMaxQueue;
+    load.queue_tokens = queues_[runner.id].queued_tokens();
+    for (const Job* job : runner.active) {
+      if (!job->decoding) load.queue_tokens += job->remaining() - job->pending_fetches * kBlockTokens;
+    }
+    load.limit = gates_[runner.id].limit();
+    load.running = gates_[runner.id].running();
+    load.decode_slots = kRunnerSlots;
+    load.prefill_tokens_per_second = kPrefillTokensPerSecond;
+    load.block_tokens = kBlockTokens;
+    load.block_bytes = kBlockBytes;
+    load.resident_blocks = runner.cache.Prefix(blocks);
+    load.fetchable_blocks = fleet.StoredRun(blocks, static_cast<int>(load.resident_blocks));
+    FillLinks(fleet, load);
+    return load;
+  }
+
+  /// The stores' links work side by side; the rate that agents measure reflects a slow one.
+  static void FillLinks(const Fleet& fleet, RunnerLoad& load) {
+    double rate = 0;
+    for (const Store& store : fleet.stores) {
+      if (!store.up) continue;
+      rate += store.bytes_per_second;
+      for (const Transfer& transfer : store.queue) {
+        if (!transfer.write_back()) load.link_queue_bytes += kBlockBytes;
+      }
+    }
+    load.link_bytes_per_second = std::max<int64_t>(1, static_cast<int64_t>(rate));
+  }
+
+  /// The entry computes block ids for the configured version, which the first swapped runner has.
+  void Observe(const Request& request, const Fleet& fleet, TimePoint now) {
+    if (request.plain_call) return;
+    int version = 0;
+    for (const Runner& runner : fleet.runners) version = std::max(version, runner.weight_version);
+    std::vector<BlockId> chain;
+    for (const BlockKey block : BlocksOf(request, version)) chain.push_back(IdOf(block));
+    retention_.Observe(std::to_string(request.team), PromptClass(request), chain, GapTime(now));
   }
 
   Job* Take(const std::string& id) {
@@ -151,6 +247,7 @@
     return job;
   }
 
+  RetentionPolicy retention_;      ///< Of both stores.
   std::vector<FairQueue> queues_;  ///< By runner.
   std::unordered_map<std::string, Job*> waiting_;
   std::vector<ColdStartGate> gates_;  ///< By runner.
--- a/test/experiment/simulation.cc
+++ b/test/experiment/simulation.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 
@@ -51,7 +52,7 @@
   void StopFetches(Job& job);
   void WriteBack(const Job& job);
   void StoreBlock(Store& store, const Transfer& transfer);
-  void EvictOne(Store& store);
+  bool EvictFor(Store& store, BlockKey block, const StoredBlock& incoming);
 
   // Changes.
   void Apply(const Change& change);
@@ -248,23 +249,32 @@
 
 void Simulation::StoreBlock(Store& store, const Transfer& transfer) {
   if (store.blocks.count(transfer.block) != 0) return;
-  if (store.blocks.size() >= kStoreBlocks) EvictOne(store);
   StoredBlock stored = transfer.stored;
   stored.last_use = now();
+  if (store.blocks.size() >= kStoreBlocks && !EvictFor(store, transfer.block, stored)) {
+    result_.wasted_bytes += kBlockBytes;
+    return;
+  }
   store.blocks[transfer.block] = stored;
+  policy_->BlockStored(transfer.block, stored);
 }
 
-void Simulation::EvictOne(Store& store) {
-  auto victim = store.blocks.begin();
-  double lowest = policy_->BlockValue(victim->first, victim->second, now());
-  for (auto block = store.blocks.begin(); block != store.blocks.end(); ++block) {
-    const double value = policy_->BlockValue(block->first, block->second, now());
-    if (value > lowest || (value == lowest && block->first >= victim->first)) continue;
-    victim = block;
+bool Simulation::EvictFor(Store& store, BlockKey block, const StoredBlock& incoming) {
+  BlockKey victim = 0;
+  double lowest = std::numeric_limits<double>::infinity();
+  for (const auto& [key, stored] : store.blocks) {
+    const double value = policy_->BlockValue(key, stored, incoming, now());
+    if (value > lowest || (value == lowest && key >= victim)) continue;
+    victim = key;
     lowest = value;
   }
-  if (!victim->second.read) result_.wasted_bytes += kBlockBytes;
-  store.blocks.erase(victim);
+  const auto found = store.blocks.find(victim);
+  if (found == store.blocks.end()) return false;
+  if (policy_->AdmissionValue(block, incoming, now()) <= lowest) return false;
+  if (!found->second.read) result_.wasted_bytes += kBlockBytes;
+  store.blocks.erase(found);
+  policy_->BlockDropped(victim);
+  return true;
 }
 
 void Simulation::WriteBack(const Job& job) {
@@ -392,6 +402,7 @@
 
 void Simulation::LoseStore(Store& store) {
   store.up = false;
+  for (const auto& [block, stored] : store.blocks) policy_->BlockDropped(block);
   store.blocks.clear();
   std::vector<Transfer> lost;
   lost.swap(store.queue);
