Wire the fetch plan into the product policy

Cause: fetches were planned by a placeholder and always formed one run after the resident blocks. Change: PlanFetch chooses the blocks; prefill waits for a block until the plan's compute_from and may compute other blocks meanwhile. Of stored blocks with equal value the last of a prompt is evicted.

--- a/test/experiment/policy.cc
+++ b/test/experiment/policy.cc
@@ -118,8 +118,10 @@
     return Seconds(job.queued_at) + (job.request->flood ? kFloodDelaySeconds : 0);
   }
 
-  int FetchBlocks(const Job& job, int, int, const Fleet& fleet, TimePoint now) override {
-    return EstimateOn(*this, job, fleet, now).fetch;
+  std::vector<Fetch> PlanFetches(const Job& job, int resident, int, const Fleet& fleet,
+                                 TimePoint now) override {
+    const int best = EstimateOn(*this, job, fleet, now).fetch;
+    return Policy::PlanFetches(job, resident, best, fleet, now);
   }
 
   double LinkOrder(const Transfer& transfer, TimePoint) override {
@@ -185,9 +187,12 @@
 
 double Policy::PrefillOrder(const Job& job, TimePoint) { return Seconds(job.queued_at); }
 
-int Policy::FetchBlocks(const Job&, int, int stored, const Fleet&, TimePoint) { return stored; }
-
-Duration Policy::FetchPatience(const Job&, int) { return fuchsiaweir::Seconds(5); }
+std::vector<Fetch> Policy::PlanFetches(const Job&, int resident, int stored, const Fleet&,
+                                       TimePoint) {
+  std::vector<Fetch> fetches(stored);
+  for (int i = 0; i < stored; ++i) fetches[i].index = resident + i;
+  return fetches;
+}
 
 double Policy::LinkOrder(const Transfer& transfer, TimePoint) {
   return Seconds(transfer.queued_at);
--- a/test/experiment/policy.h
+++ b/test/experiment/policy.h
@@ -20,6 +20,13 @@
   Duration token_time{};
 };
 
+/// One block to fetch.
+struct Fetch {
+  int index = 0;  ///< Place of the block in the prompt.
+  /// Prefill waits this long for the block before it computes it.
+  Duration patience = Seconds(5);
+};
+
 /// The decisions under comparison. The defaults are those of a plain stack: first come, first
 /// served, every stored block fetched, the least recently used block evicted from a store.
 class Policy {
@@ -54,12 +61,9 @@
   /// Jobs with a lower value start and compute first.
   virtual double PrefillOrder(const Job& job, TimePoint now);
 
-  /// Blocks to fetch of the `stored` ones that follow the resident ones.
-  virtual int FetchBlocks(const Job& job, int resident, int stored, const Fleet& fleet,
-                          TimePoint now);
-
-  /// How long a job waits for its fetches before it recomputes.
-  virtual Duration FetchPatience(const Job& job, int fetched);
+  /// Chooses the fetches among the `stored` blocks that follow the `resident` ones.
+  virtual std::vector<Fetch> PlanFetches(const Job& job, int resident, int stored,
+                                         const Fleet& fleet, TimePoint now);
 
   /// Transfers with a lower value use the link first.
   virtual double LinkOrder(const Transfer& transfer, TimePoint now);
--- a/test/experiment/product_policy.cc
+++ b/test/experiment/product_policy.cc
@@ -7,6 +7,7 @@
 #include "core/bid.h"
 #include "core/cold_start_gate.h"
 #include "core/fair_queue.h"
+#include "core/fetch_plan.h"
 #include "core/rendezvous.h"
 #include "core/retention_policy.h"
 #include "experiment/policy.h"
@@ -102,10 +103,7 @@
   /// Keeps the engine's own backlog short, so that the fair queue orders the waiting work.
   bool Admits(const Runner& runner, TimePoint) override {
     if (runner.plain) return Policy::Admits(runner, {});
-    int64_t backlog = 0;
-    for (const Job* job : runner.active) {
-      if (!job->decoding && job->pending_fetches == 0) backlog += job->remaining();
-    }
+    const int64_t backlog = EngineBacklog(runner, Job());
     return backlog < kEngineBacklogTokens && gates_[runner.id].HasRoom();
   }
 
@@ -113,12 +111,20 @@
     return static_cast<int>(gates_[runner.id].limit());
   }
 
-  int FetchBlocks(const Job& job, int, int, const Fleet& fleet, TimePoint now) override {
-    return EstimateOn(*this, job, fleet, now).fetch;
-  }
-
-  Duration FetchPatience(const Job&, int fetched) override {
-    return PrefillTime(fetched * kBlockTokens);
+  std::vector<Fetch> PlanFetches(const Job& job, int resident, int stored, const Fleet& fleet,
+                                 TimePoint now) override {
+    const PrefillState prefill{EngineBacklog(fleet.runners[job.runner], job),
+                               static_cast<double>(kPrefillTokensPerSecond)};
+    const Duration remaining = job.request->arrival + job.request->ttft_deadline - now;
+    const FetchPlan plan =
+        PlanFetch(RunsOf(job, resident, stored, fleet), LinksOf(fleet), prefill, remaining);
+    std::vector<Fetch> fetches;
+    for (int i = 0; i < stored; ++i) {
+      const RunPlan& run = plan.runs[i + 1];
+      if (run.action != RunAction::kFetch && run.action != RunAction::kRace) continue;
+      fetches.push_back({resident + i, std::max(run.compute_from, Duration(0))});
+    }
+    return fetches;
   }
 
   double LinkOrder(const Transfer& transfer, TimePoint) override {
@@ -160,6 +166,43 @@
   }
 
  private:
+  /// One run for the resident blocks, one for each stored block, one for the rest.
+  static std::vector<BlockRun> RunsOf(const Job& job, int resident, int stored,
+                                      const Fleet& fleet) {
+    std::vector<BlockRun> runs;
+    runs.push_back({BlockSource::kResident, resident * kBlockTokens, 0, 0});
+    for (int i = resident; i < resident + stored; ++i) {
+      const auto link = static_cast<size_t>(fleet.StoreOf(job.blocks[i]));
+      runs.push_back({BlockSource::kRemote, kBlockTokens, kBlockBytes, link});
+    }
+    const int64_t rest = job.request->prompt_tokens - (resident + stored) * kBlockTokens;
+    runs.push_back({BlockSource::kMissing, rest, 0, 0});
+    return runs;
+  }
+
+  static std::vector<LinkState> LinksOf(const Fleet& fleet) {
+    std::vector<LinkState> links;
+    for (const Store& store : fleet.stores) {
+      LinkState link;
+      for (const Transfer& transfer : store.queue) {
+        link.queued_bytes += transfer.write_back() ? 0 : kBlockBytes;
+      }
+      link.bytes_per_second = store.up ? store.bytes_per_second : 0;
+      links.push_back(link);
+    }
+    return links;
+  }
+
+  /// Prompt tokens that the engine computes before those of `job`.
+  static int64_t EngineBacklog(const Runner& runner, const Job& job) {
+    int64_t backlog = 0;
+    for (const Job* other : runner.active) {
+      if (other == &job || other->decoding) continue;
+      backlog += other->remaining() - other->pending_fetches * kBlockTokens;
+    }
+    return backlog;
+  }
+
   /// The runners in service by rendezvous score for the first block of the prompt, best first.
   std::vector<int> Ranked(const Request& request, const Fleet& fleet) const {
     const std::vector<BlockKey> blocks = BlocksOf(request, 0);
@@ -203,9 +246,7 @@
     load.queue_items = static_cast<int64_t>(queues_[runner.id].size());
     load.max_queue = kMaxQueue;
     load.queue_tokens = queues_[runner.id].queued_tokens();
-    for (const Job* job : runner.active) {
-      if (!job->decoding) load.queue_tokens += job->remaining() - job->pending_fetches * kBlockTokens;
-    }
+    load.queue_tokens += EngineBacklog(runner, Job());
     load.limit = gates_[runner.id].limit();
     load.running = gates_[runner.id].running();
     load.decode_slots = kRunnerSlots;
--- a/test/experiment/simulation.cc
+++ b/test/experiment/simulation.cc
@@ -41,6 +41,7 @@
   // Prefill.
   void PumpPrefill(Runner& runner);
   bool SkipReadyBlocks(Job& job);
+  bool AwaitsNextBlock(Job& job);
   void PrefillChunk(Job& job);
   void ChunkDone(Job& job, int64_t tokens);
 
@@ -49,7 +50,8 @@
   void PumpLink(int store);
   void TransferDone(int store, const Transfer& transfer);
   void FetchArrived(const Transfer& transfer);
-  void StopFetches(Job& job);
+  void StopWaiting(Job& job, int index);
+  void CancelFetches(Job& job);
   void WriteBack(const Job& job);
   void StoreBlock(Store& store, const Transfer& transfer);
   bool EvictFor(Store& store, BlockKey block, const StoredBlock& incoming);
@@ -170,6 +172,7 @@
   Runner& runner = RunnerOf(job);
   job.blocks = BlocksOf(*job.request, runner.weight_version);
   job.fetched.assign(job.blocks.size(), false);
+  job.awaited = job.fetched;
   StartFetches(job);
   PumpPrefill(runner);
 }
@@ -180,25 +183,30 @@
   for (int i = 0; i < resident; ++i) RunnerOf(job).cache.Use(job.blocks[i]);
   const int stored = fleet_.StoredRun(job.blocks, resident);
   if (stored == 0) return;
-  const int fetch = std::min(stored, policy_->FetchBlocks(job, resident, stored, fleet_, now()));
-  if (fetch <= 0) return;
-  job.pending_fetches = fetch;
-  const Duration patience = policy_->FetchPatience(job, fetch);
-  for (int i = resident; i < resident + fetch; ++i) {
-    Store& store = fleet_.stores[fleet_.StoreOf(job.blocks[i])];
-    store.queue.push_back({job.blocks[i], job.id, i, now(), now() + patience, {}});
+  for (const Fetch& fetch : policy_->PlanFetches(job, resident, stored, fleet_, now())) {
+    const BlockKey block = job.blocks[fetch.index];
+    Transfer transfer{block, job.id, fetch.index, now(), now() + fetch.patience, {}};
+    fleet_.stores[fleet_.StoreOf(block)].queue.push_back(transfer);
+    job.awaited[fetch.index] = true;
+    job.pending_fetches += 1;
+    clock_.After(fetch.patience, [this, &job, fetch] { StopWaiting(job, fetch.index); });
   }
-  clock_.After(patience, [this, &job] { StopFetches(job); });
   for (int store = 0; store < static_cast<int>(fleet_.stores.size()); ++store) PumpLink(store);
 }
 
-void Simulation::StopFetches(Job& job) {
-  if (job.pending_fetches == 0) return;
-  job.pending_fetches = 0;
+void Simulation::StopWaiting(Job& job, int index) {
+  if (!job.awaited[index]) return;
+  job.awaited[index] = false;
+  job.pending_fetches -= 1;
+  PumpPrefill(RunnerOf(job));
+}
+
+void Simulation::CancelFetches(Job& job) {
   for (Store& store : fleet_.stores) {
     std::erase_if(store.queue, [&](const Transfer& t) { return t.job == job.id; });
   }
-  PumpPrefill(RunnerOf(job));
+  job.awaited.assign(job.blocks.size(), false);
+  job.pending_fetches = 0;
 }
 
 void Simulation::PumpLink(int index) {
@@ -222,7 +230,7 @@
   if (transfer.write_back()) {
     if (store.up) StoreBlock(store, transfer);
   } else if (!store.up) {
-    StopFetches(jobs_[transfer.job]);
+    StopWaiting(jobs_[transfer.job], transfer.index);
   } else {
     const auto stored = store.blocks.find(transfer.block);
     if (stored != store.blocks.end()) {
@@ -236,15 +244,15 @@
 
 void Simulation::FetchArrived(const Transfer& transfer) {
   Job& job = jobs_[transfer.job];
-  if (job.pending_fetches == 0) {
-    // The job stopped waiting, or it left.
+  const bool late = job.decoding || job.position > transfer.index * kBlockTokens;
+  if (late || !RunnerOf(job).up) {
     result_.wasted_bytes += kBlockBytes;
     return;
   }
   job.fetched[transfer.index] = true;
   RunnerOf(job).cache.Use(transfer.block);
-  job.pending_fetches -= 1;
-  if (job.pending_fetches == 0) PumpPrefill(RunnerOf(job));
+  StopWaiting(job, transfer.index);
+  PumpPrefill(RunnerOf(job));
 }
 
 void Simulation::StoreBlock(Store& store, const Transfer& transfer) {
@@ -261,11 +269,16 @@
 
 bool Simulation::EvictFor(Store& store, BlockKey block, const StoredBlock& incoming) {
   BlockKey victim = 0;
+  std::pair<int, BlockKey> victim_place{1, 0};
   double lowest = std::numeric_limits<double>::infinity();
   for (const auto& [key, stored] : store.blocks) {
     const double value = policy_->BlockValue(key, stored, incoming, now());
-    if (value > lowest || (value == lowest && key >= victim)) continue;
+    // Of blocks with equal value the last of a prompt leaves first: the earlier ones stay useful
+    // without it.
+    const std::pair place(-stored.index, key);
+    if (value > lowest || (value == lowest && place >= victim_place)) continue;
     victim = key;
+    victim_place = place;
     lowest = value;
   }
   const auto found = store.blocks.find(victim);
@@ -290,7 +303,8 @@
     const auto waiting = std::count_if(store.queue.begin(), store.queue.end(),
                                        [](const Transfer& t) { return t.write_back(); });
     if (!store.up || static_cast<size_t>(waiting) >= policy_->MaxWriteBacks()) continue;
-    StoredBlock fresh{now(), job.request->next_return, job.request->team, false};
+    StoredBlock fresh{now(), job.request->next_return, job.request->team, false,
+                      static_cast<int>(i)};
     store.queue.push_back({job.blocks[i], -1, static_cast<int>(i), now(), now(), fresh});
     PumpLink(index);
   }
@@ -310,7 +324,7 @@
   if (runner.computing != nullptr || !runner.up) return;
   Job* next = nullptr;
   for (Job* job : runner.active) {
-    if (job->decoding || job->pending_fetches > 0 || job->request->plain_call) continue;
+    if (job->decoding || job->request->plain_call || AwaitsNextBlock(*job)) continue;
     if (next == nullptr ||
         policy_->PrefillOrder(*job, now()) < policy_->PrefillOrder(*next, now())) {
       next = job;
@@ -319,6 +333,12 @@
   if (next != nullptr) PrefillChunk(*next);
 }
 
+bool Simulation::AwaitsNextBlock(Job& job) {
+  if (job.pending_fetches == 0 || SkipReadyBlocks(job)) return false;
+  const auto next = static_cast<size_t>(job.position / kBlockTokens);
+  return next < job.blocks.size() && job.awaited[next];
+}
+
 void Simulation::PrefillChunk(Job& job) {
   Runner& runner = RunnerOf(job);
   // The last token is always computed, also when every block is resident.
@@ -352,6 +372,7 @@
   job.decoding = true;
   Outcome& outcome = OutcomeOf(job);
   outcome.ttft = now() - job.request->arrival + deployment_.one_way + deployment_.client_one_way;
+  CancelFetches(job);
   outcome.recomputed =
       std::max<int64_t>(0, job.computed - (job.request->prompt_tokens - job.request->known_tokens));
   const bool retain = !job.request->plain_call && policy_->Retains(*job.request, now());
@@ -407,7 +428,7 @@
   std::vector<Transfer> lost;
   lost.swap(store.queue);
   for (const Transfer& transfer : lost) {
-    if (!transfer.write_back()) StopFetches(jobs_[transfer.job]);
+    if (!transfer.write_back()) StopWaiting(jobs_[transfer.job], transfer.index);
   }
 }
 
@@ -426,7 +447,7 @@
   runner.up = false;
   for (std::vector<Job*>* jobs : {&runner.queue, &runner.active}) {
     for (Job* job : *jobs) OutcomeOf(*job).fate = Fate::kLost;
-    for (Job* job : *jobs) StopFetches(*job);
+    for (Job* job : *jobs) CancelFetches(*job);
     jobs->clear();
   }
 }
--- a/test/experiment/time_model.h
+++ b/test/experiment/time_model.h
@@ -54,7 +54,8 @@
   std::vector<bool> fetched;  ///< Per block: it arrived over a link.
   int64_t position = 0;       ///< Prompt tokens whose KV is ready.
   int64_t computed = 0;       ///< Prompt tokens that this job computed.
-  int pending_fetches = 0;
+  std::vector<bool> awaited;  ///< Per block: prefill waits for its fetch.
+  int pending_fetches = 0;    ///< Blocks awaited.
   bool admitted = false;
   bool decoding = false;
   TimePoint queued_at{};
@@ -97,6 +98,7 @@
   TimePoint next_return;  ///< For the oracle.
   int team = 0;
   bool read = false;
+  int index = 0;  ///< Place in the prompt.
 };
 
 /// One block on its way between a store and a runner.
