Wire the dispatch choice and the hot-prefix sketch into the product policy

Cause: the entry took the lowest bid of three candidates. Change: ChooseBid picks among the bids and HotPrefix widens the candidate set. Conclusion: the link schedule and the team quota are still to be wired in.

--- a/test/experiment/product_policy.cc
+++ b/test/experiment/product_policy.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -6,8 +7,10 @@
 
 #include "core/bid.h"
 #include "core/cold_start_gate.h"
+#include "core/dispatch_choice.h"
 #include "core/fair_queue.h"
 #include "core/fetch_plan.h"
+#include "core/hot_prefix.h"
 #include "core/rendezvous.h"
 #include "core/retention_policy.h"
 #include "experiment/policy.h"
@@ -43,8 +46,9 @@
   return options;
 }
 
-/// The product's decisions from src/core, fed with what entries and agents know. Fetch plans,
-/// link schedules and quotas are placeholders until the core has them.
+/// The product's decisions from src/core, fed with what entries and agents know. The link order is
+/// a placeholder for the link schedule, and no team quota applies yet. Agents read the engine's
+/// cache and queues exactly here, while real cache events and load reports lag.
 class Product : public Policy {
  public:
   explicit Product(const Deployment& deployment) : retention_(StoreOptions(deployment)) {
@@ -61,9 +65,12 @@
   int Place(const Request& request, const Fleet& fleet, TimePoint now) override {
     Observe(request, fleet, now);
     const std::vector<int> ranked = Ranked(request, fleet);
-    for (size_t first = 0; first < ranked.size(); first += kBidCandidates) {
-      const size_t end = std::min(first + kBidCandidates, ranked.size());
-      const int runner = BestBid(request, fleet, now, {&ranked[first], end - first});
+    const double rate = hot_prefix_.Record(std::to_string(HomeKey(request)), now);
+    const size_t count = hot_prefix_.Candidates(rate, kBidCandidates);
+    for (size_t first = 0; first < ranked.size(); first += count) {
+      const size_t end = std::min(first + count, ranked.size());
+      const std::span<const int> runners(&ranked[first], end - first);
+      const int runner = BestBid(request, fleet, now, runners, hot_prefix_.IsHot(rate));
       if (runner != kRefuse) return runner;
     }
     return kRefuse;
@@ -203,11 +210,15 @@
     return backlog;
   }
 
+  /// Names the prompt's family: its first block, or the session of a short prompt.
+  static uint64_t HomeKey(const Request& request) {
+    const std::vector<BlockKey> blocks = BlocksOf(request, 0);
+    return blocks.empty() ? RendezvousHash(std::to_string(request.session)) : blocks[0];
+  }
+
   /// The runners in service by rendezvous score for the first block of the prompt, best first.
   std::vector<int> Ranked(const Request& request, const Fleet& fleet) const {
-    const std::vector<BlockKey> blocks = BlocksOf(request, 0);
-    const uint64_t key =
-        blocks.empty() ? RendezvousHash(std::to_string(request.session)) : blocks[0];
+    const uint64_t key = HomeKey(request);
     std::vector<std::pair<uint64_t, int>> scored;
     for (const Runner& runner : fleet.runners) {
       if (!Serves(runner, request, true) || runner.loading) continue;
@@ -220,28 +231,28 @@
     return ranked;
   }
 
-  /// Asks the runners for bids and returns the one with the lowest estimate, or kRefuse.
+  /// Asks the runners for bids and returns the one to dispatch to, or kRefuse.
   int BestBid(const Request& request, const Fleet& fleet, TimePoint now,
-              std::span<const int> runners) {
+              std::span<const int> runners, bool hot) {
     BidRequest question;
     question.model = kModel;
     question.prompt_tokens = request.prompt_tokens;
     question.deadline_ms = ToMillis(request.arrival + request.ttft_deadline - now);
-    int best = kRefuse;
-    Duration lowest = Duration::max();
+    std::vector<Bid> bids;
     for (const int runner : runners) {
       if (request.plain_call) return runner;
       const Result<Bid> bid = MakeBid(question, LoadOf(request, fleet, fleet.runners[runner]));
-      if (!bid || bid.value().estimate >= lowest) continue;
-      best = runner;
-      lowest = bid.value().estimate;
+      if (bid) bids.push_back(bid.value());
     }
-    return best;
+    const std::optional<size_t> chosen =
+        ChooseBid(bids, std::to_string(runners.front()), hot, {}, request.session);
+    return chosen ? std::stoi(bids[*chosen].runner) : kRefuse;
   }
 
   RunnerLoad LoadOf(const Request& request, const Fleet& fleet, const Runner& runner) const {
     const std::vector<BlockKey> blocks = BlocksOf(request, runner.weight_version);
     RunnerLoad load;
+    load.runner = std::to_string(runner.id);
     load.model = kModel;
     load.queue_items = static_cast<int64_t>(queues_[runner.id].size());
     load.max_queue = kMaxQueue;
@@ -275,10 +286,9 @@
   /// The entry computes block ids for the configured version, which the first swapped runner has.
   void Observe(const Request& request, const Fleet& fleet, TimePoint now) {
     if (request.plain_call) return;
-    int version = 0;
-    for (const Runner& runner : fleet.runners) version = std::max(version, runner.weight_version);
+    for (const Runner& runner : fleet.runners) version_ = std::max(version_, runner.weight_version);
     std::vector<BlockId> chain;
-    for (const BlockKey block : BlocksOf(request, version)) chain.push_back(IdOf(block));
+    for (const BlockKey block : BlocksOf(request, version_)) chain.push_back(IdOf(block));
     retention_.Observe(std::to_string(request.team), PromptClass(request), chain, GapTime(now));
   }
 
@@ -288,7 +298,9 @@
     return job;
   }
 
-  RetentionPolicy retention_;      ///< Of both stores.
+  int version_ = 0;            ///< Weight version that new requests use.
+  RetentionPolicy retention_;  ///< Of both stores.
+  HotPrefix hot_prefix_{HotPrefixRules()};
   std::vector<FairQueue> queues_;  ///< By runner.
   std::unordered_map<std::string, Job*> waiting_;
   std::vector<ColdStartGate> gates_;  ///< By runner.
