Answer malformed requests before closing their connection

Cause: a body above the limit was refused, but closing the socket with unread input reset the connection and the caller lost the answer (status 0 in the new test).

Change: after a refusal the server ends sending and discards input for at most 2 s. Process tests send oversized bodies and headers, broken and deeply nested JSON, truncated uploads, slow senders and arbitrary bytes.

Result: 6 new tests pass; the oversized body got no answer before and gets 413 now.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -25,6 +25,9 @@
 using RequestParser = http::request_parser<http::string_body>;
 
 constexpr Duration kDrainPoll = Millis(20);
+/// Input that is discarded after a request was refused before it was read.
+constexpr size_t kMaxLingerBytes = 64'000'000;
+constexpr Duration kLingerTime = Seconds(2);
 
 HttpRequest ToRequest(http::request<http::string_body>&& message) {
   HttpRequest request;
@@ -252,6 +255,7 @@
     HttpExchange exchange(transport, HttpRequest{}, options.write_timeout);
     exchange.CloseAfterResponse();
     co_await exchange.Respond(std::move(*response));
+    co_await transport.Linger(kMaxLingerBytes, kLingerTime);
     co_return false;
   }
   const bool keep_alive = parser.get().keep_alive();
--- a/src/net/http_transport.cc
+++ b/src/net/http_transport.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -63,6 +64,19 @@
   co_return failure;
 }
 
+Awaitable<void> HttpTransport::Linger(size_t bytes, Duration timeout) {
+  ErrorCode failure;
+  tcp().socket().shutdown(asio::ip::tcp::socket::shutdown_send, failure);
+  tcp().expires_after(timeout);
+  buffer_.clear();
+  while (!failure && bytes > 0) {
+    const size_t count =
+        co_await tcp().async_read_some(buffer_.prepare(std::min<size_t>(bytes, 65'536)),
+                                       asio::redirect_error(asio::use_awaitable, failure));
+    bytes -= count;
+  }
+}
+
 bool HttpTransport::PeerClosed() {
   if (!tcp().socket().is_open()) return true;
   char byte = 0;
--- a/src/net/http_transport.h
+++ b/src/net/http_transport.h
@@ -67,6 +67,10 @@
     co_return failure;
   }
 
+  /// Ends sending and discards what still arrives, at most `bytes` for at most `timeout`. Closing
+  /// with unread input resets the connection, and the peer would lose the response.
+  Awaitable<void> Linger(size_t bytes, Duration timeout);
+
   /// Whether the peer has closed or reset the connection; does not block or consume data.
   bool PeerClosed();
   void Close();
--- a/test/main.cc
+++ b/test/main.cc
@@ -46,6 +46,9 @@
 
   std::vector<const char*> args(argv, argv + argc);
   const std::string program = argv[0];
+  const std::string directory = program.substr(0, program.rfind('/') + 1);
+  setenv("FW_BINARY", (directory + "fuchsiaweir").c_str(), /*overwrite=*/0);
+  setenv("FW_STANDIN", (directory + "fuchsiaweir_standin").c_str(), /*overwrite=*/0);
   const std::vector<std::string> known_red = KnownRedTests(program.substr(program.rfind('/') + 1));
   for (const std::string& name : known_red) {
     if (!TestExists(name)) {
--- /dev/null
+++ b/test/process/bad_input.cc
@@ -0,0 +1,148 @@
+#include <CppUTest/TestHarness.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <thread>
+
+#include "process/deployment.h"
+
+namespace fuchsiaweir::testing {
+namespace {
+
+/// A blocking TCP connection that sends exactly the bytes that it is told to.
+class RawConnection {
+ public:
+  explicit RawConnection(int port) : descriptor_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    connect(descriptor_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  }
+  ~RawConnection() { close(descriptor_); }
+  RawConnection(const RawConnection&) = delete;
+  RawConnection& operator=(const RawConnection&) = delete;
+
+  void Write(const std::string& bytes) {
+    send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+  void EndWriting() { shutdown(descriptor_, SHUT_WR); }
+
+  /// Reads until the peer closes the connection or a whole response header has arrived.
+  std::string ReadHeader() {
+    std::string received;
+    char buffer[4096];
+    while (!absl::StrContains(received, "\r\n\r\n")) {
+      const ssize_t count = recv(descriptor_, buffer, sizeof(buffer), 0);
+      if (count <= 0) break;
+      received.append(buffer, static_cast<size_t>(count));
+    }
+    return received;
+  }
+
+ private:
+  int descriptor_;
+};
+
+Deployment::Options StrictLimits() {
+  Deployment::Options options;
+  options.settings = "[limits]\nread_timeout_ms = 400\nmax_body_bytes = 100000\n";
+  return options;
+}
+
+std::string Request(size_t announced_length, const std::string& body,
+                    const std::string& headers = "") {
+  return absl::StrCat("POST /v1/completions HTTP/1.1\r\nHost: test\r\n",
+                      "Authorization: Bearer key-alpha\r\n", headers,
+                      "Content-Length: ", announced_length, "\r\n\r\n", body);
+}
+
+Reply Post(Deployment& deployment, const std::string& body, const std::string& key = "key-alpha") {
+  return Send("POST", deployment.port("entry0"), "/v1/completions", body,
+              {{"Authorization", "Bearer " + key}});
+}
+
+std::string CodeOf(const Reply& reply) {
+  const boost::json::object body = reply.json();
+  return std::string(body.at("error").at("code").as_string());
+}
+
+}  // namespace
+
+TEST_GROUP(BadInput) {
+  Deployment deployment{StrictLimits()};
+
+  void setup() override { deployment.Start(); }
+
+  void CheckStillServes() {
+    LONGS_EQUAL(200, Send("GET", deployment.port("entry0"), "/v1/models", "",
+                          {{"Authorization", "Bearer key-alpha"}})
+                         .status);
+    CHECK(deployment.Running("entry0"));
+  }
+
+  std::string HeaderAfter(const std::string& bytes, bool end_writing) {
+    RawConnection connection(deployment.port("entry0"));
+    connection.Write(bytes);
+    if (end_writing) connection.EndWriting();
+    return connection.ReadHeader();
+  }
+};
+
+// Guards against malformed requests that get no reason or another status than 4xx.
+TEST(BadInput, MalformedRequestsGetTheirReason) {
+  STRCMP_EQUAL("unauthorized", CodeOf(Post(deployment, "{}", "wrong-key")).c_str());
+  STRCMP_EQUAL("bad_request", CodeOf(Post(deployment, "{\"model\":")).c_str());
+  STRCMP_EQUAL("bad_request", CodeOf(Post(deployment, "{\"model\":\"model\"}")).c_str());
+  STRCMP_EQUAL("unknown_model",
+               CodeOf(Post(deployment, R"({"model":"other","prompt":"a b"})")).c_str());
+  STRCMP_EQUAL("too_large", CodeOf(Post(deployment, std::string(200'000, 'x'))).c_str());
+  STRCMP_EQUAL("not_found", CodeOf(Send("GET", deployment.port("entry0"), "/v2/unknown", "",
+                                        {{"Authorization", "Bearer key-alpha"}}))
+                                .c_str());
+  CheckStillServes();
+}
+
+// Guards against deeply nested JSON that exhausts the stack.
+TEST(BadInput, DeeplyNestedJsonIsRefused) {
+  STRCMP_EQUAL("bad_request", CodeOf(Post(deployment, std::string(90'000, '['))).c_str());
+  CheckStillServes();
+}
+
+// Guards against header fields that are buffered without bound.
+TEST(BadInput, OversizedHeaderIsRefused) {
+  const std::string headers = "X-Filler: " + std::string(100'000, 'x') + "\r\n";
+  CHECK(absl::StartsWith(HeaderAfter(Request(2, "{}", headers), false), "HTTP/1.1 431"));
+  CheckStillServes();
+}
+
+// Guards against a truncated upload that is treated as complete or waits for ever.
+TEST(BadInput, TruncatedUploadIsRefused) {
+  CHECK(absl::StartsWith(HeaderAfter(Request(50, "{\"model\""), true), "HTTP/1.1 400"));
+  CheckStillServes();
+}
+
+// Guards against a slow sender that holds a connection for ever or delays other callers.
+TEST(BadInput, SlowSenderIsRefusedWhileOthersAreServed) {
+  std::string header;
+  std::thread slow([&]() { header = HeaderAfter(Request(50, "{\"model\""), false); });
+  CheckStillServes();
+  slow.join();
+  CHECK(absl::StartsWith(header, "HTTP/1.1 408"));
+}
+
+// Guards against bytes that are no HTTP and end the process.
+TEST(BadInput, ArbitraryBytesAreRefused) {
+  for (const char* bytes :
+       {"\r\n\r\n", "GET\r\n\r\n", "\x16\x03\x01\x02", "POST / HTTP/9.9\r\n\r\n"}) {
+    HeaderAfter(bytes, true);
+  }
+  CheckStillServes();
+}
+
+}  // namespace fuchsiaweir::testing
