Dispatch to the home runner when no agent answers a bid

Cause: without any bid the entry refused, although agents that are slow to bid may still serve; and the candidate table could be replaced while a request held pointers into it.

Change: two rounds without any answer end at the home runner, whose agent decides; a refusal still ends in a refusal. The request holds its table.

--- a/src/net/model_router.cc
+++ b/src/net/model_router.cc
@@ -93,7 +93,7 @@
   const Inventory& inventory = config->inventory;
   const auto entries = std::count_if(inventory.hosts.begin(), inventory.hosts.end(),
                                      [](const Host& host) { return host.role == "entry"; });
-  candidates_ = std::make_unique<CandidateTable>(inventory);
+  candidates_ = std::make_shared<const CandidateTable>(inventory);
   quota_.Configure(inventory.teams, static_cast<size_t>(std::max<int64_t>(1, entries)));
   retry_budget_ = RetryBudget(inventory.rules.retry_budget_percent, kRetryBurst);
 }
@@ -216,16 +216,27 @@
   query.excluded = session.failed_runners;
   Result<Target> target =
       NotRun(ErrorCode::kNoTarget, "no runner in service has the model", Seconds(1));
+  // The table is replaced when a new configuration arrives; the candidates point into this one.
+  const std::shared_ptr<const CandidateTable> table = candidates_;
+  const CandidateRunner* fallback = nullptr;
   for (int round = 0; round < 2; ++round) {
-    const std::vector<const CandidateRunner*> candidates = candidates_->Choose(query);
+    const std::vector<const CandidateRunner*> candidates = table->Choose(query);
     if (candidates.empty()) break;
     const std::string home = candidates.front()->name;
     const CollectedBids collected = co_await AskForBids(session, candidates);
     target = PickBid(session, collected, home);
     if (target) break;
+    // Slow agents may still serve: without any answer the prompt goes to its home, whose admission
+    // decides.
+    if (round == 0) fallback = candidates.front();
+    if (collected.refusal) fallback = nullptr;
     for (const CandidateRunner* candidate : candidates) query.excluded.push_back(candidate->name);
     query.count = session.candidate_count * kSecondRoundFactor;
   }
+  if (!target && fallback != nullptr) {
+    const Host* host = FindByName(session.config->inventory.hosts, fallback->host);
+    target = Target{fallback->name, {host->address, static_cast<uint16_t>(host->port)}};
+  }
   co_return target;
 }
 
--- a/src/net/model_router.h
+++ b/src/net/model_router.h
@@ -59,7 +59,7 @@
   Metrics& metrics_;
 
   int64_t configured_revision_ = -1;
-  std::unique_ptr<CandidateTable> candidates_;
+  std::shared_ptr<const CandidateTable> candidates_;
   HotPrefix hot_prefixes_;
   TeamQuota quota_;
   RetryBudget retry_budget_;
--- a/test/process/serving_path.cc
+++ b/test/process/serving_path.cc
@@ -48,7 +48,7 @@
   deployment.Start();
   const std::string prompt = Words(20, 3);
   Reply reply;
-  std::thread caller([&]() { reply = deployment.Complete(prompt, 300); });
+  std::jthread caller([&]() { reply = deployment.Complete(prompt, 300); });
   CHECK(Eventually([&]() {
     return deployment.Stats("engine0").at("started").as_int64() +
                deployment.Stats("engine1").at("started").as_int64() >
