Add the program that measures capacity slopes

Cause: the cost of each role at the two-year size has to follow from measurements. Change: fuchsiaweir_capacity varies one quantity at a time, in process and with up to 81 processes, fits a line and marks points that bend. The platform stand-in counts host-list reads and all calls.

--- /dev/null
+++ b/test/capacity/core_slopes.cc
@@ -0,0 +1,276 @@
+#include <absl/strings/str_cat.h>
+#include <malloc.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <random>
+#include <stdexcept>
+
+#include "capacity/fleet.h"
+#include "capacity/slope.h"
+#include "capacity/usage.h"
+#include "core/bid.h"
+#include "core/block_arena.h"
+#include "core/block_chain.h"
+#include "core/candidate_choice.h"
+#include "core/claim.h"
+#include "core/dispatch_choice.h"
+#include "core/frame.h"
+#include "core/hot_prefix.h"
+#include "core/inventory.h"
+#include "core/peer_auth.h"
+#include "core/retention_policy.h"
+#include "core/run_message.h"
+#include "core/tokenizer.h"
+
+namespace fuchsiaweir::capacity {
+namespace {
+
+constexpr int kRepeats = 7;
+constexpr double kRepeatMicros = 10'000;
+
+/// Processor time of one call: the least of several repeats, because other work on the same cores
+/// only ever adds time.
+double MicrosPerCall(const std::function<void()>& call) {
+  double best = 1e18;
+  for (int repeat = 0; repeat < kRepeats; ++repeat) {
+    const double begin = OwnMicros();
+    int calls = 0;
+    while (OwnMicros() - begin < kRepeatMicros) {
+      call();
+      ++calls;
+    }
+    best = std::min(best, (OwnMicros() - begin) / calls);
+  }
+  return best;
+}
+
+double HeapBytes() { return static_cast<double>(mallinfo2().uordblks); }
+
+std::string HexId(std::mt19937_64& random) { return ToHex(BlockId{random(), random()}); }
+
+std::string Prompt(int64_t tokens) {
+  // Words of six bytes with the space; a token of English text has about five.
+  std::string text;
+  for (int64_t i = 0; i < tokens; ++i) absl::StrAppend(&text, 10'000 + i % 90'000, " ");
+  return text;
+}
+
+std::vector<Slope> Bids(uint64_t seed) {
+  std::mt19937_64 random(seed);
+  Slope ask{"bid_ask_us", "blocks", "us at the entry per bid", {}};
+  Slope answer{"bid_answer_us", "blocks", "us at the agent per bid, two runners", {}};
+  Slope bytes{"bid_bytes", "blocks", "body bytes of question and answer", {}};
+  for (const int blocks : {1, 4, 8, 16, 32}) {
+    BidRequest request{"fleet-team12", "fleet-model3", {}, blocks * 2000, 400, 1, 60'000};
+    for (int i = 0; i < blocks; ++i) request.blocks.push_back(HexId(random));
+    const std::string body = EncodeBidRequest(request);
+    RunnerLoad load;
+    load.runner = "fleet-runner123";
+    load.model = request.model;
+    load.resident_blocks = blocks / 2;
+    const auto make = [&]() {
+      const BidRequest decoded = DecodeBidRequest(body).value();
+      std::vector<Bid> bids;
+      for (int i = 0; i < 2; ++i) bids.push_back(MakeBid(decoded, load).value());
+      return EncodeBidAnswer(bids);
+    };
+    const std::string reply = make();
+    ask.points.emplace_back(blocks, MicrosPerCall([&]() {
+                              if (EncodeBidRequest(request).empty() || !DecodeBidAnswer(reply)) {
+                                throw std::runtime_error("a bid does not decode");
+                              }
+                            }));
+    answer.points.emplace_back(blocks, MicrosPerCall([&]() { make(); }));
+    bytes.points.emplace_back(blocks, static_cast<double>(body.size() + reply.size()));
+  }
+  return {ask, answer, bytes};
+}
+
+std::vector<Slope> Frames(uint64_t) {
+  Slope encode{"frame_encode_us", "tokens", "us at the agent per frame", {}};
+  Slope decode{"frame_decode_us", "tokens", "us at the entry per frame", {}};
+  Slope bytes{"frame_bytes", "tokens", "bytes per frame", {}};
+  for (const int tokens : {1, 4, 16, 64}) {
+    Frame frame;
+    frame.run = "0123456789abcdef0123456789abcdef";
+    frame.attempt = 1;
+    frame.offset = 250;
+    frame.tokens.assign(tokens, " words");
+    const std::string line = EncodeFrame(frame);
+    encode.points.emplace_back(tokens, MicrosPerCall([&]() { EncodeFrame(frame); }));
+    decode.points.emplace_back(tokens, MicrosPerCall([&]() { (void)DecodeFrame(line); }));
+    bytes.points.emplace_back(tokens, static_cast<double>(line.size()));
+  }
+  return {encode, decode, bytes};
+}
+
+std::vector<Slope> Prompts(uint64_t) {
+  Slope entry{
+      "prompt_entry_us", "prompt tokens", "us at the entry: tokens, chain, run message", {}};
+  Slope agent{"prompt_agent_us", "prompt tokens", "us at the agent: run message", {}};
+  Slope bytes{"prompt_bytes", "prompt tokens", "body bytes of the run message", {}};
+  const Tokenizer tokenizer = FindTokenizer("whitespace");
+  for (const int64_t tokens : {500, 1'000, 2'000, 4'000, 8'000}) {
+    const std::string text = Prompt(tokens);
+    RunRequest request;
+    const auto prepare = [&]() {
+      request.prompt = tokenizer(text);
+      const BlockScope scope{"fleet-team12", "fleet-model3", "", "2026-12-01"};
+      if (BlockChain(scope, request.prompt, 2000).size() > request.prompt.size()) {
+        throw std::runtime_error("more blocks than tokens");
+      }
+      return EncodeRunRequest(request);
+    };
+    const std::string body = prepare();
+    entry.points.emplace_back(tokens, MicrosPerCall([&]() { prepare(); }));
+    agent.points.emplace_back(tokens, MicrosPerCall([&]() { (void)DecodeRunRequest(body); }));
+    bytes.points.emplace_back(tokens, static_cast<double>(body.size()));
+  }
+  return {entry, agent, bytes};
+}
+
+Inventory Parse(const std::string& text) {
+  Findings findings;
+  std::optional<Inventory> inventory = ParseInventory(ParseIni(text, "fleet", findings), findings);
+  if (!inventory) throw std::runtime_error(findings.ToString());
+  return std::move(*inventory);
+}
+
+/// Sizes from a tenth of the two-year size on, all numbers in proportion.
+FleetSize ScaledFleet(int runners) {
+  FleetSize size;
+  size.runners = runners;
+  size.runner_hosts = runners / 2;
+  size.entries = std::max(1, runners * 24 / 600);
+  size.service_hosts = std::max(1, runners * 16 / 600);
+  size.teams = runners * 330 / 600;
+  size.stores = std::max(1, runners * 40 / 600);
+  return size;
+}
+
+std::vector<Slope> Inventories(uint64_t) {
+  Slope bytes{"inventory_bytes", "runners (all else in proportion)", "bytes of the text", {}};
+  Slope parse{"inventory_parse_us", "runners (all else in proportion)", "us to parse", {}};
+  Slope heap{"inventory_heap", "runners (all else in proportion)", "heap bytes when parsed", {}};
+  for (const int runners : {75, 150, 300, 450, 600}) {
+    const std::string text = FleetText(ScaledFleet(runners));
+    bytes.points.emplace_back(runners, static_cast<double>(text.size()));
+    parse.points.emplace_back(runners, MicrosPerCall([&]() { Parse(text); }));
+    const double before = HeapBytes();
+    const Inventory inventory = Parse(text);
+    const CandidateTable table(inventory);
+    heap.points.emplace_back(runners, HeapBytes() - before);
+  }
+  return {bytes, parse, heap};
+}
+
+std::vector<Slope> Routing(uint64_t seed) {
+  std::mt19937_64 random(seed);
+  Slope choose{"routing_us", "runners of one model", "us per decision", {}};
+  for (const int runners : {75, 150, 300, 600}) {
+    FleetSize size = ScaledFleet(runners);
+    size.models = 1;
+    const CandidateTable table(Parse(FleetText(size)));
+    HotPrefix hot({});
+    TimePoint now{};
+    choose.points.emplace_back(
+        runners, MicrosPerCall([&]() {
+          CandidateQuery query{"fleet-team12", "fleet-model0", HexId(random), 3, {}};
+          now += Micros(345);
+          const double rate = hot.Record(query.prefix_block, now);
+          const auto candidates = table.Choose(query);
+          std::vector<Bid> bids;
+          for (const CandidateRunner* runner : candidates) {
+            bids.push_back(
+                {runner->name, Micros(static_cast<int64_t>(random() % 200'000)), 0, 0, 3});
+          }
+          (void)ChooseBid(bids, candidates.front()->name, hot.IsHot(rate), {}, random());
+        }));
+  }
+  return {choose};
+}
+
+std::vector<Slope> Blocks(uint64_t seed) {
+  constexpr int64_t kBytes = 64;
+  Slope heap{"block_heap", "blocks held", "heap bytes without the blocks' content", {}};
+  Slope reserve{"block_evict_us", "blocks held", "us to add a block to a full arena", {}};
+  for (const int blocks : {500, 1'000, 2'000, 4'000}) {
+    std::mt19937_64 random(seed);
+    const double before = HeapBytes();
+    auto arena = std::make_unique<BlockArena>(blocks * kBytes);
+    auto policy = std::make_unique<RetentionPolicy>(RetentionOptions{blocks * kBytes});
+    TimePoint now{};
+    const auto value_of = [&](const BlockId& id) {
+      return policy->EvictionValue(id, "fleet-team1", now);
+    };
+    const std::string content(kBytes, 'k');
+    const auto add = [&]() {
+      const BlockId id{random(), random()};
+      // One team, because a team within its fair share keeps its blocks.
+      const std::string team = "fleet-team1";
+      now += Millis(10);
+      policy->Observe(team, "notes", {id}, now);
+      const std::optional<BlockHandle> place = arena->Reserve(id, kBytes, 1e9, value_of);
+      if (!place) throw std::runtime_error("the arena refuses a block");
+      arena->Write(*place, content);
+      arena->Seal(*place);
+      policy->Stored(id, {team, kBytes, Millis(200)});
+      for (const BlockId& lost : arena->TakeLost()) policy->Dropped(lost);
+    };
+    for (int i = 0; i < blocks; ++i) add();
+    heap.points.emplace_back(blocks, HeapBytes() - before - blocks * kBytes);
+    reserve.points.emplace_back(blocks, MicrosPerCall(add));
+  }
+  return {heap, reserve};
+}
+
+std::vector<Slope> Claims(uint64_t seed) {
+  std::mt19937_64 random(seed);
+  Slope update{"claim_us", "claims in the shard", "us per update: decode and encode", {}};
+  Slope bytes{
+      "claim_bytes", "claims in the shard", "bytes of the object, answers of 200 bytes", {}};
+  for (const int claims : {25, 50, 100, 200}) {
+    ClaimShard shard;
+    for (int i = 0; i < claims; ++i) {
+      Claim claim{HexId(random), HexId(random).substr(16), 1'764'825'132'000, {}};
+      claim.outcome.emplace();
+      claim.outcome->status = 200;
+      claim.outcome->body = std::string(200, 'a');
+      shard.claims[HexId(random)] = claim;
+    }
+    const std::string text = EncodeClaimShard(shard);
+    bytes.points.emplace_back(claims, static_cast<double>(text.size()));
+    update.points.emplace_back(
+        claims, MicrosPerCall([&]() { EncodeClaimShard(DecodeClaimShard(text).value()); }));
+  }
+  return {update, bytes};
+}
+
+std::vector<Slope> Proofs(uint64_t) {
+  Slope both{"proof_us", "body bytes", "us to sign and to verify one message", {}};
+  const PeerKey key{"k1", std::string(32, 's')};
+  for (const int bytes : {1'000, 10'000, 50'000, 100'000, 200'000}) {
+    const PeerMessage message{"POST", "/internal/v1/runs", std::string(bytes, 'b'), "fleet-entry1"};
+    both.points.emplace_back(bytes, MicrosPerCall([&]() {
+                               const std::string proof = SignPeerMessage(key, message, 1'000);
+                               if (!VerifyPeerMessage({key}, message, proof, 1'000)) {
+                                 throw std::runtime_error("a proof does not verify");
+                               }
+                             }));
+  }
+  return {both};
+}
+
+}  // namespace
+
+std::vector<Experiment> CoreExperiments() {
+  constexpr char kHow[] = "in process";
+  return {{"bids", kHow, &Bids},       {"frames", kHow, &Frames},
+          {"prompts", kHow, &Prompts}, {"inventories", kHow, &Inventories},
+          {"routing", kHow, &Routing}, {"blocks", kHow, &Blocks},
+          {"claims", kHow, &Claims},   {"proofs", kHow, &Proofs}};
+}
+
+}  // namespace fuchsiaweir::capacity
--- /dev/null
+++ b/test/capacity/process_slopes.cc
@@ -0,0 +1,496 @@
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+#include <absl/time/clock.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+#include "capacity/fleet.h"
+#include "capacity/slope.h"
+#include "capacity/usage.h"
+#include "process/deployment.h"
+
+namespace fuchsiaweir::capacity {
+namespace {
+
+namespace json = boost::json;
+using testing::Deployment;
+using testing::Eventually;
+using testing::Reply;
+using testing::Send;
+
+constexpr Duration kSettle = Seconds(4);
+constexpr Duration kIdle = Seconds(10);
+constexpr int kChanges = 4;
+constexpr int kCallers = 8;
+
+void Sleep(Duration duration) { std::this_thread::sleep_for(duration); }
+
+std::vector<pid_t> Pids(const Deployment& deployment, const std::vector<std::string>& names) {
+  std::vector<pid_t> pids;
+  for (const std::string& name : names) pids.push_back(deployment.pid(name));
+  return pids;
+}
+
+double TotalMicros(const Deployment& deployment, const std::vector<std::string>& names) {
+  double total = 0;
+  for (const std::string& name : names) total += ProcessorMicros(deployment.pid(name));
+  return total;
+}
+
+std::vector<std::string> Names(const std::string& kind, int count) {
+  std::vector<std::string> names;
+  for (int i = 0; i < count; ++i) names.push_back(absl::StrCat(kind, i));
+  return names;
+}
+
+/// Shows the daemons in the host list, as the platform does.
+void ListHosts(const Deployment& deployment, const std::vector<std::string>& names) {
+  json::array hosts;
+  for (const std::string& name : names) {
+    const bool even = (name.back() - '0') % 2 == 0;
+    hosts.push_back(
+        json::object{{"name", name}, {"data_centre", even ? "east" : "west"}, {"state", "live"}});
+  }
+  const json::object body{{"hosts", std::move(hosts)}};
+  Send("PUT", deployment.port("platform"), "/hosts", json::serialize(body));
+}
+
+/// Calls that the platform answered: a waiting watch counts once.
+struct PlatformCalls {
+  double reads = 0;
+  double writes = 0;
+  double watches = 0;
+  double hosts = 0;
+  double all = 0;
+
+  PlatformCalls operator-(const PlatformCalls& b) const {
+    return {reads - b.reads, writes - b.writes, watches - b.watches, hosts - b.hosts, all - b.all};
+  }
+};
+
+PlatformCalls Calls(Deployment& deployment) {
+  const json::object stats = deployment.Stats("platform");
+  const auto number = [&](const char* name) { return stats.at(name).to_number<double>(); };
+  return {number("reads"), number("writes"), number("watches"), number("host_reads"),
+          number("calls")};
+}
+
+/// Highest number of platform calls within a second, sampled until `done` holds.
+double PeakCalls(Deployment& deployment, const std::function<bool()>& done) {
+  std::vector<double> samples{Calls(deployment).all};
+  const TimePoint end = SteadyNow() + Seconds(20);
+  TimePoint next = SteadyNow();
+  int tail = 10;
+  while (SteadyNow() < end && tail > 0) {
+    next += Millis(100);
+    std::this_thread::sleep_until(next);
+    samples.push_back(Calls(deployment).all);
+    if (done()) --tail;
+  }
+  double peak = 0;
+  for (size_t i = 1; i < samples.size(); ++i) {
+    peak = std::max(peak, samples[i] - samples[i < 10 ? 0 : i - 10]);
+  }
+  return peak;
+}
+
+/// Time at which the process's log says that it adopted the revision, or nothing.
+std::optional<absl::Time> AdoptedAt(const Deployment& deployment, const std::string& name,
+                                    int64_t revision) {
+  std::ifstream file(absl::StrCat(deployment.directory(), "/", name, ".log"));
+  const std::string wanted = absl::StrCat("\"revision\":\"", revision, "\"");
+  std::optional<absl::Time> found;
+  for (std::string line; std::getline(file, line);) {
+    if (line.find("config_adopted") == std::string::npos) continue;
+    if (line.find(wanted) == std::string::npos) continue;
+    absl::Time time;
+    std::string failure;
+    const std::string text(json::parse(line).at("time").as_string());
+    if (absl::ParseTime(absl::RFC3339_full, text, &time, &failure)) found = time;
+  }
+  return found;
+}
+
+int64_t Revision(const Deployment& deployment) {
+  const Reply reply = Send("GET", deployment.port("platform"), "/objects/config%2Fcurrent");
+  return reply.json().at("version").to_number<int64_t>();
+}
+
+/// Applies an inventory and returns the seconds until the last process has adopted it.
+double ChangeSeconds(Deployment& deployment, const std::vector<std::string>& names,
+                     const std::string& inventory) {
+  const absl::Time begin = absl::Now();
+  deployment.Apply(inventory);
+  const int64_t revision = Revision(deployment);
+  absl::Time last = begin;
+  const bool everywhere = Eventually([&]() {
+    for (const std::string& name : names) {
+      const std::optional<absl::Time> adopted = AdoptedAt(deployment, name, revision);
+      if (!adopted) return false;
+      last = std::max(last, *adopted);
+    }
+    return true;
+  });
+  if (!everywhere) throw std::runtime_error("a change was not in force everywhere in 20 s");
+  return absl::ToDoubleSeconds(last - begin);
+}
+
+double MedianResident(const Deployment& deployment, const std::vector<std::string>& names) {
+  std::vector<double> bytes;
+  for (const std::string& name : names) bytes.push_back(ResidentBytes(deployment.pid(name)));
+  std::sort(bytes.begin(), bytes.end());
+  return bytes[bytes.size() / 2];
+}
+
+/// Raises the limits of the test inventory, which are those of a small deployment.
+std::string WideLimits(const std::string& inventory) {
+  return absl::StrReplaceAll(
+      inventory, {{"model = model\n", "model = model\ncold_limit = 64\nmax_concurrent = 64\n"},
+                  {"[team alpha]\n",
+                   "[team alpha]\nmax_concurrent = 100000\ntokens_per_second = 1000000000\n"}});
+}
+
+std::vector<Slope> Fleets(uint64_t) {
+  Slope reads{"fleet_reads", "processes", "host-list reads and object reads per second, idle", {}};
+  Slope watches{"fleet_watches", "processes", "watch calls per second, idle", {}};
+  Slope cpu{"fleet_cpu", "processes", "us per second of all processes together, idle", {}};
+  Slope bytes{"fleet_bytes", "processes", "bytes/s of all processes together, idle", {}};
+  Slope busiest{"fleet_busiest_bytes", "processes", "bytes per change of the busiest process", {}};
+  Slope resident{"fleet_resident", "processes", "resident bytes of one, full inventory", {}};
+  Slope delay{"change_seconds", "processes", "s until in force everywhere, worst of 4", {}};
+  Slope change_cpu{"change_cpu", "processes", "us per change of all processes together", {}};
+  Slope change_bytes{"change_bytes", "processes", "bytes per change of all together", {}};
+  Slope change_calls{"change_calls", "processes", "platform calls per change beyond idle", {}};
+  Slope burst{"burst_calls", "processes", "platform calls in the peak second, all restart", {}};
+  Slope back{"burst_seconds", "processes", "s from restart of all to all in force", {}};
+  Slope outage{"outage_calls", "processes", "platform calls in the peak second after outage", {}};
+  for (const int count : {10, 20, 40, 80}) {
+    const std::vector<std::string> names = Names("entry", count);
+    Deployment::Options options;
+    options.agents = 0;
+    options.entries = count;
+    Deployment deployment(options);
+    deployment.Start();
+    ListHosts(deployment, names);
+    const std::string base = deployment.inventory() + FleetText({});
+    ChangeSeconds(deployment, names, base);
+    Sleep(kSettle);
+
+    const double seconds = ToSeconds(kIdle);
+    TrafficMeter meter(Pids(deployment, names));
+    meter.Sample();
+    const PlatformCalls calls = Calls(deployment);
+    const double micros = TotalMicros(deployment, names);
+    Sleep(kIdle);
+    const double idle_micros = (TotalMicros(deployment, names) - micros) / seconds;
+    const PlatformCalls idle = Calls(deployment) - calls;
+    meter.Sample();
+    const double idle_bytes = meter.total() / seconds;
+    reads.points.emplace_back(count, (idle.reads + idle.hosts) / seconds);
+    watches.points.emplace_back(count, idle.watches / seconds);
+    cpu.points.emplace_back(count, idle_micros);
+    bytes.points.emplace_back(count, idle_bytes);
+
+    double worst = 0;
+    TrafficMeter change_meter(Pids(deployment, names));
+    change_meter.Sample();
+    const TimePoint begin = SteadyNow();
+    const PlatformCalls calls_before = Calls(deployment);
+    const double micros_before = TotalMicros(deployment, names);
+    for (int i = 0; i < kChanges; ++i) {
+      const std::string changed =
+          absl::StrReplaceAll(base, {{"weight = 1\n", absl::StrCat("weight = ", i + 2, "\n")}});
+      worst = std::max(worst, ChangeSeconds(deployment, names, changed));
+      Sleep(Seconds(1));
+      change_meter.Sample();
+    }
+    const double window = ToSeconds(SteadyNow() - begin);
+    const double spent = TotalMicros(deployment, names) - micros_before;
+    const PlatformCalls during = Calls(deployment) - calls_before;
+    delay.points.emplace_back(count, worst);
+    change_cpu.points.emplace_back(count, std::max(0.0, spent - idle_micros * window) / kChanges);
+    change_bytes.points.emplace_back(count,
+                                     (change_meter.total() - idle_bytes * window) / kChanges);
+    busiest.points.emplace_back(count, change_meter.largest() / kChanges);
+    // The harness's own write and two reads per change are not the system's.
+    const double beyond = during.reads + during.watches - 2 * kChanges -
+                          (idle.reads + idle.watches) / seconds * window;
+    change_calls.points.emplace_back(count, std::max(0.0, beyond / kChanges));
+    resident.points.emplace_back(count, MedianResident(deployment, names));
+
+    deployment.Fault("platform", R"({"down":true})");
+    Sleep(Seconds(5));
+    deployment.Fault("platform", R"({"down":false})");
+    const TimePoint up = SteadyNow();
+    outage.points.emplace_back(
+        count, PeakCalls(deployment, [&]() { return SteadyNow() - up > Seconds(4); }));
+
+    const int64_t revision = Revision(deployment);
+    for (const std::string& name : names) deployment.Signal(name, SIGKILL);
+    const absl::Time killed = absl::Now();
+    for (const std::string& name : names) deployment.Restart(name);
+    absl::Time last = killed;
+    burst.points.emplace_back(count, PeakCalls(deployment, [&]() {
+                                for (const std::string& name : names) {
+                                  const std::optional<absl::Time> adopted =
+                                      AdoptedAt(deployment, name, revision);
+                                  if (!adopted || *adopted < killed) return false;
+                                  last = std::max(last, *adopted);
+                                }
+                                return true;
+                              }));
+    back.points.emplace_back(count, absl::ToDoubleSeconds(last - killed));
+  }
+  return {reads,      watches,      cpu,          bytes, busiest, resident, delay,
+          change_cpu, change_bytes, change_calls, burst, back,    outage};
+}
+
+/// Sends completions from several callers at once; returns the number of events received.
+int64_t Complete(Deployment& deployment, int requests, int prompt_tokens, int max_tokens) {
+  std::atomic<int> next = 0;
+  std::atomic<int64_t> events = 0;
+  std::atomic<int> failed = 0;
+  const auto call = [&]() {
+    for (int i = next++; i < requests; i = next++) {
+      const json::object body{{"model", "model"},
+                              {"prompt", testing::Words(prompt_tokens, i)},
+                              {"max_tokens", max_tokens},
+                              {"stream", true}};
+      const Reply reply = Send("POST", deployment.port("entry0"), "/v1/completions",
+                               json::serialize(body), {{"Authorization", "Bearer key-alpha"}});
+      if (reply.status != 200) ++failed;
+      for (size_t at = 0; (at = reply.body.find("data:", at)) != std::string::npos; ++at) ++events;
+    }
+  };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCallers; ++i) callers.emplace_back(call);
+  for (std::thread& caller : callers) caller.join();
+  if (failed > requests / 50) throw std::runtime_error(absl::StrCat(failed.load(), " failed"));
+  return events;
+}
+
+struct RequestCost {
+  double entry_micros = 0;
+  double agent_micros = 0;
+  double events = 0;  ///< Events at the caller per request.
+};
+
+class RequestRun {
+ public:
+  RequestRun() : deployment_(Options()) {
+    deployment_.Start();
+    ListHosts(deployment_, {"entry0", "agent0", "agent1"});
+    deployment_.Apply(WideLimits(deployment_.inventory()));
+    Sleep(Seconds(2));
+    Complete(deployment_, 40, 50, 8);
+  }
+
+  /// Cost per request, without the cost of the idle processes.
+  RequestCost Measure(int requests, int prompt_tokens, int max_tokens) {
+    const double entry = TotalMicros(deployment_, {"entry0"});
+    const double agents = TotalMicros(deployment_, {"agent0", "agent1"});
+    const int64_t events = Complete(deployment_, requests, prompt_tokens, max_tokens);
+    return {(TotalMicros(deployment_, {"entry0"}) - entry) / requests,
+            (TotalMicros(deployment_, {"agent0", "agent1"}) - agents) / requests,
+            static_cast<double>(events) / requests};
+  }
+
+  double Resident(const std::string& name) { return ResidentBytes(deployment_.pid(name)); }
+
+ private:
+  static Deployment::Options Options() {
+    Deployment::Options options;
+    options.engine_flags = {"--cold_limit=64", "--max_concurrent=64", "--warm_up_runs=0",
+                            "--token_micros=2000", "--prefill_tokens_per_second=100000000"};
+    return options;
+  }
+
+  Deployment deployment_;
+};
+
+std::vector<Slope> Requests(uint64_t) {
+  Slope entry{"request_entry_us", "requests", "us at the entry, 50 prompt and 8 output tokens", {}};
+  Slope agent{"request_agent_us", "requests", "us at the agents, the same", {}};
+  RequestRun run;
+  for (const int requests : {100, 200, 400, 800}) {
+    const RequestCost cost = run.Measure(requests, 50, 8);
+    entry.points.emplace_back(requests, cost.entry_micros * requests);
+    agent.points.emplace_back(requests, cost.agent_micros * requests);
+  }
+  return {entry, agent};
+}
+
+std::vector<Slope> Tokens(uint64_t) {
+  Slope entry{"token_entry_us", "output events of a request", "us at the entry per request", {}};
+  Slope agent{"token_agent_us", "output events of a request", "us at the agents per request", {}};
+  RequestRun run;
+  for (const int tokens : {8, 32, 64, 128, 192}) {
+    const RequestCost cost = run.Measure(80, 50, tokens);
+    entry.points.emplace_back(cost.events, cost.entry_micros);
+    agent.points.emplace_back(cost.events, cost.agent_micros);
+  }
+  return {entry, agent};
+}
+
+std::vector<Slope> PromptLengths(uint64_t) {
+  Slope entry{"length_entry_us", "prompt tokens", "us at the entry per request", {}};
+  Slope agent{"length_agent_us", "prompt tokens", "us at the agents per request", {}};
+  RequestRun run;
+  for (const int tokens : {500, 1'000, 2'000, 4'000, 8'000}) {
+    const RequestCost cost = run.Measure(60, tokens, 2);
+    entry.points.emplace_back(tokens, cost.entry_micros);
+    agent.points.emplace_back(tokens, cost.agent_micros);
+  }
+  return {entry, agent};
+}
+
+std::vector<Slope> ServiceCalls(uint64_t) {
+  Slope reads{"call_reads", "non-idempotent calls", "object reads", {}};
+  Slope writes{"call_writes", "non-idempotent calls", "object writes", {}};
+  Slope entry{"call_entry_us", "non-idempotent calls", "us at the entry", {}};
+  Slope agent{"call_agent_us", "non-idempotent calls", "us at the agents", {}};
+  Deployment deployment;
+  deployment.Start();
+  ListHosts(deployment, {"entry0", "agent0", "agent1"});
+  int key = 0;
+  for (const int count : {25, 50, 100, 200}) {
+    const PlatformCalls calls = Calls(deployment);
+    const double entry_micros = TotalMicros(deployment, {"entry0"});
+    const double agent_micros = TotalMicros(deployment, {"agent0", "agent1"});
+    for (int i = 0; i < count; ++i, ++key) {
+      const Reply reply = deployment.Book(absl::StrCat("key-", key), absl::StrCat("seat ", key));
+      if (reply.status != 200) throw std::runtime_error("a booking failed: " + reply.body);
+    }
+    entry.points.emplace_back(count, TotalMicros(deployment, {"entry0"}) - entry_micros);
+    agent.points.emplace_back(count, TotalMicros(deployment, {"agent0", "agent1"}) - agent_micros);
+    Sleep(Millis(500));
+    const PlatformCalls during = Calls(deployment) - calls;
+    reads.points.emplace_back(count, during.reads);
+    writes.points.emplace_back(count, during.writes);
+  }
+  return {reads, writes, entry, agent};
+}
+
+/// Opens a connection, sends one request on it and leaves it open.
+int IdleConnection(int port) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  const std::string request = "GET /healthz HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+  char answer[512];
+  const bool answered =
+      connect(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0 &&
+      write(descriptor, request.data(), request.size()) > 0 &&
+      read(descriptor, answer, sizeof(answer)) > 0;
+  if (!answered) throw std::runtime_error("cannot open an idle connection");
+  return descriptor;
+}
+
+std::vector<Slope> Connections(uint64_t) {
+  Slope resident{"connection_resident", "idle connections", "resident bytes of an entry", {}};
+  Slope cpu{"connection_cpu", "idle connections", "us per second of an entry", {}};
+  Deployment::Options options;
+  options.agents = 0;
+  Deployment deployment(options);
+  deployment.Start();
+  std::vector<int> open;
+  for (const size_t count : {0, 500, 1'000, 2'000, 3'000}) {
+    while (open.size() < count) open.push_back(IdleConnection(deployment.port("entry0")));
+    Sleep(Millis(500));
+    const double micros = TotalMicros(deployment, {"entry0"});
+    Sleep(Seconds(5));
+    cpu.points.emplace_back(count, (TotalMicros(deployment, {"entry0"}) - micros) / 5);
+    resident.points.emplace_back(count, ResidentBytes(deployment.pid("entry0")));
+  }
+  for (const int descriptor : open) close(descriptor);
+  return {resident, cpu};
+}
+
+std::vector<Slope> Resident(uint64_t) {
+  Slope entry{"runner_entry_resident", "known runners", "resident bytes of an entry", {}};
+  Slope agent{"runner_agent_resident", "known runners", "resident bytes of an agent", {}};
+  Slope team_entry{"team_entry_resident", "teams", "resident bytes of an entry", {}};
+  Slope team_agent{"team_agent_resident", "teams", "resident bytes of an agent", {}};
+  const auto measure = [](const FleetSize& size, double x, Slope& at_entry, Slope& at_agent) {
+    Deployment::Options options;
+    options.agents = 1;
+    Deployment deployment(options);
+    deployment.Start();
+    const std::vector<std::string> names{"agent0", "entry0"};
+    ListHosts(deployment, names);
+    // Several changes, because a replaced configuration leaves room in the heap.
+    for (int i = 0; i < 3; ++i) {
+      const std::string text = deployment.inventory() + (i == 0 ? FleetText(size) : "");
+      ChangeSeconds(deployment, names, text);
+    }
+    at_entry.points.emplace_back(x, ResidentBytes(deployment.pid("entry0")));
+    at_agent.points.emplace_back(x, ResidentBytes(deployment.pid("agent0")));
+  };
+  for (const int runners : {100, 200, 400, 600}) {
+    FleetSize size{};
+    size.runners = runners;
+    size.teams = 0;
+    measure(size, runners, entry, agent);
+  }
+  for (const int teams : {0, 110, 220, 330}) {
+    FleetSize size{};
+    size.teams = teams;
+    measure(size, teams, team_entry, team_agent);
+  }
+  return {entry, agent, team_entry, team_agent};
+}
+
+std::vector<Slope> OwnRunners(uint64_t) {
+  Slope cpu{"own_runner_cpu", "runners beside the agent", "us per second of an idle agent", {}};
+  Slope bytes{"own_runner_bytes", "runners beside the agent", "bytes/s of an idle agent", {}};
+  for (const int runners : {1, 2, 4, 8}) {
+    Deployment::Options options;
+    options.agents = 1;
+    Deployment deployment(options);
+    deployment.Start();
+    const std::vector<std::string> names{"agent0", "entry0"};
+    ListHosts(deployment, names);
+    std::string text = deployment.inventory();
+    for (int i = 1; i < runners; ++i) {
+      absl::StrAppend(&text, "[runner further", i, "]\nhost = agent0\nmodel = model\n",
+                      "address = 127.0.0.1\nport = ", deployment.port("engine0"), "\n");
+    }
+    ChangeSeconds(deployment, names, text);
+    Sleep(kSettle);
+    TrafficMeter meter(Pids(deployment, {"agent0"}));
+    meter.Sample();
+    const double micros = TotalMicros(deployment, {"agent0"});
+    Sleep(kIdle);
+    cpu.points.emplace_back(runners,
+                            (TotalMicros(deployment, {"agent0"}) - micros) / ToSeconds(kIdle));
+    meter.Sample();
+    bytes.points.emplace_back(runners, meter.total() / ToSeconds(kIdle));
+  }
+  return {cpu, bytes};
+}
+
+}  // namespace
+
+std::vector<Experiment> ProcessExperiments() {
+  return {{"fleets", "10, 20, 40 and 80 entries and the platform stand-in", &Fleets},
+          {"requests", "1 entry, 2 agents and stand-ins", &Requests},
+          {"tokens", "1 entry, 2 agents and stand-ins", &Tokens},
+          {"prompt_lengths", "1 entry, 2 agents and stand-ins", &PromptLengths},
+          {"service_calls", "1 entry, 2 agents and stand-ins", &ServiceCalls},
+          {"connections", "1 entry and the platform stand-in", &Connections},
+          {"resident", "1 entry, 1 agent and stand-ins", &Resident},
+          {"own_runners", "1 entry, 1 agent and stand-ins", &OwnRunners}};
+}
+
+}  // namespace fuchsiaweir::capacity
--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -66,6 +66,7 @@
   bool Running(const std::string& name);
 
   int port(const std::string& name) const { return ports_.at(name); }
+  pid_t pid(const std::string& name) const { return processes_.at(name); }
   const std::string& inventory() const { return inventory_; }
   const std::string& directory() const { return directory_; }
 
--- a/test/standin/platform.cc
+++ b/test/standin/platform.cc
@@ -46,6 +46,8 @@
     {"reads_per_second", &Faults::reads_per_second}};
 
 struct Stats {
+  int64_t calls = 0;  ///< Of every kind, those that are refused or find the platform down included.
+  int64_t host_reads = 0;
   int64_t reads = 0;
   int64_t writes = 0;
   int64_t watches = 0;
@@ -100,6 +102,8 @@
   const std::string method = exchange.request().method;
   if (path == "/fault") co_return co_await SetFault(exchange);
   if (path == "/stats") co_return co_await SendStats(exchange);
+  ++stats_.calls;
+  if (path == "/hosts" && method == "GET") ++stats_.host_reads;
   if (faults_.delay_ms > 0) co_await SleepFor(Millis(faults_.delay_ms));
   if (faults_.down) co_return co_await SendJson(exchange, 503, R"({"error":"down"})");
   if (path == "/hosts") co_return co_await Hosts(exchange);
@@ -124,7 +128,9 @@
 }
 
 Awaitable<void> Platform::SendStats(HttpExchange& exchange) {
-  const json::object body{{"reads", stats_.reads},
+  const json::object body{{"calls", stats_.calls},
+                          {"host_reads", stats_.host_reads},
+                          {"reads", stats_.reads},
                           {"writes", stats_.writes},
                           {"watches", stats_.watches},
                           {"conflicts", stats_.conflicts},
