Exchange the configuration between processes and gate new work

Cause: every process watched the platform, read documents without audit records, and knew neither leaving hosts nor tighten orders. Change: config_service adopts ConfigDocument through ConfigAdoption, starts with ChooseStartDocument from the platform and the peers of the settings, and then watches the platform only on the hosts of HoldsWatch; all others long-poll their PollTargets. membership polls the host list (with an entity tag, since 20 KB every 2 s would use most of the 12 KB/s per daemon). revision_exchange adds and reads X-Fw-Revision through a hook of the peer client and in ServeCommonRoute. service_gate answers from configuration, host list and tighten orders; routers and agents ask it.

--- a/src/core/listed_host.h
+++ b/src/core/listed_host.h
@@ -11,6 +11,8 @@
   std::string name;
   std::string data_centre;
   bool leaving = false;  ///< The platform is about to take the host away.
+
+  bool operator==(const ListedHost&) const = default;
 };
 
 }  // namespace fuchsiaweir
--- a/src/net/agent_service.cc
+++ b/src/net/agent_service.cc
@@ -10,6 +10,7 @@
 
 #include "net/common_routes.h"
 #include "net/log.h"
+#include "net/service_gate.h"
 #include "net/timer_service.h"
 
 namespace fuchsiaweir {
@@ -55,14 +56,7 @@
 }
 
 std::optional<Error> AgentService::RefusalOfNewWork() const {
-  const std::shared_ptr<const ConfigSnapshot> config = config_.current();
-  const Host* host = FindByName(config->inventory.hosts, settings_.host);
-  const DataCentre* data_centre = FindByName(config->inventory.data_centres, settings_.data_centre);
-  const bool accepts =
-      host != nullptr && host->in_service && data_centre != nullptr && data_centre->in_service;
-  if (accepts) return std::nullopt;
-  return Error{ErrorCode::kOutOfService, RunState::kNotRun,
-               absl::StrCat("host ", settings_.host, " is out of service"), Duration{0}};
+  return kernel_.Find<ServiceGate>("service_gate").RefusalOfNewWork();
 }
 
 RunnerDispatcher* AgentService::DispatcherOf(const std::string& name) {
--- a/src/net/common_routes.cc
+++ b/src/net/common_routes.cc
@@ -1,8 +1,14 @@
 #include "net/common_routes.h"
 
+#include <absl/strings/match.h>
+
 #include <boost/json.hpp>
 #include <utility>
 
+#include "net/config_client.h"
+#include "net/revision_exchange.h"
+#include "net/service_gate.h"
+
 namespace fuchsiaweir {
 namespace {
 
@@ -16,6 +22,7 @@
   const boost::json::object status{
       {"role", role},
       {"revision", kernel.Find<ConfigService>("config").current()->revision},
+      {"state", std::string(Name(kernel.Find<ServiceGate>("service_gate").Own()))},
       {"ready", kernel.Find<Readiness>("readiness").ready()}};
   return JsonResponse(200, boost::json::serialize(status));
 }
@@ -23,7 +30,19 @@
 }  // namespace
 
 Awaitable<bool> ServeCommonRoute(HttpExchange& exchange, const std::string& role, Kernel& kernel) {
+  const std::string& method = exchange.request().method;
   const std::string& path = exchange.target().path;
+  if (absl::StartsWith(path, "/internal/")) {
+    kernel.Find<RevisionExchange>("revision_exchange").Serve(exchange);
+  }
+  if (method == "GET" && path == kConfigPath) {
+    co_await kernel.Find<ConfigService>("config").ServePoll(exchange);
+    co_return true;
+  }
+  if (method == "POST" && path == "/internal/v1/tighten") {
+    co_await kernel.Find<ServiceGate>("service_gate").ServeTighten(exchange);
+    co_return true;
+  }
   HttpResponse response;
   if (path == "/healthz") {
     response = {200, {{"Content-Type", "text/plain"}}, "ok\n"};
--- /dev/null
+++ b/src/net/config_client.cc
@@ -0,0 +1,37 @@
+#include "net/config_client.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <string>
+#include <utility>
+
+namespace fuchsiaweir {
+namespace {
+
+constexpr int kNoContent = 204;
+
+Error Failure(const Endpoint& peer, const std::string& reason) {
+  return {ErrorCode::kTargetFailed, RunState::kNotRun,
+          absl::StrCat("no configuration from ", ToString(peer), ": ", reason), Duration{0}};
+}
+
+}  // namespace
+
+Awaitable<Result<std::optional<ConfigDocument>>> FetchConfig(HttpClient& client, Endpoint peer,
+                                                             int64_t after, Duration wait,
+                                                             Duration timeout) {
+  HttpRequest request;
+  request.target = absl::StrCat(kConfigPath, "?after=", after, "&wait_ms=", ToMillis(wait));
+  CallOptions options;
+  options.timeout = wait + timeout;
+  options.connect_timeout = timeout;
+  const HttpResult result = co_await client.Call(peer, std::move(request), options);
+  if (!result.response) co_return Failure(peer, result.failure);
+  if (result.response->status == kNoContent) co_return std::optional<ConfigDocument>();
+  if (!result.ok()) co_return Failure(peer, absl::StrCat("status ", result.response->status));
+  Result<ConfigDocument> document = DecodeConfigDocument(result.response->body);
+  if (!document) co_return Failure(peer, document.error().message);
+  co_return std::optional<ConfigDocument>(std::move(document.value()));
+}
+
+}  // namespace fuchsiaweir
--- a/src/net/daemon.cc
+++ b/src/net/daemon.cc
@@ -18,8 +18,11 @@
 #include "net/entry_service.h"
 #include "net/host_list.h"
 #include "net/log.h"
+#include "net/membership.h"
 #include "net/metrics.h"
 #include "net/object_api.h"
+#include "net/revision_exchange.h"
+#include "net/service_gate.h"
 #include "net/timer_service.h"
 #include "net/tls_context.h"
 
@@ -45,9 +48,13 @@
   kernel.Add<TimerService>("timer", kernel.io());
   HttpClients& clients = kernel.Add<HttpClients>("http_clients", kernel.io(), tls.client);
   ObjectApi& objects = kernel.Add<HttpObjectApi>("object_api", clients.outside(), platform);
-  kernel.Add<HttpHostList>("host_list", clients.outside(), platform);
+  HostList& hosts = kernel.Add<HttpHostList>("host_list", clients.outside(), platform);
   kernel.Add<Readiness>("readiness");
-  kernel.Add<ConfigService>("config", kernel.io(), settings, objects);
+  Membership& membership = kernel.Add<Membership>("membership", kernel.io(), settings, hosts);
+  ConfigService& config = kernel.Add<ConfigService>("config", kernel.io(), settings, objects,
+                                                    membership, clients.peers());
+  kernel.Add<RevisionExchange>("revision_exchange", config, clients.peers(), settings);
+  kernel.Add<ServiceGate>("service_gate", settings, config, membership);
   if (role == Role::kEntry) {
     kernel.Add<EntryService>("entry", kernel, settings, ServerOptions(settings, tls.server));
   } else {
@@ -58,6 +65,7 @@
 Awaitable<void> ShutDown(Kernel& kernel) {
   LogInfo("shutdown_started");
   kernel.Find<Readiness>("readiness").BeginStop();
+  kernel.Find<ConfigService>("config").EndPolls();
   co_await kernel.StopAll();
   LogInfo("shutdown_finished");
   kernel.io().stop();
--- a/src/net/entry_service.cc
+++ b/src/net/entry_service.cc
@@ -20,8 +20,10 @@
     : kernel_(kernel),
       settings_(settings),
       config_(kernel.Find<ConfigService>("config")),
-      models_(config_, kernel.Find<HttpClients>("http_clients").peers()),
-      services_(config_, kernel.Find<HttpClients>("http_clients").peers()),
+      models_(config_, kernel.Find<ServiceGate>("service_gate"),
+              kernel.Find<HttpClients>("http_clients").peers()),
+      services_(config_, kernel.Find<ServiceGate>("service_gate"),
+                kernel.Find<HttpClients>("http_clients").peers()),
       server_(kernel.io(), std::move(options),
               [this](HttpExchange& exchange) { return Handle(exchange); }) {}
 
--- a/src/net/host_list.cc
+++ b/src/net/host_list.cc
@@ -1,5 +1,7 @@
 #include "net/host_list.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <boost/json.hpp>
 #include <utility>
 
@@ -8,6 +10,8 @@
 
 namespace json = boost::json;
 
+constexpr int kNotModified = 304;
+
 Error Unavailable(std::string reason) {
   return {ErrorCode::kPlatformUnavailable, RunState::kNotRun, std::move(reason), Duration{0}};
 }
@@ -37,11 +41,21 @@
 Awaitable<Result<std::vector<ListedHost>>> HttpHostList::Read(Duration timeout) {
   HttpRequest request;
   request.target = "/hosts";
+  if (!entity_tag_.empty()) request.headers.emplace_back("If-None-Match", entity_tag_);
   CallOptions options;
   options.timeout = timeout;
   const HttpResult result = co_await client_.Call(endpoint_, std::move(request), options);
-  if (!result.ok()) co_return Unavailable("host list: " + result.failure);
-  co_return Decode(result.response->body);
+  if (!result.response) co_return Unavailable("host list: " + result.failure);
+  if (result.response->status == kNotModified && !entity_tag_.empty()) co_return last_;
+  if (!result.ok()) {
+    co_return Unavailable(absl::StrCat("host list: HTTP status ", result.response->status));
+  }
+  Result<std::vector<ListedHost>> hosts = Decode(result.response->body);
+  if (hosts) {
+    entity_tag_ = HeaderValue(result.response->headers, "ETag");
+    last_ = hosts.value();
+  }
+  co_return hosts;
 }
 
 }  // namespace fuchsiaweir
--- a/src/net/host_list.h
+++ b/src/net/host_list.h
@@ -20,7 +20,8 @@
   virtual Awaitable<Result<std::vector<ListedHost>>> Read(Duration timeout) = 0;
 };
 
-/// Host list over HTTP: GET /hosts.
+/// Host list over HTTP: GET /hosts. The answer's entity tag makes the next read conditional, so
+/// that an unchanged list costs a header instead of its 20 KB at 340 hosts.
 class HttpHostList : public HostList {
  public:
   HttpHostList(HttpClient& client, Endpoint endpoint);
@@ -29,6 +30,8 @@
  private:
   HttpClient& client_;
   Endpoint endpoint_;
+  std::string entity_tag_;  ///< Of `last_`; empty when the platform gives none.
+  std::vector<ListedHost> last_;
 };
 
 }  // namespace fuchsiaweir
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <utility>
+#include <vector>
 
 #include "net/http_transport.h"
 
@@ -104,8 +105,21 @@
   Awaitable<std::unique_ptr<HttpTransport>> Acquire(Endpoint endpoint, CallOptions options,
                                                     std::string& failure);
 
+  void Before(const Endpoint& endpoint, HttpRequest& request) const {
+    for (const HttpClientHook& hook : hooks) {
+      if (hook.before) hook.before(endpoint, request);
+    }
+  }
+  void After(const Endpoint& endpoint, const HttpRequest& request,
+             const HttpResponse& response) const {
+    for (const HttpClientHook& hook : hooks) {
+      if (hook.after) hook.after(endpoint, request, response);
+    }
+  }
+
   asio::io_context& io;
   TlsContext tls;
+  std::vector<HttpClientHook> hooks;
   std::map<Endpoint, std::deque<IdleConnection>> idle;
 };
 
@@ -172,6 +186,8 @@
 
 HttpClient::~HttpClient() = default;
 
+void HttpClient::AddHook(HttpClientHook hook) { impl_->hooks.push_back(std::move(hook)); }
+
 int64_t HttpClient::idle_connections() const {
   int64_t count = 0;
   for (const auto& [endpoint, connections] : impl_->idle) {
@@ -190,6 +206,7 @@
 
   result.stage = CallStage::kSent;
   transport->ExpireAfter(options.timeout);
+  impl->Before(endpoint, request);
   const std::string message = Serialize(endpoint, request);
   auto failure = co_await transport->WriteAll(message);
   ResponseParser parser;
@@ -202,6 +219,7 @@
   result.stage = CallStage::kAnswered;
   const bool keep_alive = parser.get().keep_alive();
   result.response = ToResponse(parser.get());
+  impl->After(endpoint, request, *result.response);
   if (keep_alive) impl->PutIdle(endpoint, std::move(transport));
   co_return result;
 }
@@ -219,6 +237,7 @@
   transport->ExpireAfter(options.timeout);
   auto stream = std::make_unique<HttpStream>(std::move(transport));
   HttpStream::Impl& state = *stream->impl_;
+  impl->Before(endpoint, request);
   const std::string message = Serialize(endpoint, request);
   auto failure = co_await state.transport->WriteAll(message);
   if (!failure) failure = co_await state.transport->ReadHeader(state.parser);
@@ -231,10 +250,12 @@
   result.stage = CallStage::kAnswered;
   if (refused) {
     result.response = ToResponse(state.parser.get());
+    impl->After(endpoint, request, *result.response);
     co_return result;
   }
   std::string received = std::move(state.parser.get().body());
   state.header = ToResponse(state.parser.get());
+  impl->After(endpoint, request, state.header);
   state.parser.get().body().clear();
   state.pending = std::move(received);
   result.stream = std::move(stream);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -79,6 +80,16 @@
   std::string failure;
 };
 
+/// Called for every call of a client, so that no caller can forget what all messages carry.
+struct HttpClientHook {
+  /// Completes a request before it is sent.
+  std::function<void(const Endpoint& endpoint, HttpRequest& request)> before;
+  /// Sees the response, or the header of a streamed response.
+  std::function<void(const Endpoint& endpoint, const HttpRequest& request,
+                     const HttpResponse& response)>
+      after;
+};
+
 /// HTTP/1.1 client with pooled connections.
 class HttpClient {
  public:
@@ -89,6 +100,9 @@
   Awaitable<HttpStreamResult> OpenStream(Endpoint endpoint, HttpRequest request,
                                          CallOptions options);
 
+  /// Adds a hook for all later calls. Either function may be empty.
+  void AddHook(HttpClientHook hook);
+
   int64_t idle_connections() const;
 
  private:
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -73,6 +73,10 @@
       target_(ParseTarget(request_.target)),
       write_timeout_(write_timeout) {}
 
+void HttpExchange::AddHeader(std::string name, std::string value) {
+  added_headers_.emplace_back(std::move(name), std::move(value));
+}
+
 bool HttpExchange::peer_gone() const { return transport_.PeerClosed(); }
 
 void HttpExchange::Abort() {
@@ -86,6 +90,9 @@
   std::string text =
       absl::StrCat("HTTP/1.1 ", status, " ", std::string(reason.data(), reason.size()), "\r\n");
   for (const auto& [name, value] : headers) absl::StrAppend(&text, name, ": ", value, "\r\n");
+  for (const auto& [name, value] : added_headers_) {
+    absl::StrAppend(&text, name, ": ", value, "\r\n");
+  }
   if (!keep_alive_) absl::StrAppend(&text, "Connection: close\r\n");
   return text;
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -25,6 +25,9 @@
   const HttpRequest& request() const { return request_; }
   const HttpTarget& target() const { return target_; }
 
+  /// Adds a field to the header of the response, whoever sends it.
+  void AddHeader(std::string name, std::string value);
+
   /// Sends the whole response. Returns false when the connection failed.
   Awaitable<bool> Respond(HttpResponse response);
 
@@ -56,6 +59,7 @@
   HttpTransport& transport_;
   HttpRequest request_;
   HttpTarget target_;
+  HttpHeaders added_headers_;
   Duration write_timeout_;
   State state_ = State::kWaiting;
   bool keep_alive_ = true;
--- a/src/net/model_router.cc
+++ b/src/net/model_router.cc
@@ -52,19 +52,15 @@
   Usage usage;
 };
 
-ModelRouter::ModelRouter(ConfigService& config, HttpClient& agents)
-    : config_(config), agents_(agents) {}
+ModelRouter::ModelRouter(ConfigService& config, ServiceGate& gate, HttpClient& agents)
+    : config_(config), gate_(gate), agents_(agents) {}
 
 std::vector<Runner> ModelRouter::Candidates(const Session& session) const {
   const Inventory& inventory = session.config->inventory;
   std::vector<std::string> names;
   for (const Runner& runner : inventory.runners) {
-    const Host* host = FindByName(inventory.hosts, runner.host);
-    const DataCentre* data_centre =
-        host == nullptr ? nullptr : FindByName(inventory.data_centres, host->data_centre);
-    const bool in_service =
-        host != nullptr && host->in_service && data_centre != nullptr && data_centre->in_service;
-    if (in_service && runner.model == session.request.model) names.push_back(runner.name);
+    const bool fits = runner.model == session.request.model;
+    if (fits && gate_.RunnerAccepts(runner.name)) names.push_back(runner.name);
   }
   const std::string key = absl::StrCat(session.team.name, "/", session.request.model, "/",
                                        session.request.prompt.substr(0, 256));
--- a/src/net/model_router.h
+++ b/src/net/model_router.h
@@ -11,6 +11,7 @@
 #include "net/config_service.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/service_gate.h"
 
 namespace fuchsiaweir {
 
@@ -18,7 +19,7 @@
 /// runner when the first one fails.
 class ModelRouter {
  public:
-  ModelRouter(ConfigService& config, HttpClient& agents);
+  ModelRouter(ConfigService& config, ServiceGate& gate, HttpClient& agents);
 
   Awaitable<void> Serve(HttpExchange& exchange, CompletionRequest request, Team team);
 
@@ -32,6 +33,7 @@
   std::vector<Runner> Candidates(const Session& session) const;
 
   ConfigService& config_;
+  ServiceGate& gate_;
   HttpClient& agents_;
 };
 
--- a/src/net/service_router.cc
+++ b/src/net/service_router.cc
@@ -24,15 +24,12 @@
   return false;
 }
 
-std::vector<Service> ReplicasInService(const Inventory& inventory, const ServiceCall& call) {
+std::vector<Service> ReplicasInService(const Inventory& inventory, ServiceGate& gate,
+                                       const ServiceCall& call) {
   std::vector<std::string> names;
   for (const Service& service : inventory.services) {
-    const Host* host = FindByName(inventory.hosts, service.host);
-    const DataCentre* data_centre =
-        host == nullptr ? nullptr : FindByName(inventory.data_centres, host->data_centre);
-    const bool in_service =
-        host != nullptr && host->in_service && data_centre != nullptr && data_centre->in_service;
-    if (in_service && service.service == call.service) names.push_back(service.name);
+    const bool fits = service.service == call.service;
+    if (fits && gate.HostAccepts(service.host)) names.push_back(service.name);
   }
   const std::string key = absl::StrCat(call.team, "/", call.service, "/", call.idempotency_key);
   std::vector<Service> replicas;
@@ -66,8 +63,8 @@
 
 }  // namespace
 
-ServiceRouter::ServiceRouter(ConfigService& config, HttpClient& agents)
-    : config_(config), agents_(agents) {}
+ServiceRouter::ServiceRouter(ConfigService& config, ServiceGate& gate, HttpClient& agents)
+    : config_(config), gate_(gate), agents_(agents) {}
 
 Awaitable<void> ServiceRouter::Serve(HttpExchange& exchange, Team team) {
   const std::shared_ptr<const ConfigSnapshot> config = config_.current();
@@ -95,7 +92,7 @@
   call.deadline_ms = inventory.rules.request_deadline_ms;
   Error failure{ErrorCode::kNoTarget, RunState::kNotRun, "no replica of the service is in service",
                 Seconds(1)};
-  const std::vector<Service> replicas = ReplicasInService(inventory, call);
+  const std::vector<Service> replicas = ReplicasInService(inventory, gate_, call);
   for (const Service& service : replicas) {
     call.replica = service.name;
     call.non_idempotent = IsNonIdempotent(service, call);
--- a/src/net/service_router.h
+++ b/src/net/service_router.h
@@ -9,13 +9,14 @@
 #include "net/config_service.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/service_gate.h"
 
 namespace fuchsiaweir {
 
 /// Routes calls under /v1/services/NAME/ to the agent beside a replica of the service.
 class ServiceRouter {
  public:
-  ServiceRouter(ConfigService& config, HttpClient& agents);
+  ServiceRouter(ConfigService& config, ServiceGate& gate, HttpClient& agents);
 
   Awaitable<void> Serve(HttpExchange& exchange, Team team);
 
@@ -25,6 +26,7 @@
   Awaitable<Result<ServiceAnswer>> CallAgent(const ServiceCall& call, Host host);
 
   ConfigService& config_;
+  ServiceGate& gate_;
   HttpClient& agents_;
 };
 
--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -21,6 +21,7 @@
 #include <stdexcept>
 #include <thread>
 
+#include "core/config_document.h"
 #include "core/digest.h"
 #include "net/http_client.h"
 
@@ -239,10 +240,16 @@
 void Deployment::Apply(const std::string& inventory) {
   const Reply current = Send("GET", port("platform"), "/objects/config%2Fcurrent");
   int64_t version = 0;
-  if (current.status == 200) version = current.json().at("version").to_number<int64_t>();
-  const json::object document{{"revision", version + 1}, {"inventory", inventory}};
+  ConfigDocument document;
+  if (current.status == 200) {
+    const json::object object = current.json();
+    version = object.at("version").to_number<int64_t>();
+    document = DecodeConfigDocument(std::string(object.at("value").as_string())).value();
+  }
+  const ConfigChange change{document.revision, "test", "now", "apply", "nonce", inventory};
+  document = ApplyChange(document, change).value().document;
   Send("PUT", port("platform"), absl::StrCat("/objects/config%2Fcurrent?expect=", version),
-       json::serialize(document));
+       EncodeConfigDocument(document));
   inventory_ = inventory;
 }
 
--- a/test/standin/platform.cc
+++ b/test/standin/platform.cc
@@ -1,15 +1,15 @@
 #include "platform.h"
 
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
 
 #include "core/json_fields.h"
+#include "net/notifier.h"
 #include "standin_server.h"
 
 namespace fuchsiaweir::standin {
@@ -49,6 +49,7 @@
   int64_t reads = 0;
   int64_t writes = 0;
   int64_t watches = 0;
+  int64_t host_reads = 0;
   int64_t conflicts = 0;
   int64_t refused = 0;
   int64_t weight_loads = 0;
@@ -72,8 +73,6 @@
 
 class Platform {
  public:
-  explicit Platform(boost::asio::io_context& io) : changed_(io) {}
-
   Awaitable<void> Handle(HttpExchange& exchange);
 
  private:
@@ -83,6 +82,7 @@
   Awaitable<void> Put(HttpExchange& exchange, std::string key);
   Awaitable<void> WaitForVersion(std::string key, int64_t after, Duration wait);
   Awaitable<void> Hosts(HttpExchange& exchange);
+  Awaitable<void> SendHosts(HttpExchange& exchange);
   Awaitable<void> LoadWeights(HttpExchange& exchange);
 
   std::map<std::string, Object> objects_;
@@ -92,7 +92,7 @@
   RateLimit reads_;
   RateLimit writes_;
   int loads_ = 0;
-  boost::asio::steady_timer changed_;
+  Notifier changed_;
 };
 
 Awaitable<void> Platform::Handle(HttpExchange& exchange) {
@@ -119,7 +119,7 @@
   for (const auto& [name, member] : kNumericFaults) {
     if (body.contains(name)) faults_.*member = IntegerField(body, name);
   }
-  changed_.cancel();  // A platform that goes down also ends its watches.
+  changed_.NotifyAll();  // A platform that goes down also ends its watches.
   co_await SendJson(exchange, 200, "{}");
 }
 
@@ -127,6 +127,7 @@
   const json::object body{{"reads", stats_.reads},
                           {"writes", stats_.writes},
                           {"watches", stats_.watches},
+                          {"host_reads", stats_.host_reads},
                           {"conflicts", stats_.conflicts},
                           {"refused", stats_.refused},
                           {"weight_loads", stats_.weight_loads},
@@ -137,9 +138,7 @@
 Awaitable<void> Platform::WaitForVersion(std::string key, int64_t after, Duration wait) {
   const TimePoint end = SteadyNow() + wait;
   while (objects_[key].version <= after && SteadyNow() < end && !faults_.down) {
-    boost::system::error_code woken;
-    changed_.expires_at(end);
-    co_await changed_.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, woken));
+    co_await changed_.WaitUntil(end);
   }
 }
 
@@ -187,7 +186,7 @@
   object.previous_value = std::move(object.value);
   object.value = exchange.request().body;
   ++object.version;
-  changed_.cancel();
+  changed_.NotifyAll();
   if (faults_.lose_answers > 0) {
     --faults_.lose_answers;
     co_return co_await LoseAnswer(exchange);
@@ -195,8 +194,17 @@
   co_await SendJson(exchange, 200, RenderVersion(object.version));
 }
 
+Awaitable<void> Platform::SendHosts(HttpExchange& exchange) {
+  ++stats_.host_reads;
+  const std::string tag = absl::StrCat("\"", std::hash<std::string>{}(hosts_), "\"");
+  HttpResponse response = JsonResponse(200, hosts_);
+  if (HeaderValue(exchange.request().headers, "If-None-Match") == tag) response = {304, {}, ""};
+  response.headers.emplace_back("ETag", tag);
+  co_await exchange.Respond(std::move(response));
+}
+
 Awaitable<void> Platform::Hosts(HttpExchange& exchange) {
-  if (exchange.request().method != "PUT") co_return co_await SendJson(exchange, 200, hosts_);
+  if (exchange.request().method != "PUT") co_return co_await SendHosts(exchange);
   std::string hosts = exchange.request().body;
   co_await SleepFor(Millis(exchange.target().QueryInteger("lag_ms", 0)));
   hosts_ = std::move(hosts);
@@ -217,7 +225,7 @@
 
 void RunPlatform(int port) {
   boost::asio::io_context io(1);
-  Platform platform(io);
+  Platform platform;
   Serve(io, port, [&platform](HttpExchange& exchange) { return platform.Handle(exchange); });
 }
 
