--- a/src/net/model_router.h
+++ b/src/net/model_router.h
@@ -24,6 +24,7 @@
 #include "net/kernel.h"
 #include "net/metrics.h"
 #include "net/run_stream.h"
+#include "net/service_gate.h"
 
 namespace fuchsiaweir {
 
@@ -55,13 +56,15 @@
 
   boost::asio::io_context& io_;
   ConfigService& config_;
+  ServiceGate& gate_;
   HttpClient& agents_;
   Metrics& metrics_;
 
-  int64_t configured_revision_ = -1;
+  int64_t configured_generation_ = -1;
   std::shared_ptr<const CandidateTable> candidates_;
   HotPrefix hot_prefixes_;
   TeamQuota quota_;
+  int64_t retry_budget_percent_ = Rules{}.retry_budget_percent;
   RetryBudget retry_budget_;
   RetryRules retry_rules_;
   absl::BitGen random_;
