Add what the agent's gate needs from the core pieces

Cause: a load report lags, so a run that the gate admitted after the report was taken hid a run of a former agent, and the gate then gave the runner more than its limit. The dispatcher also needs the queue's share for a team, changed limits at run time, the number of runs that still owe their callers something, and an error that names a crash.

Change: known foreign runs count until the lowest number of own runs over two report intervals shows their end. FairQueue gains ItemsAhead and SetLimits, RunTable gains undelivered and SetAttachWindow. Error code target_crashed marks a run that was on the engine when it ended; Error.concurrent_runs says how many others were.

--- a/src/core/cold_start_gate.cc
+++ b/src/core/cold_start_gate.cc
@@ -31,12 +31,19 @@
 void ColdStartGate::OnLoadReport(const LoadReport& report) {
   // The report lags, so it is compared with the most that ran over the last two intervals.
   const int64_t explained = std::max({running_, peak_, previous_peak_});
-  const int64_t foreign = std::max<int64_t>(0, report.running + report.waiting - explained);
-  const bool load_jump = foreign > foreign_ + kToleratedForeignRuns;
+  const int64_t reported = report.running + report.waiting;
+  const bool load_jump = reported - explained > foreign_ + kToleratedForeignRuns;
+  // Known foreign runs count until the report shows their end even if it lags behind this gate's
+  // latest admissions; otherwise a new run would hide a foreign one.
+  const int64_t certain = std::min({running_, low_, previous_low_});
+  const int64_t foreign =
+      std::max({int64_t{0}, reported - explained, std::min(foreign_, reported - certain)});
   const bool slow = report.token_time > limits_.healthy_token_time * kSlowTokenFactor;
   foreign_ = foreign;
   previous_peak_ = peak_;
   peak_ = running_;
+  previous_low_ = low_;
+  low_ = running_;
   if (load_jump || slow) TurnCold();
 }
 
@@ -57,6 +64,7 @@
   // Only a full gate shows that the runner bears its limit.
   const bool was_full = !HasRoom();
   running_ = std::max<int64_t>(0, running_ - 1);
+  low_ = std::min(low_, running_);
   if (admission.generation != generation_ || !end.completed) return;
   if (end.token_time > limits_.healthy_token_time) {
     limit_ = std::max(limits_.cold_limit, limit_ / 2);
--- a/src/core/cold_start_gate.h
+++ b/src/core/cold_start_gate.h
@@ -74,6 +74,8 @@
   int64_t foreign_ = 0;
   int64_t peak_ = 0;           ///< Highest `running_` since the last report.
   int64_t previous_peak_ = 0;  ///< The same for the interval before.
+  int64_t low_ = 0;            ///< Lowest `running_` since the last report.
+  int64_t previous_low_ = 0;   ///< The same for the interval before.
 };
 
 }  // namespace fuchsiaweir
--- a/src/core/error_code.cc
+++ b/src/core/error_code.cc
@@ -11,7 +11,7 @@
   int http_status;
 };
 
-constexpr std::array<Row, 21> kRows = {{
+constexpr std::array<Row, 22> kRows = {{
     {ErrorCode::kBadRequest, "bad_request", 400},
     {ErrorCode::kUnauthorized, "unauthorized", 401},
     {ErrorCode::kNotFound, "not_found", 404},
@@ -31,6 +31,7 @@
     {ErrorCode::kPoisoned, "poisoned", 422},
     {ErrorCode::kCold, "cold", 503},
     {ErrorCode::kTargetFailed, "target_failed", 502},
+    {ErrorCode::kTargetCrashed, "target_crashed", 502},
     {ErrorCode::kIncompleteAnswer, "incomplete_answer", 502},
     {ErrorCode::kInternal, "internal", 500},
 }};
--- a/src/core/error_code.h
+++ b/src/core/error_code.h
@@ -27,6 +27,7 @@
   kPoisoned,
   kCold,
   kTargetFailed,
+  kTargetCrashed,  ///< The target ended while it ran the request, which is therefore suspect.
   kIncompleteAnswer,
   kInternal,
 };
--- a/src/core/fair_queue.cc
+++ b/src/core/fair_queue.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -43,10 +44,10 @@
   return Duration(static_cast<int64_t>(seconds * 1e6));
 }
 
-Duration FairQueue::EstimatedTime(const QueuedWork& work) const {
+FairQueue::Ahead FairQueue::AheadOf(const QueuedWork& work) const {
   const FlowKey key = KeyOf(work);
   const double weight = FlowWeight(work);
-  double ahead = 0;
+  Ahead own;
   double total_weight = weight;
   for (const auto& [flow_key, flow] : flows_) {
     if (flow_key != key) {
@@ -55,13 +56,23 @@
     }
     for (const auto& [deadline, item] : flow.items) {
       if (deadline > work.deadline) break;
-      ahead += static_cast<double>(item.tokens);
+      own.items += 1;
+      own.tokens += static_cast<double>(item.tokens);
     }
   }
   // A flow gets at least its share of the runner, and never waits for more than what is queued.
-  const double own = static_cast<double>(work.tokens);
-  const double shared = (ahead + own) * total_weight / weight;
-  return PrefillTime(std::min(shared, static_cast<double>(tokens_) + own));
+  const double share = total_weight / weight;
+  const double tokens = static_cast<double>(work.tokens);
+  return {std::min((own.items + 1) * share - 1, static_cast<double>(size_)),
+          std::min((own.tokens + tokens) * share - tokens, static_cast<double>(tokens_))};
+}
+
+Duration FairQueue::EstimatedTime(const QueuedWork& work) const {
+  return PrefillTime(AheadOf(work).tokens + static_cast<double>(work.tokens));
+}
+
+int64_t FairQueue::ItemsAhead(const QueuedWork& work) const {
+  return static_cast<int64_t>(std::ceil(AheadOf(work).items));
 }
 
 std::optional<Error> FairQueue::Push(QueuedWork work, TimePoint now) {
--- a/src/core/fair_queue.h
+++ b/src/core/fair_queue.h
@@ -52,6 +52,12 @@
   /// Estimated time until the runner has computed the work's prompt.
   Duration EstimatedTime(const QueuedWork& work) const;
 
+  /// Changes the bounds; queued work above a lower bound stays.
+  void SetLimits(const FairQueueLimits& limits) { limits_ = limits; }
+
+  /// Requests that start before the work, at its flow's share of the runner.
+  int64_t ItemsAhead(const QueuedWork& work) const;
+
   size_t size() const { return size_; }
   int64_t queued_tokens() const { return tokens_; }
 
@@ -68,7 +74,14 @@
   };
   using Flows = std::map<FlowKey, Flow>;
 
+  /// What is queued before some work, at its flow's share of the runner.
+  struct Ahead {
+    double items = 0;
+    double tokens = 0;
+  };
+
   static FlowKey KeyOf(const QueuedWork& work);
+  Ahead AheadOf(const QueuedWork& work) const;
   Duration PrefillTime(double tokens) const;
   void MoveLate(TimePoint now);
   bool DisplaceFor(const QueuedWork& work);
--- a/src/core/json_fields.cc
+++ b/src/core/json_fields.cc
@@ -41,7 +41,8 @@
   return {{"code", std::string(Name(error.code))},
           {"run_state", std::string(Name(error.run_state))},
           {"message", error.message},
-          {"retry_after_ms", ToMillis(error.retry_after)}};
+          {"retry_after_ms", ToMillis(error.retry_after)},
+          {"concurrent_runs", error.concurrent_runs}};
 }
 
 Error ErrorFromJson(const json::object& object) {
@@ -50,6 +51,10 @@
   error.run_state = RunStateFromName(StringField(object, "run_state")).value_or(RunState::kUnknown);
   error.message = StringField(object, "message");
   error.retry_after = Millis(IntegerField(object, "retry_after_ms"));
+  // Processes of an earlier version send no such field.
+  if (object.contains("concurrent_runs")) {
+    error.concurrent_runs = IntegerField(object, "concurrent_runs");
+  }
   return error;
 }
 
--- a/src/core/result.h
+++ b/src/core/result.h
@@ -16,7 +16,8 @@
   ErrorCode code = ErrorCode::kInternal;
   RunState run_state = RunState::kNotRun;
   std::string message;
-  Duration retry_after{0};  ///< Zero when waiting does not help.
+  Duration retry_after{0};      ///< Zero when waiting does not help.
+  int64_t concurrent_runs = 0;  ///< Other runs on the target when it crashed (kTargetCrashed).
 };
 
 /// A value or an `Error`. Reading the missing side ends the process.
--- a/src/core/run_table.cc
+++ b/src/core/run_table.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace fuchsiaweir {
@@ -150,4 +151,9 @@
   return running;
 }
 
+size_t RunTable::undelivered() const {
+  const auto waits = [](const auto& entry) { return !entry.second.last_read; };
+  return static_cast<size_t>(std::count_if(runs_.begin(), runs_.end(), waits));
+}
+
 }  // namespace fuchsiaweir
--- a/src/core/run_table.h
+++ b/src/core/run_table.h
@@ -64,7 +64,12 @@
   /// Removes the run. Returns true when the engine must stop it.
   bool Cancel(const std::string& run, int64_t attempt);
 
+  /// Changes the time that a run lives without a reader.
+  void SetAttachWindow(Duration window) { limits_.attach_window = window; }
+
   size_t size() const { return runs_.size(); }
+  /// Runs whose output has not ended or whose last frame nobody has read.
+  size_t undelivered() const;
 
  private:
   struct Run {
--- a/test/correctness/cold_start_gate.cc
+++ b/test/correctness/cold_start_gate.cc
@@ -109,4 +109,33 @@
   CHECK(!gate.TryAdmit());
 }
 
+// Guards against a lagging report in which a run of this gate hides one of a former agent.
+TEST(ColdStartGate, LaggingReportsNeverHideForeignRuns) {
+  CheckProperty("an admission keeps the engine's real load within the limit", [] {
+    ColdStartGate gate({*rc::gen::inRange<int64_t>(1, 6), 6, Millis(46)});
+    int64_t foreign = *rc::gen::inRange(0, 8);
+    gate.OnLoadReport({foreign, 0, Duration{0}});
+    std::vector<Admission> own;
+    int64_t reported = foreign;
+    for (const int step : *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 20))) {
+      const auto load = static_cast<int64_t>(own.size()) + foreign;
+      if (step > 0 && step <= 4) reported = load;
+      if (step == 0 && foreign > 0) --foreign;
+      if ((step == 5 || step == 6) && !own.empty()) {
+        gate.OnRunEnd(own.back(), kFailed);
+        own.pop_back();
+      }
+      if (step >= 7 && step <= 10) {
+        gate.OnLoadReport({reported, 0, Duration{0}});
+        reported = static_cast<int64_t>(own.size()) + foreign;
+      }
+      if (step <= 10) continue;
+      const auto admission = gate.TryAdmit();
+      if (!admission) continue;
+      own.push_back(*admission);
+      RC_ASSERT(load + 1 <= gate.limit());
+    }
+  });
+}
+
 }  // namespace fuchsiaweir
--- a/test/correctness/frame.cc
+++ b/test/correctness/frame.cc
@@ -21,7 +21,8 @@
       frame.finish = "stop";
       frame.usage.fetched_tokens = *rc::gen::inRange(0, 100'000);
     }
-    if (failed) frame.error = Error{ErrorCode::kCold, RunState::kNotRun, "cold", Millis(7)};
+    if (failed)
+      frame.error = Error{ErrorCode::kTargetCrashed, RunState::kUnknown, "", Millis(7), 3};
 
     const Result<Frame> decoded = DecodeFrame(EncodeFrame(frame));
     RC_ASSERT(decoded.has_value());
@@ -33,6 +34,7 @@
     RC_ASSERT(decoded.value().usage == frame.usage);
     RC_ASSERT(decoded.value().error.has_value() == failed);
     if (failed) RC_ASSERT(decoded.value().error->retry_after == Millis(7));
+    if (failed) RC_ASSERT(decoded.value().error->concurrent_runs == 3);
   });
 }
 
