Make the agent the gate to its runners

Cause: the agent admitted up to a fixed number of runs with buffers of its own, without a queue, bids, load polls, block chains or a way to tell a crashed engine from a broken stream.

Change: RunnerDispatcher bids and queues with FairQueue, starts runs through ColdStartGate and isolates suspect runs. RunBuffers wraps RunTable with attach, heartbeats, expiry and cancel. AgentRuns answers the messages. A slot stays taken until the engine confirms the end of a broken or stopped run. Blocks are retained only when a report from after the run shows the engine unchanged.

The engine stand-in counted a run in prefill both as running and as waiting, which a gate must take for foreign load; it now counts each run once.

--- /dev/null
+++ b/src/net/agent_runs.cc
@@ -0,0 +1,177 @@
+#include "net/agent_runs.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+#include "net/log.h"
+
+namespace fuchsiaweir {
+namespace {
+
+constexpr char kRunPrefix[] = "/internal/v1/runs/";
+constexpr Duration kFinishPoll = Millis(20);
+
+RunAttempt AttemptOf(const HttpTarget& target) {
+  return {target.path.substr(std::string(kRunPrefix).size()), target.QueryInteger("attempt", 0)};
+}
+
+/// Returns the terms of a run, or nothing when the model is unknown.
+std::optional<RunTerms> TermsOf(const Inventory& inventory, const std::string& model,
+                                const std::string& team) {
+  const Model* found = FindByName(inventory.models, model);
+  if (found == nullptr) return std::nullopt;
+  RunTerms terms;
+  terms.model = *found;
+  if (const Team* known = FindByName(inventory.teams, team)) terms.team_weight = known->weight;
+  terms.silence = Millis(inventory.rules.progress_deadline_ms);
+  return terms;
+}
+
+Error UnknownModel(const std::string& model) {
+  return {ErrorCode::kUnknownModel, RunState::kNotRun, "unknown model \"" + model + "\""};
+}
+
+}  // namespace
+
+AgentRuns::AgentRuns(boost::asio::io_context& io, const Settings& settings, ConfigService& config,
+                     HttpClient& client)
+    : io_(io), settings_(settings), config_(config), client_(client) {
+  buffers_.emplace(io, RunTableLimits{}, [this](const RunAttempt& run) { StopRun(run); });
+}
+
+AgentRuns::Dispatcher AgentRuns::FindIn(const ConfigSnapshot& config, const std::string& name) {
+  const Runner* runner = FindByName(config.inventory.runners, name);
+  if (runner == nullptr || runner->host != settings_.host) return nullptr;
+  const auto found = dispatchers_.find(name);
+  if (found != dispatchers_.end()) return found->second;
+  const Endpoint engine{runner->address, static_cast<uint16_t>(runner->port)};
+  auto dispatcher = std::make_shared<RunnerDispatcher>(io_, *runner, config.inventory.rules,
+                                                       MakeHttpEngineClient(client_, engine),
+                                                       *buffers_, transfer_);
+  dispatcher->Start();
+  dispatchers_[name] = dispatcher;
+  return dispatcher;
+}
+
+AgentRuns::Dispatcher AgentRuns::Find(const std::string& runner) {
+  Reconcile();
+  const std::shared_ptr<const ConfigSnapshot> config = config_.current();
+  return FindIn(*config, runner);
+}
+
+void AgentRuns::Reconcile() {
+  const std::shared_ptr<const ConfigSnapshot> config = config_.current();
+  if (config->revision == revision_) return;
+  revision_ = config->revision;
+  const Inventory& inventory = config->inventory;
+  buffers_->SetAttachWindow(Millis(inventory.rules.attach_window_ms));
+  for (auto entry = dispatchers_.begin(); entry != dispatchers_.end();) {
+    const Dispatcher dispatcher = entry->second;
+    const Runner& old = dispatcher->runner();
+    const Runner* runner = FindByName(inventory.runners, entry->first);
+    const bool stays = runner != nullptr && runner->host == settings_.host &&
+                       runner->address == old.address && runner->port == old.port;
+    if (stays) {
+      dispatcher->Configure(*runner, inventory.rules);
+      ++entry;
+    } else {
+      leaving_.push_back(dispatcher);
+      entry = dispatchers_.erase(entry);
+    }
+  }
+  for (const Runner& runner : inventory.runners) FindIn(*config, runner.name);
+}
+
+void AgentRuns::Tick(TimePoint now) {
+  Reconcile();
+  buffers_->Expire(now);
+  std::erase_if(leaving_, [](const Dispatcher& dispatcher) { return dispatcher->idle(); });
+}
+
+void AgentRuns::StopRun(const RunAttempt& run) {
+  for (const auto& [name, dispatcher] : dispatchers_) dispatcher->Stop(run);
+  for (const Dispatcher& dispatcher : leaving_) dispatcher->Stop(run);
+}
+
+Result<std::vector<Bid>> AgentRuns::CollectBids(const BidRequest& request) {
+  Reconcile();
+  const std::shared_ptr<const ConfigSnapshot> config = config_.current();
+  const std::optional<RunTerms> terms = TermsOf(config->inventory, request.model, request.team);
+  if (!terms) return UnknownModel(request.model);
+  Error refusal{ErrorCode::kNoTarget, RunState::kNotRun,
+                absl::StrCat("host ", settings_.host, " has no runner")};
+  std::vector<Bid> bids;
+  for (const auto& [name, dispatcher] : dispatchers_) {
+    const Result<Bid> bid = dispatcher->MakeBid(request, *terms);
+    if (bid) bids.push_back(bid.value());
+    if (!bid) refusal = bid.error();
+  }
+  if (bids.empty()) return refusal;
+  return bids;
+}
+
+Awaitable<void> AgentRuns::HandleBids(HttpExchange& exchange, std::optional<Error> refusal) {
+  Result<std::vector<Bid>> answer = std::vector<Bid>();
+  if (refusal) {
+    answer = *refusal;
+  } else {
+    const Result<BidRequest> request = DecodeBidRequest(exchange.request().body);
+    if (request) answer = CollectBids(request.value());
+    if (!request) answer = request.error();
+  }
+  const int status = answer ? 200 : HttpStatus(answer.error().code);
+  HttpResponse response = JsonResponse(status, EncodeBidAnswer(answer));
+  co_await exchange.Respond(std::move(response));
+}
+
+std::optional<Error> AgentRuns::Admit(RunRequest request) {
+  const Dispatcher dispatcher = Find(request.runner);
+  if (dispatcher == nullptr) {
+    return Error{ErrorCode::kOutOfService, RunState::kNotRun,
+                 absl::StrCat("host ", settings_.host, " has no runner ", request.runner)};
+  }
+  const std::shared_ptr<const ConfigSnapshot> config = config_.current();
+  std::optional<RunTerms> terms = TermsOf(config->inventory, request.model, request.team);
+  if (!terms) return UnknownModel(request.model);
+  return dispatcher->Admit(std::move(request), std::move(*terms));
+}
+
+Awaitable<void> AgentRuns::HandleRun(HttpExchange& exchange, std::optional<Error> refusal) {
+  RunAttempt run;
+  int64_t offset = 0;
+  if (!refusal) {
+    Result<RunRequest> request = DecodeRunRequest(exchange.request().body);
+    if (request) {
+      run = {request.value().run, request.value().attempt};
+      offset = static_cast<int64_t>(request.value().produced.size());
+      refusal = Admit(std::move(request.value()));
+    } else {
+      refusal = request.error();
+    }
+  }
+  if (refusal) {
+    HttpResponse response = ErrorResponse(*refusal);
+    co_await exchange.Respond(std::move(response));
+    co_return;
+  }
+  co_await buffers_->Serve(exchange, std::move(run), offset);
+}
+
+Awaitable<void> AgentRuns::HandleAttach(HttpExchange& exchange) {
+  RunAttempt run = AttemptOf(exchange.target());
+  const int64_t offset = exchange.target().QueryInteger("offset", 0);
+  co_await buffers_->Serve(exchange, std::move(run), offset);
+}
+
+Awaitable<void> AgentRuns::HandleCancel(HttpExchange& exchange) {
+  buffers_->Cancel(AttemptOf(exchange.target()));
+  HttpResponse response = JsonResponse(200, "{}");
+  co_await exchange.Respond(std::move(response));
+}
+
+Awaitable<void> AgentRuns::Finish() {
+  while (buffers_->undelivered() > 0) co_await SleepFor(kFinishPoll);
+}
+
+}  // namespace fuchsiaweir
--- a/src/net/engine_client.cc
+++ b/src/net/engine_client.cc
@@ -44,10 +44,7 @@
 
 class EndedEngineStream : public EngineStream {
  public:
-  EndedEngineStream(EngineEvent::Kind kind, std::string failure) {
-    event_.kind = kind;
-    event_.failure = std::move(failure);
-  }
+  explicit EndedEngineStream(EngineEvent event) : event_(std::move(event)) {}
   Awaitable<EngineEvent> Next(Duration) override { co_return event_; }
 
  private:
@@ -86,6 +83,42 @@
   return call;
 }
 
+std::optional<EngineLoad> DecodeLoad(const std::string& text) {
+  try {
+    const json::value body = json::parse(text);
+    EngineLoad load;
+    load.instance = std::string(body.at("instance").as_string());
+    load.model = std::string(body.at("model").as_string());
+    load.version = std::string(body.at("version").as_string());
+    load.running = body.at("running").to_number<int64_t>();
+    load.waiting = body.at("waiting").to_number<int64_t>();
+    return load;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+/// Describes a generate call that opened no stream.
+EngineEvent OpenFailure(const HttpStreamResult& result) {
+  EngineEvent event;
+  event.failure = result.failure;
+  event.stage = RequestStage::kBytesMayHaveLeft;
+  if (result.stage == CallStage::kNotConnected) {
+    event.kind = EngineEvent::Kind::kRefused;
+    event.stage = RequestStage::kNotConnected;
+  } else if (result.response) {
+    const int status = result.response->status;
+    event.failure = absl::StrCat("engine answered ", status);
+    event.stage = RequestStage::kAnswerIncomplete;
+    // Only these answers are the protocol's refusals; another status may follow executed work.
+    if (status / 100 == 4 || status == 503) {
+      event.kind = EngineEvent::Kind::kRefused;
+      event.stage = RequestStage::kRefusedByEngine;
+    }
+  }
+  return event;
+}
+
 class HttpEngineClient : public EngineClient {
  public:
   HttpEngineClient(HttpClient& client, Endpoint endpoint)
@@ -94,7 +127,7 @@
   Awaitable<std::unique_ptr<EngineStream>> Generate(GenerateRequest request,
                                                     Duration timeout) override;
   Awaitable<EngineCall> Cancel(std::string run, Duration timeout) override;
-  Awaitable<std::optional<EngineLoad>> Load(Duration timeout) override;
+  Awaitable<EngineProbe> Probe(Duration timeout) override;
   Awaitable<std::optional<CacheEvents>> Events(int64_t after, Duration timeout) override;
   Awaitable<EngineExport> ExportBlock(std::string block, Duration timeout) override;
   Awaitable<EngineCall> ImportBlock(std::string block, std::string bytes,
@@ -138,11 +171,7 @@
   if (result.stream != nullptr) {
     co_return std::make_unique<HttpEngineStream>(std::move(result.stream));
   }
-  const bool refused = result.response.has_value() || result.stage == CallStage::kNotConnected;
-  const EngineEvent::Kind kind = refused ? EngineEvent::Kind::kRefused : EngineEvent::Kind::kBroken;
-  std::string reason =
-      result.response ? absl::StrCat("engine answered ", result.response->status) : result.failure;
-  co_return std::make_unique<EndedEngineStream>(kind, std::move(reason));
+  co_return std::make_unique<EndedEngineStream>(OpenFailure(result));
 }
 
 Awaitable<EngineCall> HttpEngineClient::Cancel(std::string run, Duration timeout) {
@@ -151,21 +180,12 @@
   co_return ToEngineCall(result);
 }
 
-Awaitable<std::optional<EngineLoad>> HttpEngineClient::Load(Duration timeout) {
+Awaitable<EngineProbe> HttpEngineClient::Probe(Duration timeout) {
   const HttpResult result = co_await Call("GET", "/v1/load", "", timeout);
-  if (!result.ok()) co_return std::nullopt;
-  try {
-    const json::value body = json::parse(result.response->body);
-    EngineLoad load;
-    load.instance = std::string(body.at("instance").as_string());
-    load.model = std::string(body.at("model").as_string());
-    load.version = std::string(body.at("version").as_string());
-    load.running = body.at("running").to_number<int64_t>();
-    load.waiting = body.at("waiting").to_number<int64_t>();
-    co_return load;
-  } catch (const std::exception&) {
-    co_return std::nullopt;
-  }
+  EngineProbe probe;
+  probe.unreachable = result.stage == CallStage::kNotConnected;
+  if (result.ok()) probe.load = DecodeLoad(result.response->body);
+  co_return probe;
 }
 
 Awaitable<std::optional<CacheEvents>> HttpEngineClient::Events(int64_t after, Duration timeout) {
--- a/src/net/engine_client.h
+++ b/src/net/engine_client.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "core/run_outcome.h"
 #include "net/awaitable.h"
 #include "net/http_client.h"
 #include "net/object_api.h"
@@ -40,6 +41,8 @@
   std::string finish;
   int64_t cached_tokens = 0;  ///< Prompt tokens found in accelerator memory.
   std::string failure;
+  /// How far the run came when the kind is kRefused, kSilent or kBroken.
+  RequestStage stage = RequestStage::kAnswerIncomplete;
 };
 
 /// A run in progress on an engine.
@@ -58,6 +61,12 @@
   int64_t waiting = 0;
 };
 
+/// Answer to a load poll.
+struct EngineProbe {
+  bool unreachable = false;  ///< No connection could be opened, so no engine process listens.
+  std::optional<EngineLoad> load;
+};
+
 /// Result of a call without a value.
 struct EngineCall {
   CallOutcome outcome = CallOutcome::kNotDone;
@@ -95,7 +104,7 @@
   virtual Awaitable<std::unique_ptr<EngineStream>> Generate(GenerateRequest request,
                                                             Duration timeout) = 0;
   virtual Awaitable<EngineCall> Cancel(std::string run, Duration timeout) = 0;
-  virtual Awaitable<std::optional<EngineLoad>> Load(Duration timeout) = 0;
+  virtual Awaitable<EngineProbe> Probe(Duration timeout) = 0;
   virtual Awaitable<std::optional<CacheEvents>> Events(int64_t after, Duration timeout) = 0;
   virtual Awaitable<EngineExport> ExportBlock(std::string block, Duration timeout) = 0;
   virtual Awaitable<EngineCall> ImportBlock(std::string block, std::string bytes,
--- /dev/null
+++ b/src/net/run_buffers.cc
@@ -0,0 +1,122 @@
+#include "net/run_buffers.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "net/log.h"
+
+namespace fuchsiaweir {
+namespace {
+
+/// An empty frame after this pause tells the entry that the run is alive. It is a fifth of the
+/// default progress deadline.
+constexpr Duration kHeartbeat = Seconds(1);
+
+Frame Heartbeat(const RunAttempt& run, int64_t offset) {
+  Frame frame;
+  frame.run = run.run;
+  frame.attempt = run.attempt;
+  frame.offset = offset;
+  return frame;
+}
+
+bool EndsRun(const Frame& frame) { return frame.done || frame.error.has_value(); }
+
+}  // namespace
+
+RunBuffers::RunBuffers(boost::asio::io_context& io, RunTableLimits limits, StopRun stop)
+    : io_(io), table_(limits), stop_(std::move(stop)) {}
+
+std::optional<Error> RunBuffers::Open(const RunAttempt& run, int64_t offset) {
+  const Result<std::optional<RunAttempt>> opened =
+      table_.Open(run.run, run.attempt, offset, SteadyNow());
+  if (!opened) return opened.error();
+  if (opened.value()) {
+    stop_(*opened.value());
+    Notify(run.run);
+  }
+  return std::nullopt;
+}
+
+void RunBuffers::Discard(const RunAttempt& run) { table_.Cancel(run.run, run.attempt); }
+
+bool RunBuffers::Append(const RunAttempt& run, const std::vector<std::string>& tokens) {
+  const Result<void> appended = table_.Append(run.run, run.attempt, tokens);
+  Notify(run.run);
+  if (!appended) {
+    LogWarning("run_output_dropped", {{"run", run.run}, {"reason", appended.error().message}});
+  }
+  return appended.has_value();
+}
+
+void RunBuffers::Finish(const RunAttempt& run, const std::string& finish, const Usage& usage) {
+  table_.Finish(run.run, run.attempt, finish, usage);
+  Notify(run.run);
+}
+
+void RunBuffers::Fail(const RunAttempt& run, const Error& error) {
+  table_.Fail(run.run, run.attempt, error);
+  Notify(run.run);
+}
+
+Awaitable<void> RunBuffers::Serve(HttpExchange& exchange, RunAttempt run, int64_t offset) {
+  const Result<RunTable::ReaderId> reader = table_.Attach(run.run, run.attempt, offset);
+  if (!reader) {
+    HttpResponse response = ErrorResponse(reader.error());
+    co_await exchange.Respond(std::move(response));
+    co_return;
+  }
+  Notify(run.run);  // A replaced reader learns that its connection is of no use any more.
+  co_await Relay(exchange, run, reader.value(), offset);
+  table_.Detach(run.run, run.attempt, reader.value(), SteadyNow());
+}
+
+Awaitable<void> RunBuffers::Relay(HttpExchange& exchange, RunAttempt run, RunTable::ReaderId reader,
+                                  int64_t offset) {
+  HttpHeaders headers{{"Content-Type", "application/x-ndjson"}};
+  bool open = co_await exchange.BeginStream(200, std::move(headers));
+  bool waited = false;
+  while (open && !exchange.peer_gone()) {
+    const Result<std::optional<Frame>> next = table_.Read(run.run, run.attempt, reader);
+    if (!next) co_return exchange.Abort();
+    if (!next.value() && !waited) {
+      co_await WaitForNews(run.run);
+      waited = true;
+      continue;
+    }
+    waited = false;
+    const Frame frame = next.value().value_or(Heartbeat(run, offset));
+    offset += static_cast<int64_t>(frame.tokens.size());
+    open = co_await exchange.WriteChunk(EncodeFrame(frame));
+    if (open && EndsRun(frame)) {
+      co_await exchange.EndStream();
+      co_return;
+    }
+  }
+}
+
+Awaitable<void> RunBuffers::WaitForNews(std::string run) {
+  boost::asio::steady_timer timer(io_);
+  timer.expires_after(kHeartbeat);
+  const Waiting::iterator entry = waiting_.emplace(run, &timer);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  waiting_.erase(entry);
+}
+
+void RunBuffers::Notify(const std::string& run) {
+  const auto [first, last] = waiting_.equal_range(run);
+  for (auto entry = first; entry != last; ++entry) entry->second->cancel();
+}
+
+void RunBuffers::Cancel(const RunAttempt& run) {
+  if (table_.Cancel(run.run, run.attempt)) stop_(run);
+  Notify(run.run);
+}
+
+void RunBuffers::Expire(TimePoint now) {
+  for (const RunAttempt& run : table_.Expire(now)) stop_(run);
+}
+
+}  // namespace fuchsiaweir
--- a/src/net/runner_dispatcher.h
+++ b/src/net/runner_dispatcher.h
@@ -1,65 +1,113 @@
 #ifndef FUCHSIAWEIR_NET_RUNNER_DISPATCHER_H_
 #define FUCHSIAWEIR_NET_RUNNER_DISPATCHER_H_
 
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
-#include "core/frame.h"
+#include "core/bid.h"
+#include "core/cold_start_gate.h"
+#include "core/fair_queue.h"
 #include "core/inventory.h"
-#include "core/run_message.h"
-#include "net/engine_client.h"
-#include "net/kernel.h"
+#include "net/block_transfer.h"
+#include "net/engine_monitor.h"
+#include "net/engine_run.h"
+#include "net/run_buffers.h"
 
 namespace fuchsiaweir {
 
-/// Output of one run on this agent. Readers attach at an offset and may attach again.
-struct AgentRun {
-  explicit AgentRun(boost::asio::io_context& io) : changed(io) {}
-
-  std::string run;
-  int64_t attempt = 0;
-  int64_t base = 0;  ///< Offset of tokens[0] in the whole output.
-  std::vector<std::string> tokens;
-  bool done = false;
-  std::string finish;
-  Usage usage;
-  std::optional<Error> error;
-  int readers = 0;
-  TimePoint unattended_since{};
-  boost::asio::steady_timer changed;  ///< Cancelled whenever the run changes.
-
-  void Notify() { changed.cancel(); }
-  bool ended() const { return done || error.has_value(); }
-};
-
-/// The gate to one model runner: admits runs, drives the engine and buffers the output.
-class RunnerDispatcher {
+/// The only gate to one model runner: bids for it, queues its runs and starts them when the
+/// cold-start gate has room.
+class RunnerDispatcher : public std::enable_shared_from_this<RunnerDispatcher> {
  public:
+  /// `buffers` outlives the dispatcher. `transfer` may be null.
   RunnerDispatcher(boost::asio::io_context& io, const Runner& runner, const Rules& rules,
-                   std::unique_ptr<EngineClient> engine);
+                   std::unique_ptr<EngineClient> engine, RunBuffers& buffers,
+                   BlockTransfer* transfer);
+  ~RunnerDispatcher() { monitor_->Close(); }
+
+  void Start();
+  /// Ends the load polls. Called when nothing runs any more.
+  void Close();
+  /// Takes over changed limits. A changed address needs a new dispatcher.
+  void Configure(const Runner& runner, const Rules& rules);
+  const Runner& runner() const { return runner_; }
+
+  /// Estimates the time to first token of a prompt for a team of this weight, or refuses.
+  Result<Bid> MakeBid(const BidRequest& request, const RunTerms& terms);
 
-  /// Admits the run or refuses it with a true kNotRun. An admitted run starts at once.
-  Result<std::shared_ptr<AgentRun>> Admit(RunRequest request, const Model& model);
+  /// Queues the run, or refuses it as not_run. The run's buffer is open afterwards unless it was
+  /// refused.
+  std::optional<Error> Admit(RunRequest request, RunTerms terms);
 
-  /// Returns the run with this id and attempt, or null.
-  std::shared_ptr<AgentRun> Find(const std::string& run, int64_t attempt);
-  void Cancel(const std::string& run, int64_t attempt);
-  /// Forgets ended and unattended runs whose attach window has passed.
-  void Expire(TimePoint now);
+  /// Ends a run that nobody waits for, whether it is queued or running. Unknown runs are ignored.
+  void Stop(const RunAttempt& id);
 
-  int64_t active() const { return active_; }
+  /// Orders the engine to load weights. No run starts between the order and the first load report
+  /// after it, so that none begins with blocks of the old version.
+  Awaitable<EngineCall> OrderLoad(LoadOrder order, Duration timeout);
+
+  /// Weight version of the last load report, or "".
+  std::string version() const;
+  bool idle() const { return accepted_.empty(); }
 
  private:
-  Awaitable<void> Drive(std::shared_ptr<AgentRun> run, RunRequest request);
+  using Accepted = std::shared_ptr<AcceptedRun>;
+  /// Blocks of an ended run that wait for proof that the engine did not change meanwhile.
+  struct PendingRetain {
+    BlockDemand blocks;
+    uint64_t epoch = 0;
+    TimePoint ended;
+  };
+
+  QueuedWork WorkOf(const AcceptedRun& run) const;
+  RunnerLoad LoadFor(const QueuedWork& work, const RunTerms& terms,
+                     const BlockResidency& residency) const;
+  std::optional<Error> RefusalOf(const RunRequest& request) const;
+  BlockResidency ResidencyOf(const std::vector<BlockId>& chain) const;
+
+  void OnReport(const EngineProbe& probe);
+  void RetainConfirmed();
+  void Pump();
+  void RefuseLate(TimePoint now);
+  bool MayStart(TimePoint now) const;
+  bool StartIsolated(TimePoint now);
+  void StartRun(const Accepted& run);
+  Awaitable<void> Drive(Accepted run);
+  Awaitable<void> AwaitSettled(Accepted run);
+  void OnRunEnded(const Accepted& run, const RunEnd& end, TimePoint started);
+  void OnPrefillEnded(AcceptedRun& run);
+  void RefuseQueued(const std::string& key, const Error& error);
+  void RefuseAllQueued(const Error& error);
+  void CancelOnEngine(const std::string& key);
+  int64_t RunsOnEngine() const;
+  void UpdateBusy();
 
   boost::asio::io_context& io_;
   Runner runner_;
   Rules rules_;
   std::shared_ptr<EngineClient> engine_;
-  std::map<std::string, std::shared_ptr<AgentRun>> runs_;
-  int64_t active_ = 0;
+  std::shared_ptr<EngineMonitor> monitor_;
+  RunBuffers& buffers_;
+  BlockTransfer* transfer_;
+  ColdStartGate gate_;
+  FairQueue queue_;
+  std::map<std::string, Accepted> accepted_;  ///< All queued and running runs by key.
+  std::map<std::string, Accepted> running_;   ///< Runs that hold a slot of the gate.
+  Accepted isolated_;                         ///< A suspect run that waits to run, or runs, alone.
+  std::vector<PendingRetain> retains_;
+  uint64_t epoch_ = 0;
+  int64_t prefill_tokens_ = 0;  ///< Prompt tokens that the engine is computing.
+  int64_t long_prefills_ = 0;
+  int64_t lingering_ = 0;   ///< Slots of runs that ended while the engine may still hold them.
+  int64_t loading_ = 0;     ///< Load orders without an answer.
+  TimePoint fresh_from_{};  ///< More than the cold limit needs a report asked for after this time.
+  TimePoint idle_since_{};
+  Duration mean_run_;
 };
 
 }  // namespace fuchsiaweir
--- a/test/standin/engine.cc
+++ b/test/standin/engine.cc
@@ -278,7 +278,7 @@
   const json::object body{{"instance", absl::StrCat(instance_, ".", restarts_)},
                           {"model", options_.model},
                           {"version", version_},
-                          {"running", running_},
+                          {"running", running_ - waiting_},
                           {"waiting", waiting_}};
   std::string lagged = json::serialize(body);
   co_await SleepFor(Millis(options_.event_lag_ms));
