--- a/src/net/entry_service.cc
+++ b/src/net/entry_service.cc
@@ -21,7 +21,8 @@
       settings_(settings),
       config_(kernel.Find<ConfigService>("config")),
       models_(kernel),
-      services_(config_, kernel.Find<HttpClients>("http_clients").peers()),
+      services_(config_, kernel.Find<ServiceGate>("service_gate"),
+                kernel.Find<HttpClients>("http_clients").peers()),
       server_(kernel.io(), std::move(options),
               [this](HttpExchange& exchange) { return Handle(exchange); }) {}
 
--- a/src/net/model_router.cc
+++ b/src/net/model_router.cc
@@ -81,21 +81,30 @@
 ModelRouter::ModelRouter(Kernel& kernel)
     : io_(kernel.io()),
       config_(kernel.Find<ConfigService>("config")),
+      gate_(kernel.Find<ServiceGate>("service_gate")),
       agents_(kernel.Find<HttpClients>("http_clients").peers()),
       metrics_(kernel.Find<Metrics>("metrics")),
       hot_prefixes_(HotPrefixRules{}),
       retry_budget_(Rules{}.retry_budget_percent, kRetryBurst) {}
 
 void ModelRouter::Configure() {
+  const int64_t generation = gate_.generation();
+  if (generation == configured_generation_) return;
+  configured_generation_ = generation;
   const std::shared_ptr<const ConfigSnapshot> config = config_.current();
-  if (config->revision == configured_revision_) return;
-  configured_revision_ = config->revision;
   const Inventory& inventory = config->inventory;
   const auto entries = std::count_if(inventory.hosts.begin(), inventory.hosts.end(),
                                      [](const Host& host) { return host.role == "entry"; });
-  candidates_ = std::make_shared<const CandidateTable>(inventory);
+  auto candidates = std::make_shared<CandidateTable>(inventory);
+  for (const Runner& runner : inventory.runners) {
+    if (!gate_.RunnerAccepts(runner.name)) candidates->SetInService(runner.name, false);
+  }
+  candidates_ = std::move(candidates);
   quota_.Configure(inventory.teams, static_cast<size_t>(std::max<int64_t>(1, entries)));
-  retry_budget_ = RetryBudget(inventory.rules.retry_budget_percent, kRetryBurst);
+  if (inventory.rules.retry_budget_percent != retry_budget_percent_) {
+    retry_budget_percent_ = inventory.rules.retry_budget_percent;
+    retry_budget_ = RetryBudget(retry_budget_percent_, kRetryBurst);
+  }
 }
 
 std::optional<Error> ModelRouter::Check(Session& session) {
