Measure documents, tracked blocks and the least of three request runs

Cause: some slopes bent from noise of the shared cores, and the document with audit records and the index of block uses had no slope. Change: request costs are the least of three runs; documents and tracked blocks are measured; a failed request is reported with its answer.

--- a/test/capacity/core_slopes.cc
+++ b/test/capacity/core_slopes.cc
@@ -15,6 +15,7 @@
 #include "core/block_chain.h"
 #include "core/candidate_choice.h"
 #include "core/claim.h"
+#include "core/config_document.h"
 #include "core/dispatch_choice.h"
 #include "core/frame.h"
 #include "core/hot_prefix.h"
@@ -23,6 +24,7 @@
 #include "core/retention_policy.h"
 #include "core/run_message.h"
 #include "core/tokenizer.h"
+#include "net/deflate.h"
 
 namespace fuchsiaweir::capacity {
 namespace {
@@ -46,7 +48,10 @@
   return best;
 }
 
-double HeapBytes() { return static_cast<double>(mallinfo2().uordblks); }
+double HeapBytes() {
+  const struct mallinfo2 info = mallinfo2();
+  return static_cast<double>(info.uordblks + info.hblkhd);  // hblkhd counts large allocations.
+}
 
 std::string HexId(std::mt19937_64& random) { return ToHex(BlockId{random(), random()}); }
 
@@ -92,7 +97,7 @@
   Slope encode{"frame_encode_us", "tokens", "us at the agent per frame", {}};
   Slope decode{"frame_decode_us", "tokens", "us at the entry per frame", {}};
   Slope bytes{"frame_bytes", "tokens", "bytes per frame", {}};
-  for (const int tokens : {1, 4, 16, 64}) {
+  for (const int tokens : {1, 2, 4, 8, 16}) {
     Frame frame;
     frame.run = "0123456789abcdef0123456789abcdef";
     frame.attempt = 1;
@@ -152,18 +157,41 @@
 
 std::vector<Slope> Inventories(uint64_t) {
   Slope bytes{"inventory_bytes", "runners (all else in proportion)", "bytes of the text", {}};
+  Slope deflated{"inventory_deflated", "runners (all else in proportion)", "bytes, deflated", {}};
   Slope parse{"inventory_parse_us", "runners (all else in proportion)", "us to parse", {}};
   Slope heap{"inventory_heap", "runners (all else in proportion)", "heap bytes when parsed", {}};
   for (const int runners : {75, 150, 300, 450, 600}) {
     const std::string text = FleetText(ScaledFleet(runners));
     bytes.points.emplace_back(runners, static_cast<double>(text.size()));
+    deflated.points.emplace_back(runners, static_cast<double>(Deflate(text).size()));
     parse.points.emplace_back(runners, MicrosPerCall([&]() { Parse(text); }));
     const double before = HeapBytes();
     const Inventory inventory = Parse(text);
     const CandidateTable table(inventory);
     heap.points.emplace_back(runners, HeapBytes() - before);
   }
-  return {bytes, parse, heap};
+  return {bytes, deflated, parse, heap};
+}
+
+std::vector<Slope> Documents(uint64_t seed) {
+  std::mt19937_64 random(seed);
+  Slope bytes{"document_bytes", "audit records", "bytes of the document, full inventory", {}};
+  Slope deflated{"document_deflated", "audit records", "bytes, deflated, full inventory", {}};
+  ConfigDocument document;
+  document.inventory_ini = FleetText({});
+  for (const int records : {32, 64, 128, 256}) {
+    while (document.revision < records) {
+      AuditRecord record{"operator-17", "2026-12-04T05:00:00Z", "", HexId(random), 0, 0};
+      record.what = absl::StrCat("host fleet-host", random() % 300, " out of service: disk check");
+      record.old_revision = document.revision++;
+      record.new_revision = document.revision;
+      document.audit.push_back(record);
+    }
+    const std::string text = EncodeConfigDocument(document);
+    bytes.points.emplace_back(records, static_cast<double>(text.size()));
+    deflated.points.emplace_back(records, static_cast<double>(Deflate(text).size()));
+  }
+  return {bytes, deflated};
 }
 
 std::vector<Slope> Routing(uint64_t seed) {
@@ -196,6 +224,7 @@
   constexpr int64_t kBytes = 64;
   Slope heap{"block_heap", "blocks held", "heap bytes without the blocks' content", {}};
   Slope reserve{"block_evict_us", "blocks held", "us to add a block to a full arena", {}};
+  // Each point doubles the one before, so that hash tables are equally full.
   for (const int blocks : {500, 1'000, 2'000, 4'000}) {
     std::mt19937_64 random(seed);
     const double before = HeapBytes();
@@ -223,7 +252,19 @@
     heap.points.emplace_back(blocks, HeapBytes() - before - blocks * kBytes);
     reserve.points.emplace_back(blocks, MicrosPerCall(add));
   }
-  return {heap, reserve};
+  Slope tracked{"tracked_heap", "blocks whose last use is tracked", "heap bytes", {}};
+  for (const int blocks : {5'000, 10'000, 20'000, 40'000}) {
+    std::mt19937_64 random(seed);
+    const double before = HeapBytes();
+    RetentionPolicy policy(RetentionOptions{});
+    TimePoint now{};
+    for (int i = 0; i < blocks; ++i) {
+      now += Millis(10);
+      policy.Observe(absl::StrCat("fleet-team", i % 330), "notes", {{random(), random()}}, now);
+    }
+    tracked.points.emplace_back(blocks, HeapBytes() - before);
+  }
+  return {heap, reserve, tracked};
 }
 
 std::vector<Slope> Claims(uint64_t seed) {
@@ -267,10 +308,11 @@
 
 std::vector<Experiment> CoreExperiments() {
   constexpr char kHow[] = "in process";
-  return {{"bids", kHow, &Bids},       {"frames", kHow, &Frames},
-          {"prompts", kHow, &Prompts}, {"inventories", kHow, &Inventories},
-          {"routing", kHow, &Routing}, {"blocks", kHow, &Blocks},
-          {"claims", kHow, &Claims},   {"proofs", kHow, &Proofs}};
+  return {{"bids", kHow, &Bids},           {"frames", kHow, &Frames},
+          {"prompts", kHow, &Prompts},     {"inventories", kHow, &Inventories},
+          {"documents", kHow, &Documents}, {"routing", kHow, &Routing},
+          {"blocks", kHow, &Blocks},       {"claims", kHow, &Claims},
+          {"proofs", kHow, &Proofs}};
 }
 
 }  // namespace fuchsiaweir::capacity
--- a/test/capacity/process_slopes.cc
+++ b/test/capacity/process_slopes.cc
@@ -27,7 +27,7 @@
 using testing::Reply;
 using testing::Send;
 
-constexpr Duration kSettle = Seconds(4);
+constexpr Duration kSettle = Seconds(8);  // A watch that was open before the list ends in 5 s.
 constexpr Duration kIdle = Seconds(10);
 constexpr int kChanges = 4;
 constexpr int kCallers = 8;
@@ -166,11 +166,12 @@
   Slope bytes{"fleet_bytes", "processes", "bytes/s of all processes together, idle", {}};
   Slope busiest{"fleet_busiest_bytes", "processes", "bytes per change of the busiest process", {}};
   Slope resident{"fleet_resident", "processes", "resident bytes of one, full inventory", {}};
-  Slope delay{"change_seconds", "processes", "s until in force everywhere, worst of 4", {}};
+  Slope delay{"change_seconds", "processes", "s until in force everywhere, mean of 4", {}};
+  Slope worst_delay{"change_worst", "processes", "s until in force everywhere, worst of 4", {}};
   Slope change_cpu{"change_cpu", "processes", "us per change of all processes together", {}};
   Slope change_bytes{"change_bytes", "processes", "bytes per change of all together", {}};
   Slope change_calls{"change_calls", "processes", "platform calls per change beyond idle", {}};
-  Slope burst{"burst_calls", "processes", "platform calls in the peak second, all restart", {}};
+  Slope burst{"burst_calls", "processes", "platform calls until all are in force, all restart", {}};
   Slope back{"burst_seconds", "processes", "s from restart of all to all in force", {}};
   Slope outage{"outage_calls", "processes", "platform calls in the peak second after outage", {}};
   for (const int count : {10, 20, 40, 80}) {
@@ -201,6 +202,7 @@
     bytes.points.emplace_back(count, idle_bytes);
 
     double worst = 0;
+    double sum = 0;
     TrafficMeter change_meter(Pids(deployment, names));
     change_meter.Sample();
     const TimePoint begin = SteadyNow();
@@ -209,14 +211,17 @@
     for (int i = 0; i < kChanges; ++i) {
       const std::string changed =
           absl::StrReplaceAll(base, {{"weight = 1\n", absl::StrCat("weight = ", i + 2, "\n")}});
-      worst = std::max(worst, ChangeSeconds(deployment, names, changed));
+      const double taken = ChangeSeconds(deployment, names, changed);
+      worst = std::max(worst, taken);
+      sum += taken;
       Sleep(Seconds(1));
       change_meter.Sample();
     }
     const double window = ToSeconds(SteadyNow() - begin);
     const double spent = TotalMicros(deployment, names) - micros_before;
     const PlatformCalls during = Calls(deployment) - calls_before;
-    delay.points.emplace_back(count, worst);
+    delay.points.emplace_back(count, sum / kChanges);
+    worst_delay.points.emplace_back(count, worst);
     change_cpu.points.emplace_back(count, std::max(0.0, spent - idle_micros * window) / kChanges);
     change_bytes.points.emplace_back(count,
                                      (change_meter.total() - idle_bytes * window) / kChanges);
@@ -236,18 +241,20 @@
 
     const int64_t revision = Revision(deployment);
     for (const std::string& name : names) deployment.Signal(name, SIGKILL);
+    const PlatformCalls before = Calls(deployment);
     const absl::Time killed = absl::Now();
     for (const std::string& name : names) deployment.Restart(name);
     absl::Time last = killed;
-    burst.points.emplace_back(count, PeakCalls(deployment, [&]() {
-                                for (const std::string& name : names) {
-                                  const std::optional<absl::Time> adopted =
-                                      AdoptedAt(deployment, name, revision);
-                                  if (!adopted || *adopted < killed) return false;
-                                  last = std::max(last, *adopted);
-                                }
-                                return true;
-                              }));
+    const bool all_back = Eventually([&]() {
+      for (const std::string& name : names) {
+        const std::optional<absl::Time> adopted = AdoptedAt(deployment, name, revision);
+        if (!adopted || *adopted < killed) return false;
+        last = std::max(last, *adopted);
+      }
+      return true;
+    });
+    if (!all_back) throw std::runtime_error("a restarted process has no configuration in 20 s");
+    burst.points.emplace_back(count, (Calls(deployment) - before).all);
     back.points.emplace_back(count, absl::ToDoubleSeconds(last - killed));
   }
   return {reads,      watches,      cpu,          bytes, busiest, resident, delay,
@@ -259,6 +266,7 @@
   std::atomic<int> next = 0;
   std::atomic<int64_t> events = 0;
   std::atomic<int> failed = 0;
+  std::string first_failure;  // Written by the caller that fails first, read after all have ended.
   const auto call = [&]() {
     for (int i = next++; i < requests; i = next++) {
       const json::object body{{"model", "model"},
@@ -267,14 +275,16 @@
                               {"stream", true}};
       const Reply reply = Send("POST", deployment.port("entry0"), "/v1/completions",
                                json::serialize(body), {{"Authorization", "Bearer key-alpha"}});
-      if (reply.status != 200) ++failed;
+      if (reply.status != 200 && failed++ == 0) {
+        first_failure = absl::StrCat(reply.status, " ", reply.body);
+      }
       for (size_t at = 0; (at = reply.body.find("data:", at)) != std::string::npos; ++at) ++events;
     }
   };
   std::vector<std::thread> callers;
   for (int i = 0; i < kCallers; ++i) callers.emplace_back(call);
   for (std::thread& caller : callers) caller.join();
-  if (failed > requests / 50) throw std::runtime_error(absl::StrCat(failed.load(), " failed"));
+  if (failed > requests / 50) throw std::runtime_error(absl::StrCat(failed.load(), " failed: ", first_failure));
   return events;
 }
 
@@ -294,8 +304,19 @@
     Complete(deployment_, 40, 50, 8);
   }
 
-  /// Cost per request, without the cost of the idle processes.
+  /// Cost per request: the least of three runs, because other work on the cores only adds time.
   RequestCost Measure(int requests, int prompt_tokens, int max_tokens) {
+    RequestCost least = MeasureOnce(requests, prompt_tokens, max_tokens);
+    for (int repeat = 1; repeat < 3; ++repeat) {
+      const RequestCost cost = MeasureOnce(requests, prompt_tokens, max_tokens);
+      least.entry_micros = std::min(least.entry_micros, cost.entry_micros);
+      least.agent_micros = std::min(least.agent_micros, cost.agent_micros);
+    }
+    return least;
+  }
+
+ private:
+  RequestCost MeasureOnce(int requests, int prompt_tokens, int max_tokens) {
     const double entry = TotalMicros(deployment_, {"entry0"});
     const double agents = TotalMicros(deployment_, {"agent0", "agent1"});
     const int64_t events = Complete(deployment_, requests, prompt_tokens, max_tokens);
@@ -304,9 +325,6 @@
             static_cast<double>(events) / requests};
   }
 
-  double Resident(const std::string& name) { return ResidentBytes(deployment_.pid(name)); }
-
- private:
   static Deployment::Options Options() {
     Deployment::Options options;
     options.engine_flags = {"--cold_limit=64", "--max_concurrent=64", "--warm_up_runs=0",
@@ -321,7 +339,7 @@
   Slope entry{"request_entry_us", "requests", "us at the entry, 50 prompt and 8 output tokens", {}};
   Slope agent{"request_agent_us", "requests", "us at the agents, the same", {}};
   RequestRun run;
-  for (const int requests : {100, 200, 400, 800}) {
+  for (const int requests : {50, 100, 200, 400}) {
     const RequestCost cost = run.Measure(requests, 50, 8);
     entry.points.emplace_back(requests, cost.entry_micros * requests);
     agent.points.emplace_back(requests, cost.agent_micros * requests);
@@ -345,7 +363,7 @@
   Slope entry{"length_entry_us", "prompt tokens", "us at the entry per request", {}};
   Slope agent{"length_agent_us", "prompt tokens", "us at the agents per request", {}};
   RequestRun run;
-  for (const int tokens : {500, 1'000, 2'000, 4'000, 8'000}) {
+  for (const int tokens : {1'000, 2'000, 4'000, 6'000, 8'000}) {
     const RequestCost cost = run.Measure(60, tokens, 2);
     entry.points.emplace_back(tokens, cost.entry_micros);
     agent.points.emplace_back(tokens, cost.agent_micros);
