Refuse a request after two of its targets crashed

Cause: a request that crashes its runner was retried on the next one, and its caller could send it again through another entry.

Change: the agent names the crashed engine instance; the entry records it, tells the other entries directly and writes it to a platform object that new entries read; a suspect runs alone on one more runner, then it is refused as poisoned. Other runs of the crashed runner are retried.

--- /dev/null
+++ b/src/core/crash_records.h
@@ -0,0 +1,20 @@
+#ifndef FUCHSIAWEIR_CORE_CRASH_RECORDS_H_
+#define FUCHSIAWEIR_CORE_CRASH_RECORDS_H_
+
+#include <string>
+#include <string_view>
+
+#include "core/poison_tracker.h"
+#include "core/result.h"
+
+namespace fuchsiaweir {
+
+/// Returns the records as JSON, as kept in the platform and sent to peers.
+std::string EncodeCrashRecords(const CrashRecords& records);
+
+/// Parses records. Malformed input gives kBadRequest.
+Result<CrashRecords> DecodeCrashRecords(std::string_view text);
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_CORE_CRASH_RECORDS_H_
--- a/src/core/json_fields.cc
+++ b/src/core/json_fields.cc
@@ -42,7 +42,7 @@
           {"run_state", std::string(Name(error.run_state))},
           {"message", error.message},
           {"retry_after_ms", ToMillis(error.retry_after)},
-          {"concurrent_runs", error.concurrent_runs}};
+          {"crashed_instance", error.crashed_instance}};
 }
 
 Error ErrorFromJson(const json::object& object) {
@@ -52,8 +52,8 @@
   error.message = StringField(object, "message");
   error.retry_after = Millis(IntegerField(object, "retry_after_ms"));
   // Processes of an earlier version send no such field.
-  if (object.contains("concurrent_runs")) {
-    error.concurrent_runs = IntegerField(object, "concurrent_runs");
+  if (object.contains("crashed_instance")) {
+    error.crashed_instance = StringField(object, "crashed_instance");
   }
   return error;
 }
--- a/src/core/result.h
+++ b/src/core/result.h
@@ -16,8 +16,9 @@
   ErrorCode code = ErrorCode::kInternal;
   RunState run_state = RunState::kNotRun;
   std::string message;
-  Duration retry_after{0};      ///< Zero when waiting does not help.
-  int64_t concurrent_runs = 0;  ///< Other runs on the target when it crashed (kTargetCrashed).
+  Duration retry_after{0};  ///< Zero when waiting does not help.
+  /// Runner and engine instance that crashed (kTargetCrashed).
+  std::string crashed_instance = {};
 };
 
 /// A value or an `Error`. Reading the missing side ends the process.
--- a/src/core/retry_policy.cc
+++ b/src/core/retry_policy.cc
@@ -8,10 +8,10 @@
 namespace {
 
 // Failures that another target may not have.
-constexpr std::array<ErrorCode, 7> kRetryable = {
-    ErrorCode::kTimeout,          ErrorCode::kOverloaded, ErrorCode::kOutOfService,
-    ErrorCode::kNoTarget,         ErrorCode::kCold,       ErrorCode::kTargetFailed,
-    ErrorCode::kIncompleteAnswer,
+constexpr std::array<ErrorCode, 8> kRetryable = {
+    ErrorCode::kTimeout,          ErrorCode::kOverloaded,    ErrorCode::kOutOfService,
+    ErrorCode::kNoTarget,         ErrorCode::kCold,          ErrorCode::kTargetFailed,
+    ErrorCode::kIncompleteAnswer, ErrorCode::kTargetCrashed,
 };
 
 bool IsRetryable(ErrorCode code) {
--- a/src/net/daemon.cc
+++ b/src/net/daemon.cc
@@ -23,6 +23,7 @@
 #include "net/object_api.h"
 #include "net/revision_exchange.h"
 #include "net/service_gate.h"
+#include "net/suspect_service.h"
 #include "net/timer_service.h"
 #include "net/tls_context.h"
 
@@ -56,6 +57,7 @@
   kernel.Add<RevisionExchange>("revision_exchange", config, clients.peers(), settings);
   kernel.Add<ServiceGate>("service_gate", settings, config, membership);
   if (role == Role::kEntry) {
+    kernel.Add<SuspectService>("suspects", kernel, settings);
     kernel.Add<EntryService>("entry", kernel, settings, ServerOptions(settings, tls.server));
   } else {
     kernel.Add<AgentService>("agent", kernel, settings, ServerOptions(settings, tls.server));
--- a/src/net/engine_run.cc
+++ b/src/net/engine_run.cc
@@ -141,7 +141,6 @@
 Awaitable<void> EngineRun::OnFailure(EngineEvent event) {
   if (event.kind == EngineEvent::Kind::kTokens) event.failure = "unusable engine output";
   const bool refused = event.kind == EngineEvent::Kind::kRefused;
-  const int64_t others = context_.runs_on_engine() - 1;
   Error error{refused ? ErrorCode::kCold : ErrorCode::kTargetFailed, RunOutcome(event.stage),
               absl::StrCat("runner ", context_.runner.name, ": ", event.failure)};
   if (!refused) {
@@ -149,7 +148,7 @@
     if (!run_->stopped && co_await context_.monitor->CrashedSince(instance_)) {
       result_.settled = true;
       error.code = ErrorCode::kTargetCrashed;
-      error.concurrent_runs = others;
+      error.crashed_instance = absl::StrCat(context_.runner.name, "/", instance_);
     }
   }
   if (run_->stopped) co_return;
--- a/src/net/entry_service.cc
+++ b/src/net/entry_service.cc
@@ -8,6 +8,7 @@
 
 #include "core/digest.h"
 #include "net/common_routes.h"
+#include "net/suspect_service.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -51,6 +52,9 @@
   if (co_await ServeCommonRoute(exchange, "entry", kernel_)) co_return;
   const std::string& method = exchange.request().method;
   const std::string& path = exchange.target().path;
+  if (method == "POST" && path == "/internal/v1/suspects") {
+    co_return co_await kernel_.Find<SuspectService>("suspects").Serve(exchange);
+  }
   const std::optional<Team> team = Authenticate(exchange.request());
   HttpResponse response;
   if (!team) {
--- a/src/net/model_router.cc
+++ b/src/net/model_router.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "core/block_chain.h"
+#include "core/digest.h"
 #include "core/tokenizer.h"
 #include "net/caller_stream.h"
 #include "net/log.h"
@@ -31,6 +32,11 @@
 /// Maps the caller's -10 to 10 to the queue's background, normal and urgent.
 int64_t QueuePriority(int64_t priority) { return priority < 0 ? 0 : (priority == 0 ? 1 : 2); }
 
+std::string RequestDigest(const Team& team, const CompletionRequest& request) {
+  return Sha256Hex(absl::StrCat(team.name.size(), ":", team.name, request.model.size(), ":",
+                                request.model, request.prompt));
+}
+
 std::vector<std::string> HexIds(const std::vector<BlockId>& chain) {
   std::vector<std::string> ids;
   ids.reserve(chain.size());
@@ -68,6 +74,8 @@
   std::vector<std::string> prompt;
   std::vector<std::string> blocks;  ///< Block ids in hex.
   std::string prefix;               ///< Names the prompt's family for the choice of candidates.
+  std::string digest;               ///< Names the request in crash records.
+  bool suspect = false;
   bool hot = false;
   size_t candidate_count = 0;
   std::vector<std::string> failed_runners;
@@ -82,6 +90,7 @@
     : io_(kernel.io()),
       config_(kernel.Find<ConfigService>("config")),
       gate_(kernel.Find<ServiceGate>("service_gate")),
+      suspects_(kernel.Find<SuspectService>("suspects")),
       agents_(kernel.Find<HttpClients>("http_clients").peers()),
       metrics_(kernel.Find<Metrics>("metrics")),
       hot_prefixes_(HotPrefixRules{}),
@@ -116,6 +125,9 @@
   session.prompt = FindTokenizer(model->tokenizer)(session.request().prompt);
   const BlockScope scope{session.team.name, model->name, model->adapter, model->version};
   session.blocks = HexIds(BlockChain(scope, session.prompt, model->block_tokens));
+  session.digest = RequestDigest(session.team, session.request());
+  const std::optional<Error> poisoned = CheckSuspect(session);
+  if (poisoned) return poisoned;
   session.deadline = session.started + Millis(session.rules().request_deadline_ms);
   // A prompt shorter than a block has nothing to reuse, so it goes to any runner.
   session.prefix = session.blocks.empty() ? session.assembly.run() : session.blocks.front();
@@ -127,6 +139,13 @@
   return quota_.Admit(session.team.name, tokens, session.started);
 }
 
+std::optional<Error> ModelRouter::CheckSuspect(Session& session) {
+  const PoisonVerdict verdict = suspects_.Decide(session.digest);
+  session.suspect = verdict == PoisonVerdict::kIsolate;
+  if (verdict != PoisonVerdict::kRefuse) return std::nullopt;
+  return NotRun(ErrorCode::kPoisoned, "two runners crashed while they ran this request");
+}
+
 Awaitable<void> ModelRouter::Serve(HttpExchange& exchange, CompletionRequest request, Team team) {
   Configure();
   Session session(exchange, std::move(request), std::move(team), config_.current(),
@@ -137,6 +156,7 @@
     failure = co_await RunAttempts(session);
     quota_.Release(session.team.name);
   }
+  if (!failure && session.suspect) suspects_.ReportCompletion(session.digest);
   CountEnd(session, failure);
   if (session.caller_gone) co_return;
   if (failure) {
@@ -154,11 +174,19 @@
                                   {"code", std::string(Name(failure->code))},
                                   {"reason", failure->message}});
     session.outcomes.push_back(RunOutcome(session.last_stage));
+    const std::optional<Error> poisoned = NoteCrash(session, *failure);
+    if (poisoned) co_return poisoned;
     const bool retry = co_await PrepareRetry(session, *failure);
     if (!retry) co_return failure;
   }
 }
 
+std::optional<Error> ModelRouter::NoteCrash(Session& session, const Error& failure) {
+  if (failure.code != ErrorCode::kTargetCrashed) return std::nullopt;
+  suspects_.ReportCrash(session.digest, failure.crashed_instance);
+  return CheckSuspect(session);
+}
+
 Awaitable<bool> ModelRouter::PrepareRetry(Session& session, const Error& failure) {
   FailedAttempt attempt;
   attempt.stage = session.last_stage;
@@ -267,6 +295,7 @@
   run.max_tokens = session.request().max_tokens;
   run.priority = QueuePriority(session.request().priority);
   run.deadline_ms = ToMillis(session.deadline - SteadyNow());
+  run.suspect = session.suspect;
   ProgressRules rules;
   rules.silence = Millis(session.rules().progress_deadline_ms);
   rules.attach_window = Millis(session.rules().attach_window_ms);
--- a/src/net/model_router.h
+++ b/src/net/model_router.h
@@ -25,6 +25,7 @@
 #include "net/metrics.h"
 #include "net/run_stream.h"
 #include "net/service_gate.h"
+#include "net/suspect_service.h"
 
 namespace fuchsiaweir {
 
@@ -51,12 +52,16 @@
 
   void Configure();
   std::optional<Error> Check(Session& session);
+  /// Returns an error when the request must not run again.
+  std::optional<Error> CheckSuspect(Session& session);
+  std::optional<Error> NoteCrash(Session& session, const Error& failure);
   Result<Target> PickBid(Session& session, const CollectedBids& collected, const std::string& home);
   void CountEnd(const Session& session, const std::optional<Error>& failure);
 
   boost::asio::io_context& io_;
   ConfigService& config_;
   ServiceGate& gate_;
+  SuspectService& suspects_;
   HttpClient& agents_;
   Metrics& metrics_;
 
