Add the operator commands and process tests of the configuration

Cause: the binary had no operator commands, and the tests wrote documents without audit records behind its back. The harness applies with the real command.

--- a/src/main.cc
+++ b/src/main.cc
@@ -1,39 +1,121 @@
 // Entry point of the fuchsiaweir binary: picks the subcommand.
 
-#include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
+#include <absl/flags/reflection.h>
+#include <absl/strings/match.h>
 
 #include <iostream>
 #include <string>
 #include <vector>
 
+#include "net/command_apply.h"
+#include "net/command_audit.h"
+#include "net/command_check.h"
+#include "net/command_drain.h"
+#include "net/command_restore.h"
+#include "net/command_show.h"
+#include "net/command_status.h"
+#include "net/command_tighten.h"
+#include "net/command_version.h"
 #include "net/daemon.h"
-
-ABSL_FLAG(std::string, settings, "", "settings file of the process (INI)");
+#include "net/operator_session.h"
 
 namespace {
 
-constexpr int kExitUsage = 64;
-constexpr char kUsage[] =
-    "fuchsiaweir COMMAND [FLAGS]\n"
-    "  entry  --settings=FILE   serve callers\n"
-    "  agent  --settings=FILE   serve the targets of one host\n"
-    "  version                  print the version\n";
+using fuchsiaweir::ExitCode;
+using fuchsiaweir::Operands;
+
+ExitCode RunEntry(const Operands&) {
+  return ExitCode{fuchsiaweir::RunDaemon(fuchsiaweir::Role::kEntry, fuchsiaweir::SettingsFlag())};
+}
+
+ExitCode RunAgent(const Operands&) {
+  return ExitCode{fuchsiaweir::RunDaemon(fuchsiaweir::Role::kAgent, fuchsiaweir::SettingsFlag())};
+}
+
+struct Command {
+  const char* name;
+  const char* brief;
+  const char* help;
+  ExitCode (*run)(const Operands& operands);
+};
+
+constexpr char kDaemonHelp[] =
+    "fuchsiaweir entry|agent --settings=FILE\n"
+    "Runs a daemon until SIGTERM, which lets running requests finish.\n"
+    "exit codes: 0 shut down, 1 failed, 2 findings in the settings, 64 usage\n";
+
+constexpr Command kCommands[] = {
+    {"entry", "serve callers", kDaemonHelp, &RunEntry},
+    {"agent", "serve the targets of one host", kDaemonHelp, &RunAgent},
+    {"check", "check an inventory file", fuchsiaweir::kCheckHelp, &fuchsiaweir::RunCheck},
+    {"apply", "put an inventory file into force", fuchsiaweir::kApplyHelp, &fuchsiaweir::RunApply},
+    {"show", "print the inventory in force", fuchsiaweir::kShowHelp, &fuchsiaweir::RunShow},
+    {"status", "print the state of every process", fuchsiaweir::kStatusHelp,
+     &fuchsiaweir::RunStatus},
+    {"drain", "take a data centre or host out of service", fuchsiaweir::kDrainHelp,
+     &fuchsiaweir::RunDrain},
+    {"restore", "put a data centre or host back into service", fuchsiaweir::kRestoreHelp,
+     &fuchsiaweir::RunRestore},
+    {"tighten", "order all processes directly to give a place no new work",
+     fuchsiaweir::kTightenHelp, &fuchsiaweir::RunTighten},
+    {"audit", "print the audit trail", fuchsiaweir::kAuditHelp, &fuchsiaweir::RunAudit},
+    {"version", "print the version", fuchsiaweir::kVersionHelp, &fuchsiaweir::RunVersion},
+};
+
+void PrintUsage(std::ostream& out) {
+  out << "fuchsiaweir COMMAND [OPERANDS] [FLAGS]\n";
+  for (const Command& command : kCommands) {
+    out << "  " << command.name << std::string(9 - std::string(command.name).size(), ' ')
+        << command.brief << "\n";
+  }
+  out << "\"fuchsiaweir COMMAND --help\" describes a command.\n";
+}
+
+const Command* FindCommand(const std::string& name) {
+  for (const Command& command : kCommands) {
+    if (name == command.name) return &command;
+  }
+  return nullptr;
+}
+
+/// Abseil's parser ends the process with exit code 1 at a flag that it does not accept, which would
+/// look like a failed command. Returns what it would not accept, or an empty string.
+std::string FlagFault(const std::string& argument) {
+  if (!absl::StartsWith(argument, "-") || argument == "-") return "";
+  const size_t begin = argument.find_first_not_of('-');
+  const size_t equals = argument.find('=');
+  const std::string name = begin == std::string::npos ? "" : argument.substr(begin, equals - begin);
+  absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name);
+  if (flag == nullptr) return "unknown flag " + argument;
+  if (equals == std::string::npos) return "";
+  std::string fault;
+  return flag->ParseFrom(argument.substr(equals + 1), &fault) ? "" : argument + ": " + fault;
+}
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage(kUsage);
-  const std::vector<char*> arguments = absl::ParseCommandLine(argc, argv);
-  const std::string command = arguments.size() > 1 ? arguments[1] : "";
-  const std::string settings = absl::GetFlag(FLAGS_settings);
-  if (command == "entry") return fuchsiaweir::RunDaemon(fuchsiaweir::Role::kEntry, settings);
-  if (command == "agent") return fuchsiaweir::RunDaemon(fuchsiaweir::Role::kAgent, settings);
-  if (command == "version") {
-    std::cout << "fuchsiaweir 0.1.0\n";
-    return 0;
+  const std::string name = argc > 1 ? argv[1] : "";
+  const Command* command = FindCommand(name);
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  for (const std::string& argument : arguments) {
+    if (argument == "--help" || argument == "-h") {
+      if (command != nullptr) std::cout << command->help;
+      if (command == nullptr) PrintUsage(std::cout);
+      return 0;
+    }
+    const std::string fault = FlagFault(argument);
+    if (fault.empty()) continue;
+    std::cerr << fault << "\n";
+    return static_cast<int>(ExitCode::kUsage);
+  }
+  if (command == nullptr) {
+    PrintUsage(std::cerr);
+    return static_cast<int>(ExitCode::kUsage);
   }
-  std::cerr << kUsage;
-  return kExitUsage;
+  const std::vector<char*> positional = absl::ParseCommandLine(argc, argv);
+  const ExitCode code = command->run(Operands(positional.begin() + 2, positional.end()));
+  if (code == ExitCode::kUsage) std::cerr << command->help;
+  return static_cast<int>(code);
 }
--- /dev/null
+++ b/src/net/command_drain.cc
@@ -0,0 +1,9 @@
+#include "net/command_drain.h"
+
+#include "net/operator_change.h"
+
+namespace fuchsiaweir {
+
+ExitCode RunDrain(const Operands& operands) { return ChangeService(operands, false); }
+
+}  // namespace fuchsiaweir
--- /dev/null
+++ b/src/net/command_restore.h
@@ -0,0 +1,24 @@
+#ifndef FUCHSIAWEIR_NET_COMMAND_RESTORE_H_
+#define FUCHSIAWEIR_NET_COMMAND_RESTORE_H_
+
+#include "net/operator_session.h"
+
+namespace fuchsiaweir {
+
+inline constexpr char kRestoreHelp[] =
+    "fuchsiaweir restore dc|host NAME\n"
+    "Puts a data centre or host back into service.\n"
+    "  --platform=ADDRESS:PORT   object API of the platform\n"
+    "  --settings=FILE           take the platform and peers from a process's settings\n"
+    "  --output=text|json\n"
+    "  --who=NAME                name in the audit trail (default: $USER)\n"
+    "  --wait                    wait until every live process reports the revision\n"
+    "  --timeout=DURATION        longest duration, for example 30s\n"
+    "exit codes: 0 done, 1 failed, 2 findings, 3 conflict, 4 not in force everywhere, 64 usage\n";
+
+/// Puts a data centre or host back into service.
+ExitCode RunRestore(const Operands& operands);
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_NET_COMMAND_RESTORE_H_
--- /dev/null
+++ b/src/net/command_status.h
@@ -0,0 +1,22 @@
+#ifndef FUCHSIAWEIR_NET_COMMAND_STATUS_H_
+#define FUCHSIAWEIR_NET_COMMAND_STATUS_H_
+
+#include "net/operator_session.h"
+
+namespace fuchsiaweir {
+
+inline constexpr char kStatusHelp[] =
+    "fuchsiaweir status\n"
+    "Prints revision and service state of the process on every host of the inventory.\n"
+    "  --platform=ADDRESS:PORT   object API of the platform\n"
+    "  --settings=FILE           take the platform and peers from a process's settings\n"
+    "  --output=text|json\n"
+    "  --peers=ADDRESS:PORT,...  processes to ask while the platform does not answer\n"
+    "exit codes: 0 done, 1 failed, 64 usage\n";
+
+/// Prints the state of every process.
+ExitCode RunStatus(const Operands& operands);
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_NET_COMMAND_STATUS_H_
--- /dev/null
+++ b/src/net/operator_change.cc
@@ -0,0 +1,111 @@
+#include "net/operator_change.h"
+
+#include <absl/random/random.h>
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <absl/time/time.h>
+
+#include <utility>
+#include <vector>
+
+#include "core/inventory_edit.h"
+#include "net/config_editor.h"
+#include "net/fleet_status.h"
+
+namespace fuchsiaweir {
+namespace {
+
+std::string NewNonce() {
+  absl::BitGen generator;
+  return absl::StrCat(absl::Hex(absl::Uniform<uint64_t>(generator), absl::kZeroPad16),
+                      absl::Hex(absl::Uniform<uint64_t>(generator), absl::kZeroPad16));
+}
+
+ConfigChange MakeChange(const OperatorOptions& options, const PlannedChange& planned,
+                        int64_t revision, std::string inventory_ini) {
+  ConfigChange change;
+  change.base_revision = planned.base < 0 ? revision : planned.base;
+  change.who = options.who;
+  change.when = absl::FormatTime(absl::RFC3339_sec, absl::Now(), absl::UTCTimeZone());
+  change.what = planned.what;
+  change.nonce = NewNonce();
+  change.inventory_ini = std::move(inventory_ini);
+  return change;
+}
+
+void PrintRevision(const OperatorSession& session, int64_t revision, bool changed) {
+  const std::string text = changed ? absl::StrCat("revision ", revision, " accepted\n")
+                                   : absl::StrCat("nothing to change in revision ", revision, "\n");
+  session.Print(text, {{"revision", revision}, {"changed", changed}});
+}
+
+Error NotInForce(int64_t revision, const std::vector<ProcessStatus>& laggards) {
+  std::string message = absl::StrCat("revision ", revision, " is accepted but not in force in");
+  for (const ProcessStatus& status : laggards) {
+    absl::StrAppend(&message, " ", status.host,
+                    status.answers ? absl::StrCat(" (revision ", status.revision, ")")
+                                   : std::string(" (no answer)"));
+  }
+  return {ErrorCode::kTimeout, RunState::kRan, message, Duration{0}};
+}
+
+Awaitable<ExitCode> AwaitForce(OperatorSession& session, std::string inventory_ini,
+                               int64_t revision, TimePoint deadline) {
+  ConfigDocument document;
+  document.revision = revision;
+  document.inventory_ini = std::move(inventory_ini);
+  const Result<Inventory> inventory = InventoryOf(document);
+  if (!inventory) co_return session.Fail(inventory.error());
+  const std::vector<ProcessStatus> laggards =
+      co_await WaitForRevision(session, inventory.value().hosts, revision, deadline);
+  if (laggards.empty()) co_return ExitCode::kDone;
+  session.Fail(NotInForce(revision, laggards));
+  co_return ExitCode::kNotInForce;
+}
+
+}  // namespace
+
+Awaitable<ExitCode> CarryOut(OperatorSession& session, PlannedChange planned) {
+  const OperatorOptions& options = session.options();
+  const TimePoint deadline = SteadyNow() + options.timeout;
+  Result<VersionedConfig> config = co_await session.ReadPlatform();
+  if (!config) co_return session.Fail(config.error());
+  const ConfigDocument& current = config.value().document;
+  const Result<std::string> edited = planned.edit(current.inventory_ini);
+  if (!edited) co_return session.Fail(edited.error());
+
+  int64_t revision = current.revision;
+  const bool changed = revision == 0 || edited.value() != current.inventory_ini;
+  if (changed) {
+    SubmitOptions submit;
+    submit.timeout = options.timeout;
+    ConfigChange change = MakeChange(options, planned, revision, edited.value());
+    const Result<int64_t> accepted = co_await SubmitChange(
+        session.objects(), current, config.value().version, std::move(change), submit);
+    if (!accepted) co_return session.Fail(accepted.error());
+    revision = accepted.value();
+  }
+  PrintRevision(session, revision, changed);
+  if (!options.wait) co_return ExitCode::kDone;
+  co_return co_await AwaitForce(session, edited.value(), revision, deadline);
+}
+
+std::optional<Place> ParsePlace(const Operands& operands) {
+  if (operands.size() != 2) return std::nullopt;
+  if (operands[0] == "dc") return Place{ServiceScope::kDataCentre, operands[1]};
+  if (operands[0] == "host") return Place{ServiceScope::kHost, operands[1]};
+  return std::nullopt;
+}
+
+ExitCode ChangeService(const Operands& operands, bool in_service) {
+  const std::optional<Place> place = ParsePlace(operands);
+  if (!place) return ExitCode::kUsage;
+  PlannedChange change;
+  change.what = absl::StrCat(in_service ? "restore " : "drain ", operands[0], " ", place->name);
+  change.edit = [place, in_service](const std::string& inventory_ini) {
+    return SetInService(inventory_ini, place->scope, place->name, in_service);
+  };
+  return RunOperator([&](OperatorSession& session) { return CarryOut(session, change); });
+}
+
+}  // namespace fuchsiaweir
--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -9,6 +9,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -21,7 +23,6 @@
 #include <stdexcept>
 #include <thread>
 
-#include "core/config_document.h"
 #include "core/digest.h"
 #include "net/http_client.h"
 
@@ -138,6 +139,17 @@
   for (int i = 0; i < options_.entries; ++i) ports_[absl::StrCat("entry", i)] = FreePort();
 }
 
+/// Two other processes suffice for a start without the platform.
+std::string Deployment::PeerAddresses(const std::string& self) const {
+  std::vector<std::string> addresses;
+  for (const std::string& name : Daemons()) {
+    if (name != self && addresses.size() < 2) {
+      addresses.push_back(absl::StrCat("127.0.0.1:", port(name)));
+    }
+  }
+  return absl::StrJoin(addresses, ", ");
+}
+
 void Deployment::WriteFiles() {
   std::string& text = inventory_;
   for (const char* name : kDataCentres) {
@@ -150,7 +162,8 @@
     std::ofstream settings(absl::StrCat(directory_, "/", name, ".ini"));
     settings << "[process]\nhost = " << name << "\ndata_centre = " << kDataCentres[i % 2]
              << "\nlisten_port = " << ports_[name]
-             << "\n[platform]\naddress = 127.0.0.1\nport = " << ports_["platform"] << "\n"
+             << "\n[platform]\naddress = 127.0.0.1\nport = " << ports_["platform"]
+             << "\n[peers]\naddresses = " << PeerAddresses(name) << "\n"
              << options_.settings;
   };
   for (int i = 0; i < options_.entries; ++i) host("entry", i);
@@ -204,9 +217,7 @@
   }
   Eventually([this]() { return Send("GET", port("platform"), "/stats").status == 200; });
   Apply(inventory_);
-  for (const auto& [name, unused] : ports_) {
-    const bool daemon = name.rfind("agent", 0) == 0 || name.rfind("entry", 0) == 0;
-    if (!daemon) continue;
+  for (const std::string& name : Daemons()) {
     AddProcess(name, {binary, name.substr(0, 5),
                       absl::StrCat("--settings=", directory_, "/", name, ".ini")});
   }
@@ -238,26 +249,25 @@
 }
 
 void Deployment::Apply(const std::string& inventory) {
-  const Reply current = Send("GET", port("platform"), "/objects/config%2Fcurrent");
-  int64_t version = 0;
-  ConfigDocument document;
-  if (current.status == 200) {
-    const json::object object = current.json();
-    version = object.at("version").to_number<int64_t>();
-    document = DecodeConfigDocument(std::string(object.at("value").as_string())).value();
+  const std::string file = absl::StrCat(directory_, "/inventory.ini");
+  std::ofstream(file) << inventory;
+  std::string output;
+  if (OperateOnPlatform({"apply", file, "--who=test"}, &output) != 0) {
+    throw std::runtime_error("apply failed: " + output);
   }
-  const ConfigChange change{document.revision, "test", "now", "apply", "nonce", inventory};
-  document = ApplyChange(document, change).value().document;
-  Send("PUT", port("platform"), absl::StrCat("/objects/config%2Fcurrent?expect=", version),
-       EncodeConfigDocument(document));
   inventory_ = inventory;
 }
 
+int Deployment::OperateOnPlatform(std::vector<std::string> arguments, std::string* output) {
+  arguments.push_back(absl::StrCat("--platform=127.0.0.1:", port("platform")));
+  return Operate(arguments, output);
+}
+
 int Deployment::Operate(const std::vector<std::string>& arguments, std::string* output) {
+  static std::atomic<int> number = 0;  // Operators may race.
   std::vector<std::string> command = {Environment("FW_BINARY")};
   command.insert(command.end(), arguments.begin(), arguments.end());
-  const std::string log = absl::StrCat(directory_, "/operate.log");
-  std::filesystem::remove(log);
+  const std::string log = absl::StrCat(directory_, "/operate", ++number, ".log");
   int status = 0;
   waitpid(Launch(command, log), &status, 0);
   if (output != nullptr) {
@@ -267,6 +277,41 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+std::vector<std::string> Deployment::Daemons() const {
+  std::vector<std::string> names;
+  for (const auto& [name, unused] : ports_) {
+    if (name.rfind("agent", 0) == 0 || name.rfind("entry", 0) == 0) names.push_back(name);
+  }
+  return names;
+}
+
+void Deployment::ListHosts(const std::set<std::string>& leaving) {
+  json::array hosts;
+  for (const std::string& name : Daemons()) {
+    const int number = std::stoi(name.substr(5));
+    hosts.push_back(json::object{{"name", name},
+                                 {"data_centre", kDataCentres[number % 2]},
+                                 {"state", leaving.contains(name) ? "leaving" : "live"}});
+  }
+  const json::object list{{"hosts", std::move(hosts)}};
+  Send("PUT", port("platform"), "/hosts", json::serialize(list));
+}
+
+json::object Deployment::Status(const std::string& daemon) {
+  return Send("GET", port(daemon), "/internal/v1/status", "", {}, Seconds(2)).json();
+}
+
+int64_t Deployment::Revision(const std::string& daemon) {
+  const json::object status = Status(daemon);
+  return status.contains("revision") ? status.at("revision").as_int64() : 0;
+}
+
+bool Deployment::AllAtRevision(int64_t revision) {
+  const std::vector<std::string> daemons = Daemons();
+  return std::all_of(daemons.begin(), daemons.end(),
+                     [&](const std::string& name) { return Revision(name) == revision; });
+}
+
 void Deployment::Fault(const std::string& name, const std::string& json) {
   Send("POST", port(name), "/fault", json);
 }
--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -67,10 +68,21 @@
   const std::string& inventory() const { return inventory_; }
   const std::string& directory() const { return directory_; }
 
-  /// Writes a configuration to the platform by a conditional update.
+  /// Puts an inventory into force with the operator command.
   void Apply(const std::string& inventory);
   /// Runs the operator command line and returns its exit code; `output` receives what it printed.
   int Operate(const std::vector<std::string>& arguments, std::string* output = nullptr);
+  /// Runs an operator command on the deployment's platform.
+  int OperateOnPlatform(std::vector<std::string> arguments, std::string* output = nullptr);
+  /// Shows all daemons in the platform's host list, those named in `leaving` as leaving.
+  void ListHosts(const std::set<std::string>& leaving = {});
+  /// Names of all agents and entries.
+  std::vector<std::string> Daemons() const;
+  /// Returns a daemon's status answer; empty when it does not answer.
+  boost::json::object Status(const std::string& daemon);
+  /// Returns the revision that a daemon reports, or 0.
+  int64_t Revision(const std::string& daemon);
+  bool AllAtRevision(int64_t revision);
   /// Switches a fault of a stand-in on or off.
   void Fault(const std::string& name, const std::string& json);
   boost::json::object Stats(const std::string& name);
@@ -85,6 +97,7 @@
 
  private:
   void ReservePorts();
+  std::string PeerAddresses(const std::string& self) const;
   void WriteFiles();
   void AddProcess(const std::string& name, const std::vector<std::string>& command);
 
--- a/test/standin/platform.cc
+++ b/test/standin/platform.cc
@@ -33,6 +33,7 @@
 struct Faults {
   bool down = false;
   bool stale = false;
+  bool stale_watches = false;
   int64_t delay_ms = 0;
   int64_t lose_answers = 0;
   int64_t writes_per_second = 1'000'000;
@@ -50,6 +51,7 @@
   int64_t writes = 0;
   int64_t watches = 0;
   int64_t host_reads = 0;
+  int64_t waiting = 0;  ///< Watches that wait now.
   int64_t conflicts = 0;
   int64_t refused = 0;
   int64_t weight_loads = 0;
@@ -116,6 +118,7 @@
   const json::object body = ParseJsonObject(exchange.request().body);
   if (body.contains("down")) faults_.down = BooleanField(body, "down");
   if (body.contains("stale")) faults_.stale = BooleanField(body, "stale");
+  if (body.contains("stale_watches")) faults_.stale_watches = BooleanField(body, "stale_watches");
   for (const auto& [name, member] : kNumericFaults) {
     if (body.contains(name)) faults_.*member = IntegerField(body, name);
   }
@@ -127,6 +130,7 @@
   const json::object body{{"reads", stats_.reads},
                           {"writes", stats_.writes},
                           {"watches", stats_.watches},
+                          {"waiting", stats_.waiting},
                           {"host_reads", stats_.host_reads},
                           {"conflicts", stats_.conflicts},
                           {"refused", stats_.refused},
@@ -156,10 +160,13 @@
   const int64_t wait_ms = exchange.target().QueryInteger("wait_ms", 0);
   ++(wait_ms > 0 ? stats_.watches : stats_.reads);
   const int64_t after = exchange.target().QueryInteger("after", 0);
+  ++stats_.waiting;
   if (wait_ms > 0) co_await WaitForVersion(key, after, Millis(wait_ms));
+  --stats_.waiting;
   if (faults_.down) co_return co_await SendJson(exchange, 503, R"({"error":"down"})");
   const Object& object = objects_[key];
-  const bool stale = faults_.stale && object.previous_version > 0;
+  const bool asked_stale = faults_.stale || (faults_.stale_watches && wait_ms > 0);
+  const bool stale = asked_stale && object.previous_version > 0;
   if (object.version == 0) co_return co_await SendJson(exchange, 404, R"({"error":"not found"})");
   co_await SendJson(exchange, 200, RenderObject(object, stale));
 }
