--- a/src/net/service_gate.cc
+++ b/src/net/service_gate.cc
@@ -54,9 +54,15 @@
     if (now < order.expires) computed_until_ = std::min(computed_until_, order.expires);
   }
   states_ = ServiceStates(ServiceView{computed_for_config_->inventory, *hosts, orders_, now});
+  ++generation_;
   return states_;
 }
 
+int64_t ServiceGate::generation() {
+  States();
+  return generation_;
+}
+
 std::optional<Error> ServiceGate::RefusalOfNewWork() {
   const ServiceState state = Own();
   if (state == ServiceState::kAccepting) return std::nullopt;
--- a/src/net/service_gate.h
+++ b/src/net/service_gate.h
@@ -31,6 +31,9 @@
   bool HostAccepts(std::string_view name) { return OfHost(name) == ServiceState::kAccepting; }
   bool RunnerAccepts(std::string_view name) { return OfRunner(name) == ServiceState::kAccepting; }
 
+  /// Returns a number that changes whenever an answer may have changed.
+  int64_t generation();
+
   /// Returns the state of this process's host.
   ServiceState Own() { return OfHost(settings_.host); }
   /// Returns an error with run state not_run when this process's host takes no new work.
@@ -52,6 +55,7 @@
   std::shared_ptr<const Membership::Hosts> computed_for_hosts_;
   TimePoint computed_until_;  ///< The next expiry of an order.
   ServiceStates states_;
+  int64_t generation_ = 0;  ///< Counts the computations of `states_`.
 };
 
 }  // namespace fuchsiaweir
--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -137,6 +137,7 @@
     }
   }
   for (int i = 0; i < options_.entries; ++i) ports_[absl::StrCat("entry", i)] = FreePort();
+  for (int i = 0; i < options_.stores; ++i) ports_[absl::StrCat("store", i)] = FreePort();
 }
 
 /// Two other processes suffice for a start without the platform.
@@ -176,6 +177,10 @@
                     "\naddress = 127.0.0.1\nport = ", ports_[absl::StrCat("service", i)],
                     "\nnon_idempotent = /book\n");
   }
+  for (int i = 0; i < options_.stores; ++i) {
+    absl::StrAppend(&text, "[store store", i, "]\ndata_centre = ", kDataCentres[i % 2],
+                    "\naddress = 127.0.0.1\nport = ", ports_[absl::StrCat("store", i)], "\n");
+  }
   for (const char* team : {"alpha", "beta"}) {
     absl::StrAppend(&text, "[team ", team,
                     "]\nkey_digests = ", Sha256Hex(absl::StrCat("key-", team)), "\n");
@@ -215,6 +220,10 @@
     const std::string service = absl::StrCat("service", i);
     AddProcess(service, {standin, "service", port_flag(service)});
   }
+  for (int i = 0; i < options_.stores; ++i) {
+    const std::string store = absl::StrCat("store", i);
+    AddProcess(store, {standin, "store", port_flag(store)});
+  }
   Eventually([this]() { return Send("GET", port("platform"), "/stats").status == 200; });
   Apply(inventory_);
   for (const std::string& name : Daemons()) {
