Parse INI lines of any length

The stream reader now hands inih a long entry with a short value and puts the real one back in the handler; of long comments it sees the start.

--- a/src/core/ini_document.cc
+++ b/src/core/ini_document.cc
@@ -5,32 +5,70 @@
 
 #include <algorithm>
 #include <cstring>
+#include <optional>
+#include <string>
 #include <utility>
 
 namespace fuchsiaweir {
 namespace {
 
+constexpr char kBlanks[] = " \t\r\n\v\f";
+
 /// State of one parse. The packaged inih reports no line numbers to its handler, so the stream
 /// reader counts the lines that it hands out.
 struct ParseState {
   std::string_view rest;
   int line = 0;
-  bool line_complete = true;
+  std::optional<std::string> long_value;  ///< Of the current line when inih cannot take it.
   IniDocument* document = nullptr;
   Findings* findings = nullptr;
 };
 
+std::string_view TakeLine(ParseState& state) {
+  const size_t newline = state.rest.find('\n');
+  const std::string_view line = state.rest.substr(0, newline);
+  state.rest.remove_prefix(newline == std::string_view::npos ? line.size() : newline + 1);
+  ++state.line;
+  return line;
+}
+
+/// Returns the line without its inline comment, which begins with a semicolon after a blank.
+std::string_view WithoutComment(std::string_view line) {
+  for (size_t i = 1; i < line.size(); ++i) {
+    const bool after_blank = std::strchr(kBlanks, line[i - 1]) != nullptr;
+    if (line[i] == ';' && after_blank) return line.substr(0, i);
+  }
+  return line;
+}
+
+std::string_view Trimmed(std::string_view text) {
+  const size_t begin = text.find_first_not_of(kBlanks);
+  if (begin == std::string_view::npos) return "";
+  return text.substr(begin, text.find_last_not_of(kBlanks) - begin + 1);
+}
+
+/// Returns what inih is to see of a line that does not fit into its buffer of 200 bytes, which is
+/// fixed in the packaged library: it would take the rest for another line. An entry is handed out
+/// with a short value in place of its own, which `HandleEntry` puts back. Of other lines, such as
+/// comments, the beginning decides.
+std::string ShortForm(std::string_view line, size_t capacity, ParseState& state) {
+  const size_t first = std::min(line.find_first_not_of(kBlanks), line.size() - 1);
+  const bool entry = std::strchr(";#[", line[first]) == nullptr;
+  const std::string_view text = WithoutComment(line);
+  const size_t separator = text.find_first_of("=:");
+  if (!entry || separator >= capacity - 2) return std::string(line.substr(0, capacity));
+  state.long_value = std::string(Trimmed(text.substr(separator + 1)));
+  return std::string(text.substr(0, separator + 1)) + "x";
+}
+
 char* ReadLine(char* buffer, int size, void* stream) {
   auto& state = *static_cast<ParseState*>(stream);
   if (state.rest.empty()) return nullptr;
-  if (state.line_complete) ++state.line;
-  const size_t newline = state.rest.find('\n');
-  const size_t whole = newline == std::string_view::npos ? state.rest.size() : newline + 1;
-  const size_t count = std::min(whole, static_cast<size_t>(size) - 1);
-  state.line_complete = count == whole;
-  std::memcpy(buffer, state.rest.data(), count);
-  buffer[count] = '\0';
-  state.rest.remove_prefix(count);
+  const auto capacity = static_cast<size_t>(size) - 1;
+  std::string line(TakeLine(state));
+  state.long_value.reset();
+  if (line.size() > capacity) line = ShortForm(line, capacity, state);
+  std::memcpy(buffer, line.c_str(), line.size() + 1);
   return buffer;
 }
 
@@ -66,7 +104,7 @@
                           absl::StrCat("key \"", key, "\" appears twice in [", section_name, "]"));
     }
   }
-  section->entries.push_back({key, value, state.line});
+  section->entries.push_back({key, state.long_value.value_or(value), state.line});
   return 1;
 }
 
@@ -79,7 +117,7 @@
     findings.Add(file, 0, "file contains a NUL byte");
     return document;
   }
-  ParseState state{text, 0, true, &document, &findings};
+  ParseState state{text, 0, std::nullopt, &document, &findings};
   const int error_line = ini_parse_stream(&ReadLine, &state, &HandleEntry, &state);
   if (error_line > 0) {
     findings.Add(file, error_line, "expected \"[section]\" or \"key = value\"");
