--- a/src/net/common_routes.cc
+++ b/src/net/common_routes.cc
@@ -12,9 +12,11 @@
 namespace fuchsiaweir {
 namespace {
 
+/// A process whose place is out of service is not ready, so that the balancer moves its callers to
+/// other places. It still serves those that arrive.
 HttpResponse ReadyResponse(Kernel& kernel) {
   const bool ready = kernel.Find<Readiness>("readiness").ready() &&
-                     kernel.Find<ConfigService>("config").current()->revision > 0;
+                     kernel.Find<ServiceGate>("service_gate").Own() == ServiceState::kAccepting;
   return {ready ? 200 : 503, {{"Content-Type", "text/plain"}}, ready ? "ready\n" : "not ready\n"};
 }
 
--- a/src/net/config_service.cc
+++ b/src/net/config_service.cc
@@ -173,7 +173,7 @@
   co_return answered;
 }
 
-void ConfigService::FetchNewer(int64_t revision, Endpoint peer) {
+void ConfigService::FetchNewer(int64_t revision, const Endpoint& peer) {
   if (revision <= Seen() || fetching_ || stopping_) return;
   fetching_ = true;
   Spawn(io_, "config_fetch", [this, peer]() { return Fetch(peer); });
--- a/src/net/config_service.h
+++ b/src/net/config_service.h
@@ -49,7 +49,7 @@
 
   /// Fetches the document from a process that was seen with `revision`, when that is newer. One
   /// fetch runs at a time.
-  void FetchNewer(int64_t revision, Endpoint peer);
+  void FetchNewer(int64_t revision, const Endpoint& peer);
 
  private:
   struct StartSources;
--- a/test/process/configuration.cc
+++ b/test/process/configuration.cc
@@ -1,11 +1,14 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <csignal>
 #include <fstream>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "core/rendezvous.h"
+#include "core/watcher_choice.h"
 #include "process/deployment.h"
 
 namespace fuchsiaweir::testing {
@@ -18,6 +21,18 @@
   return options;
 }
 
+/// Returns the watcher that the process of "east" that does not watch polls first.
+std::string FirstPollTarget(Deployment& deployment) {
+  std::vector<ListedHost> hosts;
+  for (const std::string& name : deployment.Daemons()) {
+    hosts.push_back({name, std::stoi(name.substr(5)) % 2 == 0 ? "east" : "west", false});
+  }
+  const auto poller = std::find_if(hosts.begin(), hosts.end(), [&](const ListedHost& host) {
+    return host.data_centre == "east" && !HoldsWatch(hosts, "east", host.name, &RendezvousScore);
+  });
+  return PollTargets(hosts, "east", poller->name, &RendezvousScore).front();
+}
+
 int64_t AuditRecords(Deployment& deployment) {
   std::string output;
   LONGS_EQUAL(0, deployment.OperateOnPlatform({"audit"}, &output));
@@ -40,6 +55,25 @@
   LONGS_EQUAL(6, deployment.Stats("platform").at("waiting").as_int64());
 }
 
+// Guards against a process that waits for a watcher that went silent: its connection stays open.
+TEST(Configuration, ReachesAProcessWhoseWatcherIsSilent) {
+  Deployment deployment(FourProcessesPerDataCentre());
+  deployment.Start();
+  deployment.ListHosts();
+  CHECK(Eventually([&]() { return deployment.Stats("platform").at("waiting").as_int64() == 6; }));
+  const std::string silent = FirstPollTarget(deployment);
+  deployment.Signal(silent, SIGSTOP);
+  LONGS_EQUAL(0, deployment.OperateOnPlatform({"drain", "host", "agent0", "--who=test"}));
+  CHECK(Eventually(
+      [&]() {
+        const std::vector<std::string> names = deployment.Daemons();
+        return std::all_of(names.begin(), names.end(), [&](const std::string& name) {
+          return name == silent || deployment.Revision(name) == 2;
+        });
+      },
+      Seconds(10)));
+}
+
 // Guards against an accepted change that a racing operator overwrites.
 TEST(Configuration, GivesOneOfTwoRacingOperatorsAConflict) {
   Deployment deployment;
--- a/test/process/service_change.cc
+++ b/test/process/service_change.cc
@@ -33,8 +33,10 @@
   deployment.Start();
   LONGS_EQUAL(0, deployment.OperateOnPlatform({"drain", "dc", "east", "--who=test", "--wait"}));
   CHECK(deployment.AllAtRevision(2));
+  LONGS_EQUAL(503, Send("GET", deployment.port("entry0"), "/readyz").status);
   LONGS_EQUAL(0, StartedOf(deployment, "engine0", 20));
   LONGS_EQUAL(0, deployment.OperateOnPlatform({"restore", "dc", "east", "--who=test", "--wait"}));
+  LONGS_EQUAL(200, Send("GET", deployment.port("entry0"), "/readyz").status);
   CHECK(StartedOf(deployment, "engine0", 20) > 0);
 }
 
@@ -62,7 +64,8 @@
   CHECK(StartedOf(deployment, "engine0", 20) > 0);
 }
 
-// Guards against new work for a host that the platform is about to take away.
+// Guards against new work for a host that the platform is about to take away, also when the
+// platform does not answer afterwards.
 TEST(ServiceChange, SendsALeavingHostNoNewWorkAfterThreeSeconds) {
   Deployment deployment;
   deployment.Start();
@@ -71,6 +74,9 @@
   deployment.ListHosts({"agent0"});
   std::this_thread::sleep_for(Seconds(3));
   LONGS_EQUAL(0, StartedOf(deployment, "engine0", 20));
+  deployment.Fault("platform", R"({"down":true})");
+  std::this_thread::sleep_for(Seconds(3));
+  LONGS_EQUAL(0, StartedOf(deployment, "engine0", 20));
 }
 
 }  // namespace fuchsiaweir::testing
