Keep a cold runner at its limit until its warm-up runs have completed

Cause: the gate raised the limit after the first healthy run, while the engine was still in cold start; the second run beside it made a cold engine lose all its runs. The process test RunnerNeverGetsMoreThanItsColdLimit then saw broken streams.

Change: the runner key warm_up_runs (default 4) says how many healthy runs must complete in a cold start before the limit rises.

Conclusion: with the count switched off that process test fails (a run is not done); with it cold_overloads is 0 and max_running_cold is 1.

--- a/src/core/cold_start_gate.cc
+++ b/src/core/cold_start_gate.cc
@@ -50,6 +50,7 @@
 void ColdStartGate::TurnCold() {
   // Runs admitted earlier say nothing about the cold runner; the new generation ignores their end.
   ++generation_;
+  healthy_runs_ = 0;
   limit_ = limits_.cold_limit;
 }
 
@@ -68,7 +69,11 @@
   if (admission.generation != generation_ || !end.completed) return;
   if (end.token_time > limits_.healthy_token_time) {
     limit_ = std::max(limits_.cold_limit, limit_ / 2);
-  } else if (was_full) {
+    return;
+  }
+  ++healthy_runs_;
+  // An engine builds its kernels and pools during its first runs and bears no more until then.
+  if (was_full && healthy_runs_ >= limits_.warm_up_runs) {
     limit_ = std::min(limits_.max_concurrent, limit_ + 1);
   }
 }
--- a/src/core/cold_start_gate.h
+++ b/src/core/cold_start_gate.h
@@ -14,6 +14,7 @@
   int64_t cold_limit = 1;
   int64_t max_concurrent = 16;
   Duration healthy_token_time = Millis(46);  ///< Longest healthy time between tokens.
+  int64_t warm_up_runs = 0;                  ///< Healthy runs that end a cold start.
 };
 
 /// What an engine reports about itself. Reports arrive with a lag.
@@ -70,6 +71,7 @@
   std::string instance_;
   uint64_t generation_ = 0;
   int64_t limit_;
+  int64_t healthy_runs_ = 0;  ///< Completed in this cold start.
   int64_t running_ = 0;
   int64_t foreign_ = 0;
   int64_t peak_ = 0;           ///< Highest `running_` since the last report.
--- a/src/core/inventory.cc
+++ b/src/core/inventory.cc
@@ -29,13 +29,14 @@
     {"in_service", &Host::in_service},
 }};
 
-const std::array<IniKey<Runner>, 9> kRunnerKeys = {{
+const std::array<IniKey<Runner>, 10> kRunnerKeys = {{
     {"host", &Runner::host, Presence::kRequired},
     {"model", &Runner::model, Presence::kRequired},
     {"address", &Runner::address, Presence::kRequired},
     {"port", &Runner::port, Presence::kRequired, 1, kMaxPort},
     {"checks_fence", &Runner::checks_fence},
     {"cold_limit", &Runner::cold_limit, Presence::kOptional, 1, 10'000},
+    {"warm_up_runs", &Runner::warm_up_runs, Presence::kOptional, 0, 10'000},
     {"max_concurrent", &Runner::max_concurrent, Presence::kOptional, 1, 10'000},
     {"prefill_tokens_per_second", &Runner::prefill_tokens_per_second, Presence::kOptional, 1,
      kMaxCount},
--- a/src/core/inventory.h
+++ b/src/core/inventory.h
@@ -38,6 +38,7 @@
   int64_t port = 0;
   bool checks_fence = true;     ///< The engine refuses orders with an old fencing number.
   int64_t cold_limit = 1;       ///< Concurrent runs that it bears in cold start.
+  int64_t warm_up_runs = 4;     ///< Completed runs that end its cold start.
   int64_t max_concurrent = 16;  ///< Concurrent runs that it bears when warm.
   int64_t prefill_tokens_per_second = 8000;
   int64_t cache_blocks = 64;  ///< Blocks that fit into accelerator memory.
--- a/src/net/runner_dispatcher.cc
+++ b/src/net/runner_dispatcher.cc
@@ -31,7 +31,8 @@
 }
 
 GateLimits LimitsOf(const Runner& runner, const Rules& rules) {
-  return {runner.cold_limit, runner.max_concurrent, Millis(rules.healthy_token_ms)};
+  return {runner.cold_limit, runner.max_concurrent, Millis(rules.healthy_token_ms),
+          runner.warm_up_runs};
 }
 
 FairQueueLimits QueueLimitsOf(const Runner& runner, const Rules& rules) {
--- a/test/correctness/cold_start_gate.cc
+++ b/test/correctness/cold_start_gate.cc
@@ -92,6 +92,19 @@
   LONGS_EQUAL(1, gate.limit());
 }
 
+// Guards against a second run on a runner whose first runs have not warmed it up yet.
+TEST(ColdStartGate, LimitStaysColdUntilTheWarmUpRunsCompleted) {
+  ColdStartGate gate({1, 16, Millis(46), 4});
+  for (int round = 0; round < 2; ++round) {
+    gate.TurnCold();
+    for (int i = 0; i < 4; ++i) {
+      LONGS_EQUAL(1, gate.limit());
+      gate.OnRunEnd(*gate.TryAdmit(), kHealthy);
+    }
+    LONGS_EQUAL(2, gate.limit());
+  }
+}
+
 // Guards against a limit that rises although the runner was never seen at its current limit.
 TEST(ColdStartGate, RunsBelowTheLimitDoNotRaiseIt) {
   ColdStartGate gate({4, 16, Millis(46)});
