--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -108,6 +108,8 @@
   return condition();
 }
 
+void SleepMillis(int64_t millis) { std::this_thread::sleep_for(Millis(millis)); }
+
 std::string Words(int count, int seed) {
   std::string text;
   for (int i = 0; i < count; ++i) absl::StrAppend(&text, i == 0 ? "" : " ", "w", seed, "x", i);
--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -31,6 +31,8 @@
 /// Repeats `condition` until it holds or the time is up; returns whether it held.
 bool Eventually(const std::function<bool()>& condition, Duration within = Seconds(20));
 
+void SleepMillis(int64_t millis);
+
 /// Processes of a test on loopback: stand-ins, agents and entries. All are ended with it.
 ///
 /// The inventory has the data centres "east" and "west", each with one entry, one agent, one model
--- /dev/null
+++ b/test/process/engine_crash.cc
@@ -0,0 +1,63 @@
+#include <CppUTest/TestHarness.h>
+
+#include "process/agent_client.h"
+
+namespace fuchsiaweir::testing {
+
+TEST_GROUP(EngineCrash){};
+
+// Guards against an entry that cannot tell the runs of a crashed engine from a broken stream.
+TEST(EngineCrash, RunsOfACrashedEngineAreSuspectAndThoseOfACutStreamAreNot) {
+  Deployment deployment;
+  deployment.Start();
+  const AgentClient agent(deployment);
+  WarmUp(deployment, agent);
+  const int64_t warm = Counter(deployment, "started");
+  std::future<RunAnswer> first = agent.PostLater(AgentClient::MakeRun("first", 20, 2'000));
+  std::future<RunAnswer> second = agent.PostLater(AgentClient::MakeRun("second", 20, 2'000));
+  CHECK(Eventually([&]() { return Counter(deployment, "started") == warm + 2; }));
+  deployment.Fault("engine0", R"({"crash":true})");
+  for (std::future<RunAnswer>* run : {&first, &second}) {
+    const RunAnswer answer = run->get();
+    CHECK(answer.error.has_value());
+    CHECK(answer.error->code == ErrorCode::kTargetCrashed);
+    CHECK(answer.error->run_state == RunState::kUnknown);
+    LONGS_EQUAL(1, answer.error->concurrent_runs);
+  }
+  const RunAnswer refused = agent.Post(AgentClient::MakeRun("third", 20, 5));
+  CHECK(refused.error.has_value());
+  CHECK(refused.error->run_state == RunState::kNotRun);
+
+  deployment.Restart("engine0");
+  CHECK(Eventually([&]() { return agent.Post(AgentClient::MakeRun("fourth", 20, 5)).done; }));
+  deployment.Fault("engine0", R"({"cut_after":3})");
+  const RunAnswer cut = agent.Post(AgentClient::MakeRun("fifth", 20, 50));
+  CHECK(cut.error.has_value());
+  CHECK(cut.error->code == ErrorCode::kTargetFailed);
+}
+
+// Guards against a suspect request that takes other runs down with it.
+TEST(EngineCrash, SuspectRunsAlone) {
+  Deployment deployment;
+  deployment.Start();
+  const AgentClient agent(deployment);
+  WarmUp(deployment, agent);
+  const int64_t warm = Counter(deployment, "started");
+  std::future<RunAnswer> before = agent.PostLater(AgentClient::MakeRun("before", 20, 200));
+  CHECK(Eventually([&]() { return Counter(deployment, "started") == warm + 1; }));
+  RunRequest suspect = AgentClient::MakeRun("suspect", 20, 200);
+  suspect.suspect = true;
+  std::future<RunAnswer> alone = agent.PostLater(suspect);
+  SleepMillis(50);
+  std::future<RunAnswer> after = agent.PostLater(AgentClient::MakeRun("after", 20, 200));
+  // Each start is seen only after all earlier runs have ended.
+  for (int64_t started = warm + 2; started <= warm + 3; ++started) {
+    CHECK(Eventually([&]() { return Counter(deployment, "started") == started; }));
+    LONGS_EQUAL(started - 1, Counter(deployment, "completed"));
+  }
+  CHECK(before.get().done);
+  CHECK(alone.get().done);
+  CHECK(after.get().done);
+}
+
+}  // namespace fuchsiaweir::testing
--- /dev/null
+++ b/test/process/overload.cc
@@ -0,0 +1,60 @@
+#include <CppUTest/TestHarness.h>
+#include <absl/strings/str_cat.h>
+
+#include "core/bid.h"
+#include "process/agent_client.h"
+
+namespace fuchsiaweir::testing {
+
+TEST_GROUP(Overload){};
+
+// Guards against a refusal that says not_run although the engine got the run.
+TEST(Overload, RefusedRunsNeverReachTheEngine) {
+  Deployment::Options options;
+  options.rules = "max_queue = 4\n";
+  Deployment deployment(options);
+  deployment.Start();
+  const AgentClient agent(deployment);
+  std::vector<RunRequest> runs;
+  for (int i = 0; i < 12; ++i) {
+    runs.push_back(AgentClient::MakeRun(absl::StrCat("run", i), 20, 100));
+    // Some fit into the queue and become late there.
+    if (i % 2 == 1) runs.back().deadline_ms = 1'300;
+  }
+  int64_t done = 0;
+  int64_t refused = 0;
+  for (const RunAnswer& answer : agent.PostAll(runs)) {
+    if (answer.done) ++done;
+    if (!answer.error) continue;
+    STRCMP_EQUAL("not_run", std::string(Name(answer.error->run_state)).c_str());
+    ++refused;
+  }
+  LONGS_EQUAL(12, done + refused);
+  CHECK(refused >= 4);
+  LONGS_EQUAL(done, Counter(deployment, "started"));
+}
+
+// Guards against a bid that hides the queue from the entries.
+TEST(Overload, BidGrowsWithTheQueue) {
+  Deployment deployment;
+  deployment.Start();
+  const AgentClient agent(deployment);
+  BidRequest question{"alpha", "model", {}, 100, 10, 1, 60'000};
+  const auto bid = [&]() {
+    const Reply reply =
+        Send("POST", deployment.port("agent0"), "/internal/v1/bids", EncodeBidRequest(question));
+    return DecodeBidAnswer(reply.body);
+  };
+  const Duration idle = bid().value().at(0).estimate;
+  std::vector<std::future<RunAnswer>> runs;
+  for (int i = 0; i < 3; ++i) {
+    runs.push_back(agent.PostLater(AgentClient::MakeRun(absl::StrCat("run", i), 20, 300)));
+  }
+  CHECK(Eventually([&]() { return bid().value().at(0).queue == 2; }));
+  CHECK(bid().value().at(0).estimate > idle + Millis(500));
+  question.deadline_ms = 100;
+  CHECK(bid().error().run_state == RunState::kNotRun);
+  for (std::future<RunAnswer>& run : runs) run.wait();
+}
+
+}  // namespace fuchsiaweir::testing
