--- a/src/net/agent_service.cc
+++ b/src/net/agent_service.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "net/common_routes.h"
+#include "net/service_gate.h"
 #include "net/timer_service.h"
 
 namespace fuchsiaweir {
@@ -59,14 +60,7 @@
     return Error{ErrorCode::kOutOfService, RunState::kNotRun,
                  absl::StrCat("host ", settings_.host, " is shutting down"), Duration{0}};
   }
-  const std::shared_ptr<const ConfigSnapshot> config = config_.current();
-  const Host* host = FindByName(config->inventory.hosts, settings_.host);
-  const DataCentre* data_centre = FindByName(config->inventory.data_centres, settings_.data_centre);
-  const bool accepts =
-      host != nullptr && host->in_service && data_centre != nullptr && data_centre->in_service;
-  if (accepts) return std::nullopt;
-  return Error{ErrorCode::kOutOfService, RunState::kNotRun,
-               absl::StrCat("host ", settings_.host, " is out of service"), Duration{0}};
+  return kernel_.Find<ServiceGate>("service_gate").RefusalOfNewWork();
 }
 
 Awaitable<void> AgentService::HandleRuns(HttpExchange& exchange) {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -25,6 +25,9 @@
 using RequestParser = http::request_parser<http::string_body>;
 
 constexpr Duration kDrainPoll = Millis(20);
+/// Input that is discarded after a request was refused before it was read.
+constexpr size_t kMaxLingerBytes = 64'000'000;
+constexpr Duration kLingerTime = Seconds(2);
 
 HttpRequest ToRequest(http::request<http::string_body>&& message) {
   HttpRequest request;
@@ -73,6 +76,10 @@
       target_(ParseTarget(request_.target)),
       write_timeout_(write_timeout) {}
 
+void HttpExchange::AddHeader(std::string name, std::string value) {
+  added_headers_.emplace_back(std::move(name), std::move(value));
+}
+
 bool HttpExchange::peer_gone() const { return transport_.PeerClosed(); }
 
 void HttpExchange::Abort() {
@@ -86,6 +93,9 @@
   std::string text =
       absl::StrCat("HTTP/1.1 ", status, " ", std::string(reason.data(), reason.size()), "\r\n");
   for (const auto& [name, value] : headers) absl::StrAppend(&text, name, ": ", value, "\r\n");
+  for (const auto& [name, value] : added_headers_) {
+    absl::StrAppend(&text, name, ": ", value, "\r\n");
+  }
   if (!keep_alive_) absl::StrAppend(&text, "Connection: close\r\n");
   return text;
 }
@@ -252,6 +262,7 @@
     HttpExchange exchange(transport, HttpRequest{}, options.write_timeout);
     exchange.CloseAfterResponse();
     co_await exchange.Respond(std::move(*response));
+    co_await transport.Linger(kMaxLingerBytes, kLingerTime);
     co_return false;
   }
   const bool keep_alive = parser.get().keep_alive();
--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -21,6 +21,7 @@
 #include <stdexcept>
 #include <thread>
 
+#include "core/config_document.h"
 #include "core/digest.h"
 #include "net/http_client.h"
 
@@ -137,6 +138,7 @@
     }
   }
   for (int i = 0; i < options_.entries; ++i) ports_[absl::StrCat("entry", i)] = FreePort();
+  for (int i = 0; i < options_.stores; ++i) ports_[absl::StrCat("store", i)] = FreePort();
 }
 
 void Deployment::WriteFiles() {
@@ -164,6 +166,10 @@
                     "\naddress = 127.0.0.1\nport = ", ports_[absl::StrCat("service", i)],
                     "\nnon_idempotent = /book\n");
   }
+  for (int i = 0; i < options_.stores; ++i) {
+    absl::StrAppend(&text, "[store store", i, "]\ndata_centre = ", kDataCentres[i % 2],
+                    "\naddress = 127.0.0.1\nport = ", ports_[absl::StrCat("store", i)], "\n");
+  }
   for (const char* team : {"alpha", "beta"}) {
     absl::StrAppend(&text, "[team ", team,
                     "]\nkey_digests = ", Sha256Hex(absl::StrCat("key-", team)), "\n");
@@ -203,6 +209,10 @@
     const std::string service = absl::StrCat("service", i);
     AddProcess(service, {standin, "service", port_flag(service)});
   }
+  for (int i = 0; i < options_.stores; ++i) {
+    const std::string store = absl::StrCat("store", i);
+    AddProcess(store, {standin, "store", port_flag(store)});
+  }
   Eventually([this]() { return Send("GET", port("platform"), "/stats").status == 200; });
   Apply(inventory_);
   for (const auto& [name, unused] : ports_) {
@@ -241,10 +251,16 @@
 void Deployment::Apply(const std::string& inventory) {
   const Reply current = Send("GET", port("platform"), "/objects/config%2Fcurrent");
   int64_t version = 0;
-  if (current.status == 200) version = current.json().at("version").to_number<int64_t>();
-  const json::object document{{"revision", version + 1}, {"inventory", inventory}};
+  ConfigDocument document;
+  if (current.status == 200) {
+    const json::object object = current.json();
+    version = object.at("version").to_number<int64_t>();
+    document = DecodeConfigDocument(std::string(object.at("value").as_string())).value();
+  }
+  const ConfigChange change{document.revision, "test", "now", "apply", "nonce", inventory};
+  document = ApplyChange(document, change).value().document;
   Send("PUT", port("platform"), absl::StrCat("/objects/config%2Fcurrent?expect=", version),
-       json::serialize(document));
+       EncodeConfigDocument(document));
   inventory_ = inventory;
 }
 
