Wait for the first bid in the overload test

Cause: an agent that polled its engine before the engine listened refuses bids for a quarter of a second, and reading the value of a refusal ends the test program. Change: the test waits until the agent bids.

--- a/test/process/overload.cc
+++ b/test/process/overload.cc
@@ -45,6 +45,7 @@
         Send("POST", deployment.port("agent0"), "/internal/v1/bids", EncodeBidRequest(question));
     return DecodeBidAnswer(reply.body);
   };
+  CHECK(Eventually([&]() { return bid().has_value(); }));
   const Duration idle = bid().value().at(0).estimate;
   std::vector<std::future<RunAnswer>> runs;
   for (int i = 0; i < 3; ++i) {
