--- /dev/null
+++ b/src/core/block_assembly.h
@@ -0,0 +1,43 @@
+#ifndef FUCHSIAWEIR_CORE_BLOCK_ASSEMBLY_H_
+#define FUCHSIAWEIR_CORE_BLOCK_ASSEMBLY_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "core/block_arena.h"
+
+namespace fuchsiaweir {
+
+/// Puts a block together from ranges read from a store and verifies it before and after.
+///
+/// Every range comes with the header that the store held at that moment. A header that differs from
+/// the announced one means that the place was freed or reused, so the bytes are discarded.
+class BlockAssembly {
+ public:
+  /// `announced` is the header from the lookup. Check `fault` before reading.
+  BlockAssembly(const BlockId& wanted, const BlockHeader& announced, int64_t max_length);
+
+  /// Appends the next range. Returns the reason why the block must not be used, or kNone.
+  BlockFault Append(const BlockHeader& header, std::string_view bytes);
+
+  /// Verifies the complete copy against the header that the store holds after the last range, and
+  /// moves it to `out`.
+  BlockFault Finish(const BlockHeader& after, std::string& out);
+
+  BlockFault fault() const { return fault_; }
+  int64_t received() const { return static_cast<int64_t>(bytes_.size()); }
+  int64_t missing() const { return announced_.length - received(); }
+
+ private:
+  BlockFault Check(const BlockHeader& header) const;
+
+  BlockId wanted_;
+  BlockHeader announced_;
+  BlockFault fault_ = BlockFault::kNone;
+  std::string bytes_;
+};
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_CORE_BLOCK_ASSEMBLY_H_
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -194,6 +194,7 @@
   auto failure = co_await transport->WriteAll(message);
   ResponseParser parser;
   parser.body_limit(boost::none);
+  if (options.max_body_bytes > 0) parser.body_limit(static_cast<uint64_t>(options.max_body_bytes));
   if (!failure) failure = co_await transport->Read(parser);
   if (failure) {
     result.failure = absl::StrCat("call to ", ToString(endpoint), " failed: ", failure.message());
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -39,6 +39,7 @@
 struct CallOptions {
   Duration timeout = Seconds(10);  ///< From connecting to the last byte.
   Duration connect_timeout = Seconds(1);
+  int64_t max_body_bytes = 0;  ///< A longer response fails; 0 sets no limit.
   /// Opens a new connection, so that a pooled connection that the peer has already closed cannot
   /// turn a call that never ran into one whose outcome is unknown.
   bool fresh_connection = false;
--- a/test/standin/engine.cc
+++ b/test/standin/engine.cc
@@ -42,6 +42,7 @@
   int64_t refused_orders = 0;
   int64_t imports = 0;
   int64_t exports = 0;
+  int64_t bad_imports = 0;  ///< Imported bytes that are not the block's content.
 };
 
 /// Blocks in accelerator memory, least recently used first out.
@@ -290,9 +291,11 @@
   json::array added;
   json::array evicted;
   bool gap = false;
-  int64_t next = after;
+  const auto size = static_cast<int64_t>(events_.size());
+  if (after > size) gap = true;  // The sequence began again with this process.
+  int64_t next = std::min(after, size);
   const TimePoint now = SteadyNow();
-  while (next < static_cast<int64_t>(events_.size()) && events_[next].visible <= now) {
+  while (next < size && events_[next].visible <= now) {
     const CacheEvent& event = events_[next];
     gap = gap || event.block.empty();
     if (!event.block.empty()) (event.added ? added : evicted).emplace_back(event.block);
@@ -304,18 +307,20 @@
 
 Awaitable<void> Engine::Kv(HttpExchange& exchange) {
   const std::string block = exchange.target().path.substr(std::string("/v1/kv/").size());
+  // The content depends only on the block, so that an import can be checked.
+  const size_t size = static_cast<size_t>(options_.kv_bytes_per_token) * 2'000;
+  std::string bytes;
+  while (bytes.size() < size) bytes += block;
+  bytes.resize(size);
   if (exchange.request().method == "PUT") {
     ++stats_.imports;
+    if (exchange.request().body != bytes) ++stats_.bad_imports;
     Insert(block);
     co_return co_await SendJson(exchange, 200, "{}");
   }
   ++stats_.exports;
   if (!cache_.Contains(block)) co_return co_await SendJson(exchange, 404, "{}");
-  // The content depends only on the block, so a reader can check it.
-  const size_t size = static_cast<size_t>(options_.kv_bytes_per_token) * 2'000;
-  std::string bytes;
-  while (bytes.size() < size) bytes += block;
-  HttpResponse response{200, {{"Content-Type", "application/octet-stream"}}, bytes.substr(0, size)};
+  HttpResponse response{200, {{"Content-Type", "application/octet-stream"}}, std::move(bytes)};
   co_await exchange.Respond(std::move(response));
 }
 
@@ -352,6 +357,7 @@
                           {"refused_orders", stats_.refused_orders},
                           {"imports", stats_.imports},
                           {"exports", stats_.exports},
+                          {"bad_imports", stats_.bad_imports},
                           {"version", version_},
                           {"cold", cold()}};
   co_await SendJson(exchange, 200, json::serialize(body));
--- a/test/standin/main.cc
+++ b/test/standin/main.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "engine.h"
+#include "kv_store.h"
 #include "plain_service.h"
 #include "platform.h"
 
@@ -22,6 +23,8 @@
 ABSL_FLAG(int64_t, warm_up_runs, 4, "completed runs after which the engine is warm");
 ABSL_FLAG(bool, checks_fence, true, "the engine refuses orders with an old fencing number");
 ABSL_FLAG(std::string, platform, "", "ADDRESS:PORT of the weight store");
+ABSL_FLAG(int64_t, capacity_blocks, 1024, "blocks in the store");
+ABSL_FLAG(int64_t, memory_blocks, 1024, "blocks in the store's memory");
 
 int main(int argc, char** argv) {
   using namespace fuchsiaweir::standin;  // NOLINT(google-build-using-namespace)
@@ -46,8 +49,14 @@
     options.checks_fence = absl::GetFlag(FLAGS_checks_fence);
     options.platform = absl::GetFlag(FLAGS_platform);
     RunEngine(options);
+  } else if (kind == "store") {
+    KvStoreOptions options;
+    options.port = port;
+    options.capacity_blocks = absl::GetFlag(FLAGS_capacity_blocks);
+    options.memory_blocks = absl::GetFlag(FLAGS_memory_blocks);
+    RunKvStore(options);
   } else {
-    std::cerr << "usage: fuchsiaweir_standin platform|service|engine --port=PORT\n";
+    std::cerr << "usage: fuchsiaweir_standin platform|service|engine|store --port=PORT\n";
     return 64;
   }
   return 0;
