--- a/src/core/runner_residency.cc
+++ b/src/core/runner_residency.cc
@@ -1,7 +1,5 @@
 #include "core/runner_residency.h"
 
-#include <iterator>
-
 namespace fuchsiaweir {
 namespace {
 
@@ -13,10 +11,7 @@
 
 void RunnerResidency::Apply(bool gap, const std::vector<BlockId>& added,
                             const std::vector<BlockId>& evicted, TimePoint now) {
-  if (gap) {
-    order_.clear();
-    index_.clear();
-  }
+  if (gap) blocks_.Clear();
   if (now >= events_from_) {
     for (const BlockId& id : added) Add(id);
   }
@@ -24,24 +19,8 @@
   for (const BlockId& id : evicted) Remove(id);
 }
 
-void RunnerResidency::Add(const BlockId& id) {
-  Remove(id);
-  if (max_blocks_ == 0) return;
-  order_.push_back(id);
-  index_[id] = std::prev(order_.end());
-  if (index_.size() > max_blocks_) Remove(BlockId(order_.front()));
-}
-
-void RunnerResidency::Remove(const BlockId& id) {
-  const auto found = index_.find(id);
-  if (found == index_.end()) return;
-  order_.erase(found->second);
-  index_.erase(found);
-}
-
 void RunnerResidency::Reset(TimePoint now) {
-  order_.clear();
-  index_.clear();
+  blocks_.Clear();
   events_from_ = now + kEventLag;
   ++epoch_;
 }
@@ -49,7 +28,7 @@
 int64_t RunnerResidency::LeadingBlocks(const std::vector<BlockId>& chain) const {
   int64_t count = 0;
   for (const BlockId& id : chain) {
-    if (!index_.contains(id)) break;
+    if (!blocks_.Contains(id)) break;
     ++count;
   }
   return count;
--- a/src/core/runner_residency.h
+++ b/src/core/runner_residency.h
@@ -1,13 +1,11 @@
 #ifndef FUCHSIAWEIR_CORE_RUNNER_RESIDENCY_H_
 #define FUCHSIAWEIR_CORE_RUNNER_RESIDENCY_H_
 
-#include <absl/container/flat_hash_map.h>
-
 #include <cstdint>
-#include <list>
 #include <vector>
 
 #include "core/block_chain.h"
+#include "core/block_set.h"
 #include "core/clock.h"
 
 namespace fuchsiaweir {
@@ -20,15 +18,15 @@
 class RunnerResidency {
  public:
   /// At most `max_blocks` are remembered; the longest unconfirmed are forgotten first.
-  explicit RunnerResidency(size_t max_blocks) : max_blocks_(max_blocks) {}
+  explicit RunnerResidency(size_t max_blocks) : blocks_(max_blocks) {}
 
   /// Applies one batch of events. A gap may have hidden evictions, so it forgets all older
   /// knowledge.
   void Apply(bool gap, const std::vector<BlockId>& added, const std::vector<BlockId>& evicted,
              TimePoint now);
 
-  void Add(const BlockId& id);
-  void Remove(const BlockId& id);
+  void Add(const BlockId& id) { blocks_.Add(id); }
+  void Remove(const BlockId& id) { blocks_.Remove(id); }
 
   /// Forgets everything, and ignores additions by events until the events from before the reset
   /// have passed.
@@ -39,14 +37,12 @@
 
   /// Changes with each reset, so that an import which began before one is not recorded after it.
   uint64_t epoch() const { return epoch_; }
-  size_t size() const { return index_.size(); }
+  size_t size() const { return blocks_.size(); }
 
  private:
-  size_t max_blocks_;
+  BlockSet blocks_;
   uint64_t epoch_ = 0;
   TimePoint events_from_{};
-  std::list<BlockId> order_;
-  absl::flat_hash_map<BlockId, std::list<BlockId>::iterator> index_;
 };
 
 }  // namespace fuchsiaweir
--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -135,6 +135,7 @@
     }
   }
   for (int i = 0; i < options_.entries; ++i) ports_[absl::StrCat("entry", i)] = FreePort();
+  for (int i = 0; i < options_.stores; ++i) ports_[absl::StrCat("store", i)] = FreePort();
 }
 
 void Deployment::WriteFiles() {
@@ -162,6 +163,11 @@
                     "\naddress = 127.0.0.1\nport = ", ports_[absl::StrCat("service", i)],
                     "\nnon_idempotent = /book\n");
   }
+  for (int i = 0; i < options_.stores; ++i) {
+    absl::StrAppend(&text, "[store store", i, "]\ndata_centre = ", kDataCentres[i % 2],
+                    "\naddress = 127.0.0.1\nport = ", ports_[absl::StrCat("store", i)],
+                    "\nlink_bytes_per_second = 10000000\n");
+  }
   for (const char* team : {"alpha", "beta"}) {
     absl::StrAppend(&text, "[team ", team,
                     "]\nkey_digests = ", Sha256Hex(absl::StrCat("key-", team)), "\n");
@@ -186,18 +192,29 @@
   StartProcess(name, commands_.at(name));
 }
 
+void Deployment::StartEnginesAndStores() {
+  const std::string standin = Environment("FW_STANDIN");
+  const auto start = [&](const std::string& name, const std::string& kind) {
+    std::vector<std::string> command = {standin, kind, absl::StrCat("--port=", ports_.at(name))};
+    if (kind == "engine") {
+      command.insert(command.end(), options_.engine_flags.begin(), options_.engine_flags.end());
+    }
+    AddProcess(name, command);
+    Eventually([&]() { return Send("GET", port(name), "/stats").status == 200; });
+  };
+  for (int i = 0; i < options_.agents; ++i) start(absl::StrCat("engine", i), "engine");
+  for (int i = 0; i < options_.stores; ++i) start(absl::StrCat("store", i), "store");
+}
+
 void Deployment::Start() {
   const std::string standin = Environment("FW_STANDIN");
+  StartEnginesAndStores();
   const std::string binary = Environment("FW_BINARY");
   const auto port_flag = [&](const std::string& name) {
     return absl::StrCat("--port=", ports_.at(name));
   };
   AddProcess("platform", {standin, "platform", port_flag("platform")});
   for (int i = 0; i < options_.agents; ++i) {
-    const std::string engine = absl::StrCat("engine", i);
-    std::vector<std::string> command = {standin, "engine", port_flag(engine)};
-    command.insert(command.end(), options_.engine_flags.begin(), options_.engine_flags.end());
-    AddProcess(engine, command);
     const std::string service = absl::StrCat("service", i);
     AddProcess(service, {standin, "service", port_flag(service)});
   }
--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -34,13 +34,14 @@
 /// Processes of a test on loopback: stand-ins, agents and entries. All are ended with it.
 ///
 /// The inventory has the data centres "east" and "west", each with one entry, one agent, one model
-/// runner and one replica of the plain service "booking"; teams "alpha" and "beta" with the keys
-/// "key-alpha" and "key-beta"; the model "model" with blocks of 50 tokens.
+/// runner and one replica of the plain service "booking"; stores in turn in both; teams "alpha" and
+/// "beta" with the keys "key-alpha" and "key-beta"; the model "model" with blocks of 50 tokens.
 class Deployment {
  public:
   struct Options {
     int agents = 2;
     int entries = 1;
+    int stores = 0;
     std::vector<std::string> engine_flags;
     std::string rules;     ///< Further lines of [rules].
     std::string settings;  ///< Further sections of every settings file.
@@ -52,6 +53,9 @@
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
 
+  /// Starts the model engines and the stores only.
+  void StartEnginesAndStores();
+
   /// Starts everything, applies the inventory and waits until all daemons are ready.
   void Start();
 
