--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -43,8 +43,9 @@
     int entries = 1;
     int stores = 0;
     std::vector<std::string> engine_flags;
-    std::string rules;     ///< Further lines of [rules].
-    std::string settings;  ///< Further sections of every settings file.
+    std::string runner_settings;  ///< Further lines of every [runner].
+    std::string rules;            ///< Further lines of [rules].
+    std::string settings;         ///< Further sections of every settings file.
   };
 
   Deployment() : Deployment(Options{}) {}
