Let agents move KV blocks for their runs

AgentService passes a BlockMover to its dispatchers, so that runs fetch and retain blocks. BlockMover follows the runners of its host from the inventory instead of being told each one. limits.block_memory_bytes sets the memory tier (64 MB unless set). A block that another prompt fetched between lookup and fetch is taken from the memory tier instead of being read again.

--- a/src/core/settings.cc
+++ b/src/core/settings.cc
@@ -13,7 +13,7 @@
 constexpr int64_t kMaxTimeoutMs = 3'600'000;
 
 /// A settings key belongs to one section; the binder works on the joined form "section.key".
-const std::array<IniKey<Settings>, 18> kKeys = {{
+const std::array<IniKey<Settings>, 19> kKeys = {{
     {"process.host", &Settings::host, Presence::kRequired},
     {"process.data_centre", &Settings::data_centre, Presence::kRequired},
     {"process.listen_address", &Settings::listen_address},
@@ -25,6 +25,8 @@
     {"peers.key_file", &Settings::peer_key_file},
     {"limits.max_body_bytes", &Settings::max_body_bytes, Presence::kOptional, 1, 1'000'000'000},
     {"limits.max_header_bytes", &Settings::max_header_bytes, Presence::kOptional, 256, 1'000'000},
+    {"limits.block_memory_bytes", &Settings::block_memory_bytes, Presence::kOptional, 0,
+     1'000'000'000'000},
     {"limits.read_timeout_ms", &Settings::read_timeout_ms, Presence::kOptional, 1, kMaxTimeoutMs},
     {"limits.max_connections", &Settings::max_connections, Presence::kOptional, 1, 1'000'000},
     {"limits.shutdown_grace_ms", &Settings::shutdown_grace_ms, Presence::kOptional, 0,
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -27,7 +27,8 @@
   std::string peer_key_file;       ///< Two lines at most: "ID HEX-KEY", newest first.
   int64_t max_body_bytes = 8'000'000;
   int64_t max_header_bytes = 16'384;
-  int64_t read_timeout_ms = 10'000;  ///< Longest pause of a sender inside one message.
+  int64_t block_memory_bytes = 64'000'000;  ///< Memory tier of retained KV blocks in an agent.
+  int64_t read_timeout_ms = 10'000;         ///< Longest pause of a sender inside one message.
   int64_t max_connections = 4'096;
   int64_t shutdown_grace_ms = 1'000;  ///< Time that covers the balancer's lag at shutdown.
 
--- a/src/net/agent_service.cc
+++ b/src/net/agent_service.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "net/common_routes.h"
+#include "net/metrics.h"
 #include "net/service_gate.h"
 #include "net/timer_service.h"
 
@@ -16,6 +17,15 @@
 constexpr char kRunsPath[] = "/internal/v1/runs";
 constexpr Duration kRunsPeriod = Seconds(1);
 
+BlockMoverOptions MoverOptions(const Settings& settings) {
+  return {settings.host, settings.data_centre, settings.block_memory_bytes};
+}
+
+std::shared_ptr<const Inventory> InventoryOf(const ConfigService& config) {
+  const std::shared_ptr<const ConfigSnapshot> snapshot = config.current();
+  return {snapshot, &snapshot->inventory};
+}
+
 }  // namespace
 
 AgentService::AgentService(Kernel& kernel, const Settings& settings, HttpServerOptions options)
@@ -24,11 +34,17 @@
       config_(kernel.Find<ConfigService>("config")),
       client_(kernel.Find<HttpClients>("http_clients").outside()),
       calls_(client_, kernel.Find<ObjectApi>("object_api"), Millis(settings.platform_timeout_ms)),
+      mover_(
+          kernel.io(), client_, [this]() { return InventoryOf(config_); },
+          kernel.Find<Metrics>("metrics"), MoverOptions(settings)),
       runs_(kernel.io(), settings, config_, client_),
       server_(kernel.io(), std::move(options),
               [this](HttpExchange& exchange) { return Handle(exchange); }) {
-  kernel.Find<TimerService>("timer").Subscribe("agent_runs", kRunsPeriod,
-                                               [this](TimePoint now) { runs_.Tick(now); });
+  runs_.SetTransfer(&mover_);
+  kernel.Find<TimerService>("timer").Subscribe("agent_runs", kRunsPeriod, [this](TimePoint now) {
+    mover_.AdoptInventory();
+    runs_.Tick(now);
+  });
 }
 
 void AgentService::Start() { server_.Start(); }
--- a/src/net/agent_service.h
+++ b/src/net/agent_service.h
@@ -5,6 +5,7 @@
 
 #include "core/settings.h"
 #include "net/agent_runs.h"
+#include "net/block_mover.h"
 #include "net/call_dispatcher.h"
 #include "net/config_service.h"
 #include "net/http_client.h"
@@ -34,6 +35,7 @@
   ConfigService& config_;
   HttpClient& client_;
   CallDispatcher calls_;
+  BlockMover mover_;
   AgentRuns runs_;
   HttpServer server_;
 };
--- a/src/net/block_mover.cc
+++ b/src/net/block_mover.cc
@@ -51,8 +51,8 @@
 }  // namespace
 
 struct BlockMover::RunnerState {
-  RunnerState(size_t cache_blocks, std::shared_ptr<EngineClient> client)
-      : engine(std::move(client)), residency(cache_blocks) {}
+  RunnerState(Endpoint at, size_t cache_blocks, std::unique_ptr<EngineClient> client)
+      : endpoint(std::move(at)), engine(std::move(client)), residency(cache_blocks) {}
 
   void RecordImport(int64_t bytes, Duration taken) {
     const double rate = static_cast<double>(bytes) / std::max(ToSeconds(taken), 1e-6);
@@ -60,7 +60,8 @@
     import_rate = std::max(import_rate, kMinImportRate);
   }
 
-  std::shared_ptr<EngineClient> engine;
+  Endpoint endpoint;
+  std::unique_ptr<EngineClient> engine;
   RunnerResidency residency;
   int64_t event_cursor = 0;
   double import_rate = kNominalImportRate;
@@ -100,10 +101,12 @@
   size_t imported = 0;
 };
 
-BlockMover::BlockMover(boost::asio::io_context& io, HttpClient& stores, InventorySource inventory,
+BlockMover::BlockMover(boost::asio::io_context& io, HttpClient& client, InventorySource inventory,
                        Metrics& metrics, const BlockMoverOptions& options)
     : io_(io),
-      stores_(io, stores, options.data_centre),
+      client_(client),
+      host_(options.host),
+      stores_(io, client, options.data_centre),
       inventory_source_(std::move(inventory)),
       metrics_(metrics),
       arena_(options.memory_bytes),
@@ -115,12 +118,38 @@
   for (const auto& [name, runner] : runners_) runner->stopped = true;
 }
 
-void BlockMover::AddRunner(const Runner& runner, std::shared_ptr<EngineClient> engine) {
-  std::shared_ptr<RunnerState>& state = runners_[runner.name];
-  if (state != nullptr) state->stopped = true;
-  state =
-      std::make_shared<RunnerState>(static_cast<size_t>(runner.cache_blocks), std::move(engine));
-  Spawn(io_, "cache_events", [state]() { return FollowEvents(state); });
+void BlockMover::AdoptInventory() {
+  std::shared_ptr<const Inventory> current = inventory_source_();
+  if (current == inventory_) return;
+  inventory_ = std::move(current);
+  stores_.Adopt(*inventory_);
+  AdoptRunners();
+  for (const Team& team : inventory_->teams) {
+    policy_.SetTeamWeight(team.name, static_cast<double>(team.weight));
+  }
+}
+
+void BlockMover::AdoptRunners() {
+  std::map<std::string, std::shared_ptr<RunnerState>> runners;
+  for (const Runner& runner : inventory_->runners) {
+    if (runner.host != host_) continue;
+    const Endpoint endpoint{runner.address, static_cast<uint16_t>(runner.port)};
+    const auto old = runners_.find(runner.name);
+    if (old != runners_.end() && old->second->endpoint == endpoint) {
+      runners[runner.name] = old->second;
+      continue;
+    }
+    const auto state =
+        std::make_shared<RunnerState>(endpoint, static_cast<size_t>(runner.cache_blocks),
+                                      MakeHttpEngineClient(client_, endpoint));
+    runners[runner.name] = state;
+    Spawn(io_, "cache_events", [state]() { return FollowEvents(state); });
+  }
+  for (const auto& [name, old] : runners_) {
+    const auto kept = runners.find(name);
+    old->stopped = kept == runners.end() || kept->second != old;
+  }
+  runners_ = std::move(runners);
 }
 
 Awaitable<void> BlockMover::FollowEvents(std::shared_ptr<RunnerState> runner) {
@@ -142,16 +171,6 @@
   if (found != runners_.end()) found->second->residency.Reset(SteadyNow());
 }
 
-void BlockMover::AdoptInventory() {
-  std::shared_ptr<const Inventory> current = inventory_source_();
-  if (current == inventory_) return;
-  inventory_ = std::move(current);
-  stores_.Adopt(*inventory_);
-  for (const Team& team : inventory_->teams) {
-    policy_.SetTeamWeight(team.name, static_cast<double>(team.weight));
-  }
-}
-
 BlockResidency BlockMover::Residency(const std::string& runner, const std::vector<BlockId>& chain) {
   AdoptInventory();
   BlockResidency residency;
@@ -301,7 +320,14 @@
 void BlockMover::StartFetches(Preparation& work, size_t first) {
   const size_t end = std::min(first + kFetchWindow, work.plan.blocks);
   for (size_t i = first; i < end; ++i) {
-    if (work.tasks[i] == nullptr && work.located[i].copy) work.tasks[i] = JoinFetch(work, i);
+    Located& block = work.located[i];
+    if (work.tasks[i] != nullptr || !block.copy) continue;
+    // Another prompt may have fetched the block since it was located.
+    if (arena_.Find(block.id) != nullptr) {
+      block.copy.reset();
+    } else {
+      work.tasks[i] = JoinFetch(work, i);
+    }
   }
 }
 
@@ -365,7 +391,7 @@
     const BlockFault fault = arena_.Read(block.id, *bytes);
     CountFailedChecks("memory", std::string(Name(fault)), arena_.stats().failed_checks - failed);
     if (fault == BlockFault::kNone) co_return bytes;
-    policy_.Dropped(block.id);
+    ForgetLost();
     work.failure = fault == BlockFault::kAbsent ? "evicted" : "failed_check";
     co_return nullptr;
   }
@@ -445,12 +471,16 @@
   const std::optional<BlockHandle> handle = arena_.Reserve(
       id, block.bytes, value,
       [&](const BlockId& kept) { return policy_.EvictionValue(kept, block.team, now); });
-  for (const BlockId& evicted : arena_.TakeEvicted()) policy_.Dropped(evicted);
+  ForgetLost();
   if (!handle) return;
   arena_.Write(*handle, bytes);
   if (arena_.Seal(*handle)) policy_.Stored(id, block);
 }
 
+void BlockMover::ForgetLost() {
+  for (const BlockId& id : arena_.TakeLost()) policy_.Dropped(id);
+}
+
 void BlockMover::StartWriteBack(const BlockDemand& demand) {
   const TimePoint now = SteadyNow();
   std::vector<BlockId> candidates;
@@ -477,8 +507,9 @@
   WriteBackOrder order{id, std::move(team), bytes, nullptr};
   order.read = [this, id]() -> std::optional<std::string> {
     std::string copy;
-    if (arena_.Read(id, copy) != BlockFault::kNone) return std::nullopt;
-    return copy;
+    if (arena_.Read(id, copy) == BlockFault::kNone) return copy;
+    ForgetLost();
+    return std::nullopt;
   };
   const WriteEnd end = co_await stores_.WriteBack(std::move(order));
   writing_.Remove(id);
--- a/src/net/block_mover.h
+++ b/src/net/block_mover.h
@@ -28,6 +28,7 @@
 using InventorySource = std::function<std::shared_ptr<const Inventory>()>;
 
 struct BlockMoverOptions {
+  std::string host;  ///< The runners of this host are followed.
   std::string data_centre;
   int64_t memory_bytes = 64'000'000;  ///< Size of the memory tier.
 };
@@ -36,14 +37,14 @@
 /// those of another, because their ids differ.
 class BlockMover : public BlockTransfer {
  public:
-  BlockMover(boost::asio::io_context& io, HttpClient& stores, InventorySource inventory,
+  BlockMover(boost::asio::io_context& io, HttpClient& client, InventorySource inventory,
              Metrics& metrics, const BlockMoverOptions& options);
   ~BlockMover() override;
   BlockMover(const BlockMover&) = delete;
   BlockMover& operator=(const BlockMover&) = delete;
 
-  /// Begins to follow a runner's cache events. A runner that is already known is replaced.
-  void AddRunner(const Runner& runner, std::shared_ptr<EngineClient> engine);
+  /// Follows the runners and stores of the inventory in force. Called periodically.
+  void AdoptInventory();
 
   BlockResidency Residency(const std::string& runner, const std::vector<BlockId>& chain) override;
   Awaitable<PreparedBlocks> Prepare(BlockDemand demand) override;
@@ -58,7 +59,7 @@
 
   static Awaitable<void> FollowEvents(std::shared_ptr<RunnerState> runner);
 
-  void AdoptInventory();
+  void AdoptRunners();
   Awaitable<void> Locate(Preparation& work);
   Awaitable<void> Import(Preparation& work);
   LeadingFetch Plan(const Preparation& work, TimePoint now) const;
@@ -72,6 +73,7 @@
   Awaitable<bool> Export(const BlockDemand& demand, std::shared_ptr<RunnerState> runner,
                          const BlockId& id);
   void Store(const BlockId& id, const RetainedBlock& block, const std::string& bytes);
+  void ForgetLost();
   void StartWriteBack(const BlockDemand& demand);
   Awaitable<void> WriteBack(BlockId id, std::string team, int64_t bytes);
 
@@ -80,6 +82,8 @@
   void CountFailedChecks(const std::string& tier, const std::string& reason, int64_t count);
 
   boost::asio::io_context& io_;
+  HttpClient& client_;
+  std::string host_;
   StoreSet stores_;
   InventorySource inventory_source_;
   std::shared_ptr<const Inventory> inventory_;
