--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -181,7 +181,8 @@
   }
   for (int i = 0; i < options_.stores; ++i) {
     absl::StrAppend(&text, "[store store", i, "]\ndata_centre = ", kDataCentres[i % 2],
-                    "\naddress = 127.0.0.1\nport = ", ports_[absl::StrCat("store", i)], "\n");
+                    "\naddress = 127.0.0.1\nport = ", ports_[absl::StrCat("store", i)],
+                    "\nlink_bytes_per_second = 10000000\n");
   }
   for (const char* team : {"alpha", "beta"}) {
     absl::StrAppend(&text, "[team ", team,
@@ -207,25 +208,32 @@
   StartProcess(name, commands_.at(name));
 }
 
+void Deployment::StartEnginesAndStores() {
+  const std::string standin = Environment("FW_STANDIN");
+  const auto start = [&](const std::string& name, const std::string& kind) {
+    std::vector<std::string> command = {standin, kind, absl::StrCat("--port=", ports_.at(name))};
+    if (kind == "engine") {
+      command.insert(command.end(), options_.engine_flags.begin(), options_.engine_flags.end());
+    }
+    AddProcess(name, command);
+    Eventually([&]() { return Send("GET", port(name), "/stats").status == 200; });
+  };
+  for (int i = 0; i < options_.agents; ++i) start(absl::StrCat("engine", i), "engine");
+  for (int i = 0; i < options_.stores; ++i) start(absl::StrCat("store", i), "store");
+}
+
 void Deployment::Start() {
   const std::string standin = Environment("FW_STANDIN");
+  StartEnginesAndStores();
   const std::string binary = Environment("FW_BINARY");
   const auto port_flag = [&](const std::string& name) {
     return absl::StrCat("--port=", ports_.at(name));
   };
   AddProcess("platform", {standin, "platform", port_flag("platform")});
   for (int i = 0; i < options_.agents; ++i) {
-    const std::string engine = absl::StrCat("engine", i);
-    std::vector<std::string> command = {standin, "engine", port_flag(engine)};
-    command.insert(command.end(), options_.engine_flags.begin(), options_.engine_flags.end());
-    AddProcess(engine, command);
     const std::string service = absl::StrCat("service", i);
     AddProcess(service, {standin, "service", port_flag(service)});
   }
-  for (int i = 0; i < options_.stores; ++i) {
-    const std::string store = absl::StrCat("store", i);
-    AddProcess(store, {standin, "store", port_flag(store)});
-  }
   Eventually([this]() { return Send("GET", port("platform"), "/stats").status == 200; });
   Apply(inventory_);
   for (const std::string& name : Daemons()) {
--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -37,8 +37,8 @@
 /// Processes of a test on loopback: stand-ins, agents and entries. All are ended with it.
 ///
 /// The inventory has the data centres "east" and "west", each with one entry, one agent, one model
-/// runner and one replica of the plain service "booking"; teams "alpha" and "beta" with the keys
-/// "key-alpha" and "key-beta"; the model "model" with blocks of 50 tokens.
+/// runner and one replica of the plain service "booking"; stores in turn in both; teams "alpha" and
+/// "beta" with the keys "key-alpha" and "key-beta"; the model "model" with blocks of 50 tokens.
 class Deployment {
  public:
   struct Options {
@@ -57,6 +57,9 @@
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
 
+  /// Starts the model engines and the stores only.
+  void StartEnginesAndStores();
+
   /// Starts everything, applies the inventory and waits until all daemons are ready.
   void Start();
 
