--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,11 +32,13 @@
 /// Repeats `condition` until it holds or the time is up; returns whether it held.
 bool Eventually(const std::function<bool()>& condition, Duration within = Seconds(20));
 
+void SleepMillis(int64_t millis);
+
 /// Processes of a test on loopback: stand-ins, agents and entries. All are ended with it.
 ///
 /// The inventory has the data centres "east" and "west", each with one entry, one agent, one model
-/// runner and one replica of the plain service "booking"; teams "alpha" and "beta" with the keys
-/// "key-alpha" and "key-beta"; the model "model" with blocks of 50 tokens.
+/// runner and one replica of the plain service "booking"; stores in turn in both; teams "alpha" and
+/// "beta" with the keys "key-alpha" and "key-beta"; the model "model" with blocks of 50 tokens.
 class Deployment {
  public:
   struct Options {
@@ -54,6 +57,9 @@
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
 
+  /// Starts the model engines and the stores only.
+  void StartEnginesAndStores();
+
   /// Starts everything, applies the inventory and waits until all daemons are ready.
   void Start();
 
@@ -70,10 +76,21 @@
   const std::string& inventory() const { return inventory_; }
   const std::string& directory() const { return directory_; }
 
-  /// Writes a configuration to the platform by a conditional update.
+  /// Puts an inventory into force with the operator command.
   void Apply(const std::string& inventory);
   /// Runs the operator command line and returns its exit code; `output` receives what it printed.
   int Operate(const std::vector<std::string>& arguments, std::string* output = nullptr);
+  /// Runs an operator command on the deployment's platform.
+  int OperateOnPlatform(std::vector<std::string> arguments, std::string* output = nullptr);
+  /// Shows all daemons in the platform's host list, those named in `leaving` as leaving.
+  void ListHosts(const std::set<std::string>& leaving = {});
+  /// Names of all agents and entries.
+  std::vector<std::string> Daemons() const;
+  /// Returns a daemon's status answer; empty when it does not answer.
+  boost::json::object Status(const std::string& daemon);
+  /// Returns the revision that a daemon reports, or 0.
+  int64_t Revision(const std::string& daemon);
+  bool AllAtRevision(int64_t revision);
   /// Switches a fault of a stand-in on or off.
   void Fault(const std::string& name, const std::string& json);
   boost::json::object Stats(const std::string& name);
@@ -88,6 +105,7 @@
 
  private:
   void ReservePorts();
+  std::string PeerAddresses(const std::string& self) const;
   void WriteFiles();
   void AddProcess(const std::string& name, const std::vector<std::string>& command);
 
