--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -62,6 +63,7 @@
   arguments.push_back(nullptr);
   const pid_t child = fork();
   if (child != 0) return child;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);  // A test that crashes leaves no process behind.
   const int descriptor = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   dup2(descriptor, STDOUT_FILENO);
   dup2(descriptor, STDERR_FILENO);
