--- a/test/standin/platform.cc
+++ b/test/standin/platform.cc
@@ -51,7 +51,6 @@
   int64_t reads = 0;
   int64_t writes = 0;
   int64_t watches = 0;
-  int64_t host_reads = 0;
   int64_t waiting = 0;  ///< Watches that wait now.
   int64_t conflicts = 0;
   int64_t refused = 0;
@@ -134,7 +133,6 @@
                           {"writes", stats_.writes},
                           {"watches", stats_.watches},
                           {"waiting", stats_.waiting},
-                          {"host_reads", stats_.host_reads},
                           {"conflicts", stats_.conflicts},
                           {"refused", stats_.refused},
                           {"weight_loads", stats_.weight_loads},
