--- a/test/standin/platform.cc
+++ b/test/standin/platform.cc
@@ -48,6 +48,7 @@
 
 struct Stats {
   int64_t calls = 0;  ///< Of every kind, those that are refused or find the platform down included.
+  int64_t host_reads = 0;
   int64_t reads = 0;
   int64_t writes = 0;
   int64_t watches = 0;
@@ -129,6 +130,7 @@
 
 Awaitable<void> Platform::SendStats(HttpExchange& exchange) {
   const json::object body{{"calls", stats_.calls},
+                          {"host_reads", stats_.host_reads},
                           {"reads", stats_.reads},
                           {"writes", stats_.writes},
                           {"watches", stats_.watches},
