--- a/test/capacity/process_slopes.cc
+++ b/test/capacity/process_slopes.cc
@@ -257,8 +257,8 @@
     burst.points.emplace_back(count, (Calls(deployment) - before).all);
     back.points.emplace_back(count, absl::ToDoubleSeconds(last - killed));
   }
-  return {reads,      watches,      cpu,          bytes, busiest, resident, delay,
-          change_cpu, change_bytes, change_calls, burst, back,    outage};
+  return {reads,       watches,    cpu,          bytes,        busiest, resident, delay,
+          worst_delay, change_cpu, change_bytes, change_calls, burst,   back,     outage};
 }
 
 /// Sends completions from several callers at once; returns the number of events received.
