Load weights under an order lease and a weight slot

Cause: nothing brought an engine to the weight version that the inventory names, and nothing kept two agents of one runner, or many agents at once, from ordering loads.

Change: WeightLoader on the agent compares each runner's load report with the inventory every 500 ms. To order it takes the runner's lease (leases/NAME) and one of [rules] weight_loads slots (weights/slots), orders with the fence, waits for the version in the load report and gives both back. For an engine that does not check fences it waits out the former validity while it renews. A foreign lease is taken over only after it was unchanged for the validity, so that two live agents do not take it from each other. The lease records the configuration revision; an agent with an older one does not order. The validity is [rules] order_lease_ms, since the next holder waits it out.

The revision check has no test.

--- a/src/core/inventory.cc
+++ b/src/core/inventory.cc
@@ -73,7 +73,7 @@
     {"kv_bytes_per_token", &Model::kv_bytes_per_token, Presence::kOptional, 1, 100'000'000},
 }};
 
-const std::array<IniKey<Rules>, 9> kRulesKeys = {{
+const std::array<IniKey<Rules>, 10> kRulesKeys = {{
     {"request_deadline_ms", &Rules::request_deadline_ms, Presence::kOptional, 1, 86'400'000},
     {"progress_deadline_ms", &Rules::progress_deadline_ms, Presence::kOptional, 1, 3'600'000},
     {"attach_window_ms", &Rules::attach_window_ms, Presence::kOptional, 1, 3'600'000},
@@ -83,6 +83,7 @@
     {"healthy_token_ms", &Rules::healthy_token_ms, Presence::kOptional, 1, 60'000},
     {"claim_lifetime_s", &Rules::claim_lifetime_s, Presence::kOptional, 1, 31'536'000},
     {"weight_loads", &Rules::weight_loads, Presence::kOptional, 1, 1000},
+    {"order_lease_ms", &Rules::order_lease_ms, Presence::kOptional, 100, 3'600'000},
 }};
 
 /// Line of each named section, for findings that concern two sections.
--- a/src/core/inventory.h
+++ b/src/core/inventory.h
@@ -93,6 +93,7 @@
   int64_t healthy_token_ms = 46;
   int64_t claim_lifetime_s = 86'400;
   int64_t weight_loads = 2;
+  int64_t order_lease_ms = 10'000;
 };
 
 /// What operators declare: everything that the system routes to and for.
--- a/src/net/daemon.cc
+++ b/src/net/daemon.cc
@@ -25,6 +25,7 @@
 #include "net/service_gate.h"
 #include "net/timer_service.h"
 #include "net/tls_context.h"
+#include "net/weight_loader.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -58,6 +59,7 @@
   if (role == Role::kEntry) {
     kernel.Add<EntryService>("entry", kernel, settings, ServerOptions(settings, tls.server));
   } else {
+    kernel.Add<WeightLoader>("weight_loader", kernel, settings);
     kernel.Add<AgentService>("agent", kernel, settings, ServerOptions(settings, tls.server));
   }
 }
--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -203,6 +203,9 @@
     const std::string engine = absl::StrCat("engine", i);
     std::vector<std::string> command = {standin, "engine", port_flag(engine)};
     command.insert(command.end(), options_.engine_flags.begin(), options_.engine_flags.end());
+    if (options_.weight_store) {
+      command.push_back(absl::StrCat("--platform=127.0.0.1:", ports_["platform"]));
+    }
     AddProcess(engine, command);
     const std::string service = absl::StrCat("service", i);
     AddProcess(service, {standin, "service", port_flag(service)});
--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -43,6 +43,7 @@
     int entries = 1;
     int stores = 0;
     std::vector<std::string> engine_flags;
+    bool weight_store = false;    ///< Engines load weights from the platform's weight store.
     std::string runner_settings;  ///< Further lines of every [runner].
     std::string rules;            ///< Further lines of [rules].
     std::string settings;         ///< Further sections of every settings file.
