--- a/src/net/daemon.cc
+++ b/src/net/daemon.cc
@@ -26,6 +26,7 @@
 #include "net/suspect_service.h"
 #include "net/timer_service.h"
 #include "net/tls_context.h"
+#include "net/weight_loader.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -60,6 +61,7 @@
     kernel.Add<SuspectService>("suspects", kernel, settings);
     kernel.Add<EntryService>("entry", kernel, settings, ServerOptions(settings, tls.server));
   } else {
+    kernel.Add<WeightLoader>("weight_loader", kernel, settings);
     kernel.Add<AgentService>("agent", kernel, settings, ServerOptions(settings, tls.server));
   }
 }
--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -216,6 +216,9 @@
     std::vector<std::string> command = {standin, kind, absl::StrCat("--port=", ports_.at(name))};
     if (kind == "engine") {
       command.insert(command.end(), options_.engine_flags.begin(), options_.engine_flags.end());
+      if (options_.weight_store) {
+        command.push_back(absl::StrCat("--platform=127.0.0.1:", ports_["platform"]));
+      }
     }
     AddProcess(name, command);
     Eventually([&]() { return Send("GET", port(name), "/stats").status == 200; });
