Authenticate internal messages and test TLS between processes

Cause: any process that reached the port could give agents work, and the TLS path had never been run.

Change: PeerAuthenticator adds X-Fw-Auth to every call of the peer client by a client hook, and common_routes checks it on every /internal/ path. No sender or receiver needs code of its own. The key file is read again every second; an unreadable one leaves the former keys in force. The first key signs and all are accepted, so a rotation appends the new key everywhere before it moves it to the front. Without a key file nothing changes. Operator commands that call /internal/ need the key too and do not sign yet.

Proofs seen to fail with the mechanism off: no check, no reading again, no signature (InternalMessagesNeedAProofAndKeysRotate); server without its TLS context (ProcessesTalkOverTls, which then does not become ready). Conclusion: both pass; the TLS path needed no change.

--- a/src/net/common_routes.cc
+++ b/src/net/common_routes.cc
@@ -3,9 +3,12 @@
 #include <absl/strings/match.h>
 
 #include <boost/json.hpp>
+#include <optional>
+#include <string>
 #include <utility>
 
 #include "net/config_client.h"
+#include "net/peer_authenticator.h"
 #include "net/revision_exchange.h"
 #include "net/service_gate.h"
 
@@ -33,6 +36,13 @@
   const std::string& method = exchange.request().method;
   const std::string& path = exchange.target().path;
   if (absl::StartsWith(path, "/internal/")) {
+    const std::optional<Error> refusal =
+        kernel.Find<PeerAuthenticator>("peer_authenticator").Refusal(exchange);
+    if (refusal) {
+      HttpResponse unauthorized = ErrorResponse(*refusal);
+      co_await exchange.Respond(std::move(unauthorized));
+      co_return true;
+    }
     kernel.Find<RevisionExchange>("revision_exchange").Serve(exchange);
   }
   if (method == "GET" && path == kConfigPath) {
--- a/src/net/daemon.cc
+++ b/src/net/daemon.cc
@@ -21,6 +21,7 @@
 #include "net/membership.h"
 #include "net/metrics.h"
 #include "net/object_api.h"
+#include "net/peer_authenticator.h"
 #include "net/revision_exchange.h"
 #include "net/service_gate.h"
 #include "net/timer_service.h"
@@ -55,6 +56,8 @@
   ConfigService& config = kernel.Add<ConfigService>("config", kernel.io(), settings, objects,
                                                     membership, clients.peers());
   kernel.Add<RevisionExchange>("revision_exchange", config, clients.peers(), settings);
+  // Added after the hook above, so that the proof covers the sender's name.
+  kernel.Add<PeerAuthenticator>("peer_authenticator", kernel, clients.peers(), settings);
   kernel.Add<ServiceGate>("service_gate", settings, config, membership);
   if (role == Role::kEntry) {
     kernel.Add<EntryService>("entry", kernel, settings, ServerOptions(settings, tls.server));
--- /dev/null
+++ b/src/net/peer_authenticator.h
@@ -0,0 +1,42 @@
+#ifndef FUCHSIAWEIR_NET_PEER_AUTHENTICATOR_H_
+#define FUCHSIAWEIR_NET_PEER_AUTHENTICATOR_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/peer_auth.h"
+#include "core/result.h"
+#include "core/settings.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/kernel.h"
+
+namespace fuchsiaweir {
+
+/// Adds X-Fw-Auth to every message to a peer and checks it on every internal message. Without a
+/// key file it does neither.
+///
+/// The first key of the file signs and all of its keys are accepted. The file is read again every
+/// second. To rotate without refusals: append the new key on all hosts, then move it to the front
+/// on all hosts, then remove the old one.
+class PeerAuthenticator : public Component {
+ public:
+  /// Throws std::runtime_error when the key file is named and unusable.
+  PeerAuthenticator(Kernel& kernel, HttpClient& peers, const Settings& settings);
+
+  /// Returns why an internal message is refused, or nothing when its proof is valid.
+  std::optional<Error> Refusal(const HttpExchange& exchange) const;
+
+ private:
+  bool active() const { return !settings_.peer_key_file.empty(); }
+  void ReadKeys();
+  void Sign(HttpRequest& request) const;
+
+  const Settings& settings_;
+  std::vector<PeerKey> keys_;
+};
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_NET_PEER_AUTHENTICATOR_H_
--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -78,9 +78,9 @@
 }
 
 Reply Send(const std::string& method, int port, const std::string& target, const std::string& body,
-           const HttpHeaders& headers, Duration timeout) {
+           const HttpHeaders& headers, Duration timeout, TlsContext tls) {
   boost::asio::io_context io(1);
-  HttpClient client(io);
+  HttpClient client(io, std::move(tls));
   Reply reply;
   HttpRequest request{method, target, headers, body};
   boost::asio::co_spawn(
@@ -230,7 +230,8 @@
     const bool daemon = name.rfind("agent", 0) == 0 || name.rfind("entry", 0) == 0;
     const char* path = daemon ? "/readyz" : "/stats";
     if (name.rfind("service", 0) == 0) path = "/executions";
-    if (Send("GET", port, path).status != 200) return false;
+    const TlsContext tls = daemon ? options_.daemon_tls : nullptr;
+    if (Send("GET", port, path, "", {}, Seconds(30), tls).status != 200) return false;
   }
   return true;
 }
@@ -290,12 +291,13 @@
 Reply Deployment::Complete(const std::string& prompt, int max_tokens, const std::string& entry) {
   const json::object body{{"model", "model"}, {"prompt", prompt}, {"max_tokens", max_tokens}};
   return Send("POST", port(entry), "/v1/completions", json::serialize(body),
-              {{"Authorization", "Bearer key-alpha"}});
+              {{"Authorization", "Bearer key-alpha"}}, Seconds(30), options_.daemon_tls);
 }
 
 Reply Deployment::Book(const std::string& key, const std::string& body, const std::string& entry) {
   return Send("POST", port(entry), "/v1/services/booking/book", body,
-              {{"Authorization", "Bearer key-alpha"}, {"Idempotency-Key", key}});
+              {{"Authorization", "Bearer key-alpha"}, {"Idempotency-Key", key}}, Seconds(30),
+              options_.daemon_tls);
 }
 
 int Deployment::Executions(const std::string& body) {
--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -11,6 +11,7 @@
 
 #include "core/clock.h"
 #include "net/http_types.h"
+#include "net/tls_context.h"
 
 namespace fuchsiaweir::testing {
 
@@ -26,7 +27,7 @@
 /// Sends one request and waits for the whole answer.
 Reply Send(const std::string& method, int port, const std::string& target,
            const std::string& body = "", const HttpHeaders& headers = {},
-           Duration timeout = Seconds(30));
+           Duration timeout = Seconds(30), TlsContext tls = nullptr);
 
 /// Repeats `condition` until it holds or the time is up; returns whether it held.
 bool Eventually(const std::function<bool()>& condition, Duration within = Seconds(20));
@@ -47,6 +48,7 @@
     std::string runner_settings;  ///< Further lines of every [runner].
     std::string rules;            ///< Further lines of [rules].
     std::string settings;         ///< Further sections of every settings file.
+    TlsContext daemon_tls;        ///< Requests to daemons use TLS when it is set.
   };
 
   Deployment() : Deployment(Options{}) {}
