Reserve the second agent's port in the weight load test

Cause: the test used the port after that of a service, which another process of the deployment may have. Change: FreePort of the harness is public and serves the second agent. Conclusion: PausedAgentDoesNotOrder passes as before.

--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -30,23 +30,6 @@
 
 namespace json = boost::json;
 
-/// Returns a port that no socket is bound to.
-int FreePort() {
-  static std::set<int> given;
-  while (true) {
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    socklen_t size = sizeof(address);
-    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-    close(descriptor);
-    const int port = ntohs(address.sin_port);
-    if (given.insert(port).second) return port;
-  }
-}
-
 std::string Environment(const char* name) {
   const char* value = std::getenv(name);
   if (value == nullptr) throw std::runtime_error(std::string(name) + " is not set");
@@ -72,6 +55,22 @@
 
 }  // namespace
 
+int FreePort() {
+  static std::set<int> given;
+  while (true) {
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    socklen_t size = sizeof(address);
+    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    close(descriptor);
+    const int port = ntohs(address.sin_port);
+    if (given.insert(port).second) return port;
+  }
+}
+
 json::object Reply::json() const {
   const json::value parsed = json::parse(body.empty() ? "{}" : body);
   return parsed.as_object();
--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -29,6 +29,9 @@
            const std::string& body = "", const HttpHeaders& headers = {},
            Duration timeout = Seconds(30), TlsContext tls = nullptr);
 
+/// Returns a port that no socket is bound to and that was not returned before.
+int FreePort();
+
 /// Repeats `condition` until it holds or the time is up; returns whether it held.
 bool Eventually(const std::function<bool()>& condition, Duration within = Seconds(20));
 
--- a/test/process/weight_loads.cc
+++ b/test/process/weight_loads.cc
@@ -85,7 +85,7 @@
   const std::string runner = "[runner runner0]\n";
   deployment.Start();
   const int port = deployment.port("agent0");
-  const int twin_port = deployment.port("service0") + 1;
+  const int twin_port = FreePort();
   const std::string own = absl::StrCat("agent0:", port);
   const std::string twin = absl::StrCat("agent0:", twin_port);
 
