Tie heartbeats to the progress deadline and prove prefix reuse

Cause: a heartbeat each second is too slow for rules with a short progress deadline. A run that ended without the engine's confirmation was taken as settled when a run that the load report did not hold yet hid it. Prefix reuse and the weight version of blocks had no proof.

Change: five heartbeats per progress deadline. A lingering run is settled only when the report holds no more than the runs that already sent tokens. Process tests for usage figures, team isolation of cached blocks and the engine's weight version.

--- a/src/net/agent_runs.cc
+++ b/src/net/agent_runs.cc
@@ -65,7 +65,7 @@
   if (config->revision == revision_) return;
   revision_ = config->revision;
   const Inventory& inventory = config->inventory;
-  buffers_->SetAttachWindow(Millis(inventory.rules.attach_window_ms));
+  buffers_->Configure(inventory.rules);
   for (auto entry = dispatchers_.begin(); entry != dispatchers_.end();) {
     const Dispatcher dispatcher = entry->second;
     const Runner& old = dispatcher->runner();
--- a/src/net/run_buffers.cc
+++ b/src/net/run_buffers.cc
@@ -1,5 +1,6 @@
 #include "net/run_buffers.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
@@ -9,9 +10,9 @@
 namespace fuchsiaweir {
 namespace {
 
-/// An empty frame after this pause tells the entry that the run is alive. It is a fifth of the
-/// default progress deadline.
-constexpr Duration kHeartbeat = Seconds(1);
+/// Heartbeats per progress deadline, so that a few late ones do not look like silence.
+constexpr int64_t kHeartbeatsPerDeadline = 5;
+constexpr Duration kMinHeartbeat = Millis(20);
 
 Frame Heartbeat(const RunAttempt& run, int64_t offset) {
   Frame frame;
@@ -28,6 +29,11 @@
 RunBuffers::RunBuffers(boost::asio::io_context& io, RunTableLimits limits, StopRun stop)
     : io_(io), table_(limits), stop_(std::move(stop)) {}
 
+void RunBuffers::Configure(const Rules& rules) {
+  table_.SetAttachWindow(Millis(rules.attach_window_ms));
+  heartbeat_ = std::max(kMinHeartbeat, Millis(rules.progress_deadline_ms) / kHeartbeatsPerDeadline);
+}
+
 std::optional<Error> RunBuffers::Open(const RunAttempt& run, int64_t offset) {
   const Result<std::optional<RunAttempt>> opened =
       table_.Open(run.run, run.attempt, offset, SteadyNow());
@@ -98,7 +104,7 @@
 
 Awaitable<void> RunBuffers::WaitForNews(std::string run) {
   boost::asio::steady_timer timer(io_);
-  timer.expires_after(kHeartbeat);
+  timer.expires_after(heartbeat_);
   const Waiting::iterator entry = waiting_.emplace(run, &timer);
   boost::system::error_code ignored;
   co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
--- a/src/net/run_buffers.h
+++ b/src/net/run_buffers.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "core/inventory.h"
 #include "core/run_table.h"
 #include "net/awaitable.h"
 #include "net/http_server.h"
@@ -38,7 +39,8 @@
   /// leaves or another reader takes its place. Heartbeat frames fill pauses.
   Awaitable<void> Serve(HttpExchange& exchange, RunAttempt run, int64_t offset);
 
-  void SetAttachWindow(Duration window) { table_.SetAttachWindow(window); }
+  /// Takes over the attach window and the progress deadline, which heartbeats must stay below.
+  void Configure(const Rules& rules);
 
   /// Removes the run and stops it.
   void Cancel(const RunAttempt& run);
@@ -59,6 +61,7 @@
   boost::asio::io_context& io_;
   RunTable table_;
   StopRun stop_;
+  Duration heartbeat_{Seconds(1)};
   Waiting waiting_;  ///< Timers of the readers that wait for news, by run.
 };
 
--- a/src/net/runner_dispatcher.cc
+++ b/src/net/runner_dispatcher.cc
@@ -333,6 +333,12 @@
                        [](const auto& entry) { return entry.second->on_engine; });
 }
 
+int64_t RunnerDispatcher::RunsDecoding() const {
+  return std::count_if(running_.begin(), running_.end(), [](const auto& entry) {
+    return entry.second->on_engine && !entry.second->prefilling;
+  });
+}
+
 Awaitable<void> RunnerDispatcher::Drive(Accepted run) {
   const TimePoint started = SteadyNow();
   EngineRunContext context{runner_,   engine_,         monitor_, buffers_,
@@ -345,6 +351,7 @@
   prefill_tokens_ += run->new_tokens;
   EngineRunEnd ended = co_await RunOnEngine(std::move(context), run);
   OnPrefillEnded(*run);
+  run->on_engine = false;
   if (!ended.settled) co_await AwaitSettled(run);
   if (ended.end.completed && transfer_ != nullptr) {
     retains_.push_back({std::move(ended.blocks), ended.epoch, SteadyNow()});
@@ -356,17 +363,16 @@
   // The slot stays taken while the engine may still compute the run, since a cold runner must not
   // get another one beside it.
   CancelOnEngine(run->key);
-  ++lingering_;
   const TimePoint give_up = SteadyNow() + kMaxLinger;
   const uint64_t epoch = monitor_->epoch();
   while (SteadyNow() < give_up) {
+    // Only runs that send tokens are certainly in the report; others could hide the lingering one.
+    const int64_t certain = RunsDecoding() + gate_.foreign();
     const EngineProbe probe = co_await monitor_->ProbeNow();
     if (probe.unreachable || monitor_->epoch() != epoch) break;
-    const int64_t live = gate_.running() - lingering_;
-    if (probe.load && probe.load->running + probe.load->waiting <= live) break;
+    if (probe.load && probe.load->running + probe.load->waiting <= certain) break;
     co_await SleepFor(kLingerPoll);
   }
-  --lingering_;
 }
 
 void RunnerDispatcher::OnRunEnded(const Accepted& run, const RunEnd& end, TimePoint started) {
--- a/src/net/runner_dispatcher.h
+++ b/src/net/runner_dispatcher.h
@@ -85,6 +85,7 @@
   void RefuseAllQueued(const Error& error);
   void CancelOnEngine(const std::string& key);
   int64_t RunsOnEngine() const;
+  int64_t RunsDecoding() const;
   void UpdateBusy();
 
   boost::asio::io_context& io_;
@@ -103,7 +104,6 @@
   uint64_t epoch_ = 0;
   int64_t prefill_tokens_ = 0;  ///< Prompt tokens that the engine is computing.
   int64_t long_prefills_ = 0;
-  int64_t lingering_ = 0;   ///< Slots of runs that ended while the engine may still hold them.
   int64_t loading_ = 0;     ///< Load orders without an answer.
   TimePoint fresh_from_{};  ///< More than the cold limit needs a report asked for after this time.
   TimePoint idle_since_{};
--- a/test/process/agent_client.cc
+++ b/test/process/agent_client.cc
@@ -25,6 +25,7 @@
     answer.exact = answer.exact && frame.offset == offset;
     offset += static_cast<int64_t>(frame.tokens.size());
     answer.tokens.insert(answer.tokens.end(), frame.tokens.begin(), frame.tokens.end());
+    if (frame.tokens.empty() && !frame.done && !frame.error) ++answer.heartbeats;
     answer.done = frame.done;
     answer.error = frame.error;
     answer.usage = frame.usage;
--- a/test/process/agent_client.h
+++ b/test/process/agent_client.h
@@ -19,7 +19,8 @@
   bool done = false;
   Usage usage;
   std::vector<std::string> tokens;
-  bool exact = true;  ///< Each frame continued the one before it.
+  int heartbeats = 0;  ///< Frames without news.
+  bool exact = true;   ///< Each frame continued the one before it.
 };
 
 /// Speaks to agent0 as an entry does.
--- a/test/process/agent_shutdown.cc
+++ b/test/process/agent_shutdown.cc
@@ -10,7 +10,9 @@
 
 // Guards against a shutdown that cuts a stream, drops a queued run or still takes new ones.
 TEST(AgentShutdown, RunningAndQueuedRunsEndAndNewOnesAreRefused) {
-  Deployment deployment;
+  Deployment::Options options;
+  options.rules = "progress_deadline_ms = 1000\n";
+  Deployment deployment(options);
   deployment.Start();
   const AgentClient agent(deployment);
   std::future<RunAnswer> running = agent.PostLater(AgentClient::MakeRun("running", 20, 300));
@@ -25,7 +27,9 @@
   CHECK(late.error->run_state == RunState::kNotRun);
 
   LONGS_EQUAL(300, running.get().tokens.size());
-  LONGS_EQUAL(50, queued.get().tokens.size());
+  const RunAnswer waited = queued.get();
+  LONGS_EQUAL(50, waited.tokens.size());
+  CHECK(waited.heartbeats > 0);
   LONGS_EQUAL(0, deployment.Wait("agent0"));
   LONGS_EQUAL(2, Counter(deployment, "started"));
 }
--- /dev/null
+++ b/test/process/prefix_reuse.cc
@@ -0,0 +1,48 @@
+#include <CppUTest/TestHarness.h>
+#include <absl/strings/str_cat.h>
+
+#include "core/block_chain.h"
+#include "process/agent_client.h"
+
+namespace fuchsiaweir::testing {
+
+TEST_GROUP(PrefixReuse){};
+
+// Guards against prompts that are computed again, and usage figures that do not add up.
+TEST(PrefixReuse, ReturningPromptIsFoundInTheCacheOfItsTeamOnly) {
+  Deployment deployment;
+  deployment.Start();
+  const AgentClient agent(deployment);
+  RunRequest run = AgentClient::MakeRun("prompt", 120, 4);
+  const Usage first = agent.Post(run).usage;
+  LONGS_EQUAL(120, first.recomputed_tokens);
+  run.attempt = 2;
+  const Usage second = agent.Post(run).usage;
+  LONGS_EQUAL(100, second.cached_tokens);
+  LONGS_EQUAL(20, second.recomputed_tokens);
+  run.attempt = 3;
+  run.team = "beta";
+  const Usage foreign = agent.Post(run).usage;
+  LONGS_EQUAL(0, foreign.cached_tokens + foreign.fetched_tokens);
+  LONGS_EQUAL(120, foreign.recomputed_tokens);
+}
+
+// Guards against blocks under the inventory's version while the engine runs other weights.
+TEST(PrefixReuse, BlocksCarryTheVersionThatTheEngineReports) {
+  Deployment deployment;
+  deployment.Start();
+  const AgentClient agent(deployment);
+  const int engine = deployment.port("engine0");
+  Send("POST", engine, "/v1/orders",
+       R"({"kind":"load","model":"model","version":"v2","fence":1,"proof":""})");
+  SleepMillis(1'500);  // More than the poll period and the report's lag.
+  const RunRequest run = AgentClient::MakeRun("prompt", 60, 4);
+  CHECK(agent.Post(run).done);
+  for (const char* version : {"v1", "v2"}) {
+    const BlockId block = BlockChain({"alpha", "model", "", version}, run.prompt, 50).at(0);
+    const Reply found = Send("GET", engine, absl::StrCat("/v1/kv/", ToHex(block)));
+    LONGS_EQUAL(std::string(version) == "v2" ? 200 : 404, found.status);
+  }
+}
+
+}  // namespace fuchsiaweir::testing
