Remove the count of runs beside a crashed one

Cause: a crash is now reported by the name of the engine instance, so the number of other runs on the engine has no reader any more. Change: the hook and its counter go.

--- a/src/net/engine_run.h
+++ b/src/net/engine_run.h
@@ -44,10 +44,9 @@
   std::shared_ptr<EngineClient> engine;
   std::shared_ptr<EngineMonitor> monitor;
   RunBuffers& buffers;
-  BlockTransfer* transfer = nullptr;        ///< Null: no blocks are moved.
-  int64_t backlog_tokens = 0;               ///< Prompt tokens that the engine computes before.
-  std::function<void()> on_first_token;     ///< The prefill has ended.
-  std::function<int64_t()> runs_on_engine;  ///< Including this one.
+  BlockTransfer* transfer = nullptr;     ///< Null: no blocks are moved.
+  int64_t backlog_tokens = 0;            ///< Prompt tokens that the engine computes before.
+  std::function<void()> on_first_token;  ///< The prefill has ended.
 };
 
 /// How a run on the engine ended.
--- a/src/net/runner_dispatcher.cc
+++ b/src/net/runner_dispatcher.cc
@@ -328,11 +328,6 @@
   if (FairQueue::IsLong(run.new_tokens)) --long_prefills_;
 }
 
-int64_t RunnerDispatcher::RunsOnEngine() const {
-  return std::count_if(running_.begin(), running_.end(),
-                       [](const auto& entry) { return entry.second->on_engine; });
-}
-
 int64_t RunnerDispatcher::RunsDecoding() const {
   return std::count_if(running_.begin(), running_.end(), [](const auto& entry) {
     return entry.second->on_engine && !entry.second->prefilling;
@@ -341,13 +336,11 @@
 
 Awaitable<void> RunnerDispatcher::Drive(Accepted run) {
   const TimePoint started = SteadyNow();
-  EngineRunContext context{runner_,   engine_,         monitor_, buffers_,
-                           transfer_, prefill_tokens_, {},       {}};
+  EngineRunContext context{runner_, engine_, monitor_, buffers_, transfer_, prefill_tokens_, {}};
   context.on_first_token = [this, run]() {
     OnPrefillEnded(*run);
     Pump();
   };
-  context.runs_on_engine = [this]() { return RunsOnEngine(); };
   prefill_tokens_ += run->new_tokens;
   EngineRunEnd ended = co_await RunOnEngine(std::move(context), run);
   OnPrefillEnded(*run);
--- a/src/net/runner_dispatcher.h
+++ b/src/net/runner_dispatcher.h
@@ -84,7 +84,6 @@
   void RefuseQueued(const std::string& key, const Error& error);
   void RefuseAllQueued(const Error& error);
   void CancelOnEngine(const std::string& key);
-  int64_t RunsOnEngine() const;
   int64_t RunsDecoding() const;
   void UpdateBusy();
 
