Prove that a leaving runner ends its runs and takes no new ones

Change: a process test takes a runner out of the inventory while it runs; seen to fail when its dispatcher stays in use (a late run is accepted).

--- a/test/process/agent_shutdown.cc
+++ b/test/process/agent_shutdown.cc
@@ -1,6 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
+#include <string>
 
 #include "process/agent_client.h"
 
@@ -34,4 +35,28 @@
   LONGS_EQUAL(2, Counter(deployment, "started"));
 }
 
+// Guards against a runner that leaves the inventory and cuts its runs or takes new ones.
+TEST(AgentShutdown, LeavingRunnerEndsItsRunsAndTakesNoNewOnes) {
+  Deployment deployment;
+  deployment.Start();
+  const AgentClient agent(deployment);
+  std::future<RunAnswer> running = agent.PostLater(AgentClient::MakeRun("running", 20, 1'500));
+  CHECK(Eventually([&]() { return Counter(deployment, "started") == 1; }));
+  std::string left = deployment.inventory();
+  const size_t begin = left.find("[runner runner0]");
+  left.erase(begin, left.find("[service booking0]") - begin);
+  deployment.Apply(left);
+  RunAnswer late;
+  for (int i = 0; !late.error && i < 50; ++i) {
+    const RunRequest run = AgentClient::MakeRun("late" + std::to_string(i), 20, 5);
+    late = agent.Post(run, Millis(50));
+    agent.Cancel(run);
+  }
+  CHECK(late.error.has_value());
+  CHECK(late.error->code == ErrorCode::kOutOfService);
+  CHECK(late.error->run_state == RunState::kNotRun);
+  LONGS_EQUAL(1'500, running.get().tokens.size());
+  LONGS_EQUAL(1, Counter(deployment, "started"));
+}
+
 }  // namespace fuchsiaweir::testing
