Test conditional host list reads and polls at shutdown

Cause: nothing failed when the host list was sent with every poll or when a shutdown waited for the polls of other processes. Change: one test each; the stand-in counts the lists that it sends.

--- a/test/process/configuration.cc
+++ b/test/process/configuration.cc
@@ -163,6 +163,33 @@
   }
 }
 
+// Guards against a host list that is sent again with every poll: 20 KB at 340 hosts.
+TEST(Configuration, ReadsAnUnchangedHostListConditionally) {
+  Deployment deployment;
+  deployment.Start();
+  const int64_t daemons = static_cast<int64_t>(deployment.Daemons().size());
+  const auto stat = [&](const char* name) {
+    return deployment.Stats("platform").at(name).as_int64();
+  };
+  CHECK(Eventually([&]() { return stat("host_reads") >= 3 * daemons; }));
+  LONGS_EQUAL(daemons, stat("hosts_sent"));
+}
+
+// Guards against a shutdown that waits for the polls of other processes.
+TEST(Configuration, RefusesWaitingPollsAtShutdown) {
+  Deployment deployment;
+  deployment.Start();
+  Reply reply;
+  std::thread poll([&]() {
+    reply = Send("GET", deployment.port("entry0"), "/internal/v1/config?after=1&wait_ms=10000");
+  });
+  std::this_thread::sleep_for(Millis(200));
+  deployment.Signal("entry0", SIGTERM);
+  poll.join();
+  LONGS_EQUAL(503, reply.status);
+  LONGS_EQUAL(0, deployment.Wait("entry0"));
+}
+
 // Guards against processes that cannot be replaced while the platform is down.
 TEST(Configuration, StartsAProcessFromItsPeersDuringAnOutage) {
   Deployment deployment;
--- a/test/standin/platform.cc
+++ b/test/standin/platform.cc
@@ -51,7 +51,8 @@
   int64_t writes = 0;
   int64_t watches = 0;
   int64_t host_reads = 0;
-  int64_t waiting = 0;  ///< Watches that wait now.
+  int64_t hosts_sent = 0;  ///< Host reads that were answered with the list itself.
+  int64_t waiting = 0;     ///< Watches that wait now.
   int64_t conflicts = 0;
   int64_t refused = 0;
   int64_t weight_loads = 0;
@@ -131,6 +132,7 @@
                           {"writes", stats_.writes},
                           {"watches", stats_.watches},
                           {"waiting", stats_.waiting},
+                          {"hosts_sent", stats_.hosts_sent},
                           {"host_reads", stats_.host_reads},
                           {"conflicts", stats_.conflicts},
                           {"refused", stats_.refused},
@@ -205,7 +207,9 @@
   ++stats_.host_reads;
   const std::string tag = absl::StrCat("\"", std::hash<std::string>{}(hosts_), "\"");
   HttpResponse response = JsonResponse(200, hosts_);
-  if (HeaderValue(exchange.request().headers, "If-None-Match") == tag) response = {304, {}, ""};
+  const bool unchanged = HeaderValue(exchange.request().headers, "If-None-Match") == tag;
+  if (unchanged) response = {304, {}, ""};
+  if (!unchanged) ++stats_.hosts_sent;
   response.headers.emplace_back("ETag", tag);
   co_await exchange.Respond(std::move(response));
 }
