--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -32,11 +32,13 @@
 /// Repeats `condition` until it holds or the time is up; returns whether it held.
 bool Eventually(const std::function<bool()>& condition, Duration within = Seconds(20));
 
+void SleepMillis(int64_t millis);
+
 /// Processes of a test on loopback: stand-ins, agents and entries. All are ended with it.
 ///
 /// The inventory has the data centres "east" and "west", each with one entry, one agent, one model
-/// runner and one replica of the plain service "booking"; teams "alpha" and "beta" with the keys
-/// "key-alpha" and "key-beta"; the model "model" with blocks of 50 tokens.
+/// runner and one replica of the plain service "booking"; stores in turn in both; teams "alpha" and
+/// "beta" with the keys "key-alpha" and "key-beta"; the model "model" with blocks of 50 tokens.
 class Deployment {
  public:
   struct Options {
@@ -55,6 +57,9 @@
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
 
+  /// Starts the model engines and the stores only.
+  void StartEnginesAndStores();
+
   /// Starts everything, applies the inventory and waits until all daemons are ready.
   void Start();
 
@@ -67,6 +72,7 @@
   bool Running(const std::string& name);
 
   int port(const std::string& name) const { return ports_.at(name); }
+  pid_t pid(const std::string& name) const { return processes_.at(name); }
   const std::string& inventory() const { return inventory_; }
   const std::string& directory() const { return directory_; }
 
