Test fetched tokens over the whole path

Guards the way from the caller's usage figures over the agent to the engine and back: with ten blocks of accelerator memory, a prompt that returns after another one pushed its blocks out gets fetched tokens. Two lint findings in store_set and block_mover are fixed.

--- a/src/net/block_mover.cc
+++ b/src/net/block_mover.cc
@@ -340,7 +340,7 @@
     return running->second;
   }
   if (fetches_.size() >= kMaxFetches) return nullptr;
-  const auto task = std::make_shared<FetchTask>();
+  auto task = std::make_shared<FetchTask>();
   task->waiters = 1;
   fetches_[block.id] = task;
   const BlockDemand& demand = work.demand;
--- a/src/net/store_set.cc
+++ b/src/net/store_set.cc
@@ -207,6 +207,7 @@
 
 std::vector<std::shared_ptr<StoreLink>> StoreSet::ByRank(const BlockId& id) const {
   std::vector<std::string> names;
+  names.reserve(links_.size());
   for (const auto& [name, link] : links_) names.push_back(name);
   std::vector<std::shared_ptr<StoreLink>> ranked;
   for (const std::string& name : RendezvousTop(ToHex(id), names, kCandidates)) {
--- /dev/null
+++ b/test/process/kv_whole_path.cc
@@ -0,0 +1,41 @@
+#include <CppUTest/TestHarness.h>
+
+#include <thread>
+
+#include "process/deployment.h"
+
+namespace fuchsiaweir::testing {
+namespace {
+
+int64_t UsageOf(const Reply& reply, const char* name) {
+  return reply.json().at("usage").at(name).to_number<int64_t>();
+}
+
+}  // namespace
+
+TEST_GROUP(KvWholePath){};
+
+// Guards against a break between the caller's usage figures, the agent and the movement of blocks.
+TEST(KvWholePath, AReturningPromptIsServedWithFetchedTokens) {
+  Deployment::Options options;
+  options.agents = 1;
+  options.stores = 2;
+  options.engine_flags = {"--prefill_tokens_per_second=1000", "--cache_blocks=10"};
+  Deployment deployment(options);
+  deployment.Start();
+  const Reply first = deployment.Complete(Words(405, 1), 4);
+  LONGS_EQUAL(200, first.status);
+  LONGS_EQUAL(0, UsageOf(first, "fetched_tokens"));
+  // The engine's memory holds ten blocks, so another prompt pushes the first one out.
+  CHECK(Eventually([&]() {
+    LONGS_EQUAL(200, deployment.Complete(Words(405, 2), 4).status);
+    // The agent learns of evictions by late events.
+    std::this_thread::sleep_for(Millis(700));
+    const Reply again = deployment.Complete(Words(405, 1), 4);
+    LONGS_EQUAL(200, again.status);
+    return UsageOf(again, "fetched_tokens") > 0;
+  }));
+  LONGS_EQUAL(0, deployment.Stats("engine0").at("bad_imports").as_int64());
+}
+
+}  // namespace fuchsiaweir::testing
