--- a/test/standin/platform.cc
+++ b/test/standin/platform.cc
@@ -151,6 +151,11 @@
   }
 }
 
+Awaitable<void> SendNotModified(HttpExchange& exchange) {
+  HttpResponse response{304, {}, ""};
+  co_await exchange.Respond(std::move(response));
+}
+
 std::string RenderObject(const Object& object, bool stale) {
   const json::object body{{"version", stale ? object.previous_version : object.version},
                           {"value", stale ? object.previous_value : object.value}};
@@ -173,6 +178,7 @@
   const bool asked_stale = faults_.stale || (faults_.stale_watches && wait_ms > 0);
   const bool stale = asked_stale && object.previous_version > 0;
   if (object.version == 0) co_return co_await SendJson(exchange, 404, R"({"error":"not found"})");
+  if (wait_ms > 0 && object.version <= after) co_return co_await SendNotModified(exchange);
   co_await SendJson(exchange, 200, RenderObject(object, stale));
 }
 
