Retain chains from their head and bound a team's protection

Change: a share protects blocks that were used within half a turnover of the tier; the chance of return counts up to one turnover; a block is worth more than the stored blocks that follow it.

--- a/src/core/retention_policy.cc
+++ b/src/core/retention_policy.cc
@@ -8,13 +8,20 @@
 namespace fuchsiaweir {
 namespace {
 
-// Below this chance of return a block no longer has the protection of its team's share. Otherwise
-// an inactive team would hold its share of the tier until the process ends.
-constexpr double kWorthlessChance = 0.005;
+// A team's share protects blocks that were used within this part of a turnover. Without the bound
+// teams kept blocks that no longer return: the p95 of returns was 0.882 s instead of 0.769 s
+// (Etnee, steady, mean of seeds 1 to 3).
+constexpr int64_t kProtectedPart = 2;
 
 // Write-back costs link time now for a fetch that may come. One-off prompts stay below this chance.
 constexpr double kMinWriteBackChance = 0.2;
 
+// A shorter turnover would make the chance depend on the position within the first gap bucket only.
+constexpr Duration kMinTurnover = Seconds(60);
+
+// Separates blocks of one prompt whose values are equal otherwise.
+constexpr double kAboveFollower = 1 + 1e-6;
+
 struct WriteBackCandidate {
   double benefit = 0;  ///< Expected microseconds saved per byte.
   BlockId id;
@@ -37,6 +44,8 @@
 
 void RetentionPolicy::Stored(const BlockId& id, const RetainedBlock& block) {
   Dropped(id);
+  CountTurnover(block.bytes);
+  if (block.previous) followers_[*block.previous].push_back(id);
   TeamState& state = teams_[block.team];
   if (state.blocks++ == 0) stored_weight_ += state.weight;
   state.bytes += block.bytes;
@@ -49,9 +58,35 @@
   TeamState& state = teams_[found->second.team];
   state.bytes -= found->second.bytes;
   if (--state.blocks == 0) stored_weight_ -= state.weight;
+  if (found->second.previous) {
+    const auto followers = followers_.find(*found->second.previous);
+    std::erase(followers->second, id);
+    if (followers->second.empty()) followers_.erase(followers);
+  }
   blocks_.erase(found);
 }
 
+// The tier is first full after one turnover, so nothing is evicted before the first measurement.
+void RetentionPolicy::CountTurnover(int64_t bytes) {
+  if (turnover_bytes_ == 0) turnover_start_ = now_;
+  turnover_bytes_ += bytes;
+  if (turnover_bytes_ < options_.capacity) return;
+  turnover_ = std::clamp(now_ - turnover_start_, kMinTurnover, options_.horizon);
+  turnover_bytes_ = 0;
+}
+
+// A cycle cannot occur, because a block's id covers all blocks before it. The sum over all stored
+// blocks of the visits is at most blocks x longest chain.
+double RetentionPolicy::WithFollowers(const BlockId& id, double own,
+                                      const std::string& incoming_team, TimePoint now) const {
+  const auto followers = followers_.find(id);
+  if (followers == followers_.end()) return own;
+  for (const BlockId& follower : followers->second) {
+    own = std::max(own, EvictionValue(follower, incoming_team, now) * kAboveFollower);
+  }
+  return own;
+}
+
 // Only teams with stored blocks divide the tier, so that capacity of absent teams is not wasted.
 double RetentionPolicy::FairShare(const std::string& team) const {
   const TeamState& state = StateOf(team);
@@ -66,13 +101,14 @@
 }
 
 double RetentionPolicy::Value(const BlockId& id, const RetainedBlock& block, TimePoint now) const {
-  return static_cast<double>(block.recompute.count()) * ReturnChance(id, now) /
+  return static_cast<double>(block.recompute.count()) * gaps_.Chance(id, turnover_, now) /
          static_cast<double>(std::max<int64_t>(block.bytes, 1));
 }
 
 double RetentionPolicy::AdmissionValue(const BlockId& id, const RetainedBlock& block,
                                        TimePoint now) const {
-  return Value(id, block, now) / Discount(block.team, block.bytes);
+  const double own = Value(id, block, now) / Discount(block.team, block.bytes);
+  return WithFollowers(id, own, block.team, now);
 }
 
 double RetentionPolicy::EvictionValue(const BlockId& id, const std::string& incoming_team,
@@ -82,10 +118,12 @@
   const RetainedBlock& block = found->second;
   const double left = static_cast<double>(StateOf(block.team).bytes - block.bytes);
   const bool within_share = left < FairShare(block.team);
-  if (block.team != incoming_team && within_share && ReturnChance(id, now) >= kWorthlessChance) {
+  if (block.team != incoming_team && within_share &&
+      gaps_.Idle(id, now) < turnover_ / kProtectedPart) {
     return std::numeric_limits<double>::infinity();
   }
-  return Value(id, block, now) / Discount(block.team, 0);
+  const double own = Value(id, block, now) / Discount(block.team, 0);
+  return WithFollowers(id, own, incoming_team, now);
 }
 
 std::vector<BlockId> RetentionPolicy::ChooseWriteBack(const std::vector<BlockId>& candidates,
--- a/src/core/retention_policy.h
+++ b/src/core/retention_policy.h
@@ -4,6 +4,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,7 @@
   std::string team;
   int64_t bytes = 1;
   Duration recompute{0};  ///< Prefill time of the block's tokens at its place in the prompt.
+  std::optional<BlockId> previous;  ///< The block before it in the prompt.
 };
 
 /// What one write-back round may use.
@@ -34,12 +36,16 @@
 
 /// Decides which blocks are worth their memory, their place in a store and their write-back.
 ///
-/// The value of a block is recompute time x chance of return / bytes. Between teams, a team within
-/// its fair share of the tier keeps its blocks, and a team above it competes at a lower value.
+/// The value of a block is recompute time x chance of return / bytes. The chance is that of a
+/// return within one turnover of the tier, the time in which as many bytes are stored as the tier
+/// holds. Between teams, a team within its fair share of the tier keeps the blocks that it used
+/// within half a turnover, and a team above its share competes at a lower value. A block is useless
+/// without those before it in the prompt, so it always has a lower value than they have: chains
+/// lose their tail first.
 class RetentionPolicy {
  public:
   explicit RetentionPolicy(const RetentionOptions& options)
-      : options_(options), gaps_(options.max_tracked) {}
+      : options_(options), gaps_(options.max_tracked), turnover_(options.horizon) {}
 
   /// Sets a team's weight (> 0) in the division of the tier. The default is 1.
   void SetTeamWeight(const std::string& team, double weight);
@@ -48,13 +54,14 @@
   void Observe(const std::string& team, const std::string& prompt_class,
                const std::vector<BlockId>& chain, TimePoint now) {
     gaps_.Observe(team, prompt_class, chain, now);
+    now_ = now;
   }
 
   /// Records that a block takes room in the tier, or that it no longer does.
   void Stored(const BlockId& id, const RetainedBlock& block);
   void Dropped(const BlockId& id);
 
-  /// Value of a block in expected microseconds saved per byte.
+  /// Value of a block by itself, in expected microseconds saved per byte.
   double Value(const BlockId& id, const RetainedBlock& block, TimePoint now) const;
 
   /// Value with which a new block competes for room.
@@ -69,6 +76,9 @@
   std::vector<BlockId> ChooseWriteBack(const std::vector<BlockId>& candidates,
                                        const WriteBackBudget& budget, TimePoint now) const;
 
+  /// Time in which as many bytes are stored as the tier holds, at most the horizon.
+  Duration turnover() const { return turnover_; }
+
   /// Probability that the block is used again within the horizon.
   double ReturnChance(const BlockId& id, TimePoint now) const {
     return gaps_.Chance(id, options_.horizon, now);
@@ -81,6 +91,9 @@
     int64_t blocks = 0;
   };
 
+  void CountTurnover(int64_t bytes);
+  double WithFollowers(const BlockId& id, double own, const std::string& incoming_team,
+                       TimePoint now) const;
   double FairShare(const std::string& team) const;
   double Discount(const std::string& team, int64_t extra_bytes) const;
   const TeamState& StateOf(const std::string& team) const;
@@ -90,6 +103,12 @@
   double stored_weight_ = 0;  ///< Sum of the weights of teams with stored blocks.
   absl::flat_hash_map<std::string, TeamState> teams_;
   absl::flat_hash_map<BlockId, RetainedBlock> blocks_;
+  /// Stored blocks that follow a block, whether or not it is stored itself.
+  absl::flat_hash_map<BlockId, std::vector<BlockId>> followers_;
+  TimePoint now_{};  ///< Of the last observation.
+  TimePoint turnover_start_{};
+  int64_t turnover_bytes_ = 0;  ///< Stored since `turnover_start_`.
+  Duration turnover_;
 };
 
 }  // namespace fuchsiaweir
--- a/src/core/return_gaps.cc
+++ b/src/core/return_gaps.cc
@@ -154,6 +154,11 @@
   return std::min(hazard, 1.0);
 }
 
+Duration ReturnGaps::Idle(const BlockId& id, TimePoint now) const {
+  const auto found = records_.find(id);
+  return found == records_.end() ? Duration::max() : now - found->second.seen;
+}
+
 double ReturnGaps::Chance(const BlockId& id, Duration horizon, TimePoint now) const {
   const auto found = records_.find(id);
   if (found == records_.end()) return 0;
--- a/src/core/return_gaps.h
+++ b/src/core/return_gaps.h
@@ -35,6 +35,9 @@
   /// given that it was not used since it was last observed. Unknown blocks give 0.
   double Chance(const BlockId& id, Duration horizon, TimePoint now) const;
 
+  /// Time since the block was last observed; unknown blocks give the largest duration.
+  Duration Idle(const BlockId& id, TimePoint now) const;
+
   size_t tracked() const { return records_.size(); }
 
  private:
--- a/test/experiment/time_model.h
+++ b/test/experiment/time_model.h
@@ -98,7 +98,8 @@
   TimePoint next_return;  ///< For the oracle.
   int team = 0;
   bool read = false;
-  int index = 0;  ///< Place in the prompt.
+  int index = 0;          ///< Place in the prompt.
+  BlockKey previous = 0;  ///< The block before it, unless `index` is 0.
 };
 
 /// One block on its way between a store and a runner.
