Tell the experiment's gates of a new engine instance at once

An agent orders weight loads and sees the connections to a former instance close, so it knows at once. The fault was in the harness; src/core is unchanged.

Change: the harness calls NewInstance when an engine turns cold. Late reports no longer carry an instance.

Conclusion: the gate's limit never exceeds that of the engine. An engine that turns cold without closing its connections is not modelled.

--- a/test/experiment/policy.h
+++ b/test/experiment/policy.h
@@ -15,7 +15,6 @@
 /// What an engine reported about itself.
 struct EngineReport {
   int runner = 0;
-  int instance = 0;  ///< Changes when the engine turns cold.
   int running = 0;
   Duration token_time{};
 };
@@ -89,6 +88,10 @@
   virtual void Left(const Job&) {}
   virtual void Finished(const Job&, Duration /*token_time*/) {}
 
+  /// A runner's engine turned cold. An agent ordered the weight load that ended, or sees the
+  /// connections to the former instance close.
+  virtual void NewInstance(const Runner&) {}
+
   /// Receives each runner's load report, which lags by one report interval.
   virtual void Report(const EngineReport&) {}
 };
--- a/test/experiment/product_policy.cc
+++ b/test/experiment/product_policy.cc
@@ -179,9 +179,12 @@
     admissions_.erase(admission);
   }
 
+  void NewInstance(const Runner& runner) override {
+    gates_[runner.id].OnEngineInstance(std::to_string(runner.instance));
+  }
+
   void Report(const EngineReport& report) override {
     ColdStartGate& gate = gates_[report.runner];
-    gate.OnEngineInstance(std::to_string(report.instance));
     gate.OnLoadReport({report.running, 0, report.token_time});
   }
 
--- a/test/experiment/simulation.cc
+++ b/test/experiment/simulation.cc
@@ -62,6 +62,7 @@
   void SetCentre(int centre, void (Simulation::*action)(Runner&));
   void DrainRunner(Runner& runner);
   void StopRunner(Runner& runner);
+  void TurnCold(Runner& runner);
   void RestoreRunner(Runner& runner);
   void SwapWeights();
   void LoadNextWeights();
@@ -104,7 +105,7 @@
   for (Runner& runner : fleet_.runners) {
     runner.reported_load = runner.load();
     const int running = static_cast<int>(runner.active.size());
-    reports_.push_back({runner.id, runner.instance, running, runner.token_time()});
+    reports_.push_back({runner.id, running, runner.token_time()});
   }
   if (now() - TimePoint{} < result_.length) clock_.After(kReportInterval, [this] { ReportLoad(); });
 }
@@ -412,7 +413,7 @@
       fleet_.stores[change.index].bytes_per_second = kLinkBytesPerSecond;
       return;
     case Kind::kRunnerCold:
-      return fleet_.runners[change.index].TurnCold();
+      return TurnCold(fleet_.runners[change.index]);
     case Kind::kWeightSwap:
       return SwapWeights();
     case Kind::kDrain:
@@ -463,7 +464,12 @@
   runner.listed = true;
   runner.draining = false;
   runner.computing = nullptr;
-  if (!runner.plain) runner.TurnCold();
+  if (!runner.plain) TurnCold(runner);
+}
+
+void Simulation::TurnCold(Runner& runner) {
+  runner.TurnCold();
+  policy_->NewInstance(runner);
 }
 
 void Simulation::SwapWeights() {
@@ -481,7 +487,7 @@
   clock_.After(kWeightLoad, [this, &runner] {
     runner.loading = false;
     runner.weight_version += 1;
-    runner.TurnCold();
+    TurnCold(runner);
     Admit(runner);
     LoadNextWeights();
   });
