Ask six runners for bids by default

Cause: with three candidates of twelve a request often found all of them busy while other runners were idle.

It costs twice the bids per request.

--- a/src/core/candidate_choice.h
+++ b/src/core/candidate_choice.h
@@ -24,7 +24,7 @@
   std::string team;
   std::string model;
   std::string prefix_block;  ///< Id of the block that names the prompt's family, in hex.
-  size_t count = 3;
+  size_t count = 6;
   std::vector<std::string> excluded;  ///< Runners that failed an earlier attempt.
 };
 
--- a/src/core/inventory.h
+++ b/src/core/inventory.h
@@ -89,7 +89,7 @@
   int64_t attach_window_ms = 10'000;
   int64_t max_queue = 256;
   int64_t retry_budget_percent = 10;
-  int64_t bid_candidates = 3;
+  int64_t bid_candidates = 6;
   int64_t healthy_token_ms = 46;
   int64_t claim_lifetime_s = 86'400;
   int64_t weight_loads = 2;
--- a/test/experiment/product_policy.cc
+++ b/test/experiment/product_policy.cc
@@ -11,6 +11,7 @@
 #include "core/fair_queue.h"
 #include "core/fetch_plan.h"
 #include "core/hot_prefix.h"
+#include "core/inventory.h"
 #include "core/rendezvous.h"
 #include "core/retention_policy.h"
 #include "core/team_quota.h"
@@ -19,7 +20,6 @@
 namespace fuchsiaweir::experiment {
 namespace {
 
-constexpr size_t kBidCandidates = 3;
 /// Tokens that may wait for prefill inside an engine, where the fair queue no longer orders them.
 /// Of 2,000, 4,000, 10,000 and no bound it gave the lowest p95 in Etnee's weight swaps, tried
 /// before bids and retention were wired in.
@@ -230,7 +230,7 @@
     Observe(request, fleet, now);
     const std::vector<int> ranked = Ranked(request, fleet);
     const double rate = hot_prefix_.Record(std::to_string(HomeKey(request)), now);
-    const size_t count = hot_prefix_.Candidates(rate, kBidCandidates);
+    const size_t count = hot_prefix_.Candidates(rate, Rules().bid_candidates);
     for (size_t first = 0; first < ranked.size(); first += count) {
       const size_t end = std::min(first + count, ranked.size());
       const std::span<const int> runners(&ranked[first], end - first);
