Compare bids with a prefix index and with load gossip

Change: two more policies of the experiment keep all product decisions but choose by an index of all caches or by loads that are up to 200 ms late. The report counts routing messages and bytes of state of the one modelled entry.

--- a/test/experiment/policy.cc
+++ b/test/experiment/policy.cc
@@ -252,6 +252,8 @@
       {"least_loaded", Make<LeastLoaded>},
       {"prefix_affinity", Make<PrefixAffinity>},
       {"fuchsiaweir", MakeProductPolicy},
+      {"prefix_index", MakeIndexPolicy},
+      {"load_gossip", MakeGossipPolicy},
       {"oracle", Make<Oracle>},
   };
   return policies;
--- a/test/experiment/policy.h
+++ b/test/experiment/policy.h
@@ -26,6 +26,12 @@
   Duration patience = Seconds(5);
 };
 
+/// What routing cost one entry up to now.
+struct RoutingCost {
+  int64_t messages = 0;  ///< Sent and received, without dispatches.
+  int64_t state_bytes = 0;
+};
+
 /// The decisions under comparison. The defaults are those of a plain stack: first come, first
 /// served, every stored block fetched, the least recently used block evicted from a store.
 class Policy {
@@ -35,6 +41,8 @@
   /// Picks a runner for the request, or kRefuse.
   virtual int Place(const Request& request, const Fleet& fleet, TimePoint now) = 0;
 
+  virtual RoutingCost routing_cost() const { return {}; }
+
   /// Round trips between entry and agents before dispatch.
   virtual int bid_round_trips() const { return 0; }
 
@@ -105,6 +113,9 @@
 const std::vector<PolicyEntry>& Policies();
 
 std::unique_ptr<Policy> MakeProductPolicy(const Deployment& deployment);
+/// The same with an index of all caches in the entry, or with gossiped loads, in place of bids.
+std::unique_ptr<Policy> MakeIndexPolicy(const Deployment& deployment);
+std::unique_ptr<Policy> MakeGossipPolicy(const Deployment& deployment);
 
 /// Whether new work may be sent to the runner as far as the drain orders and the host list tell.
 bool Serves(const Runner& runner, const Request& request, bool sees_orders);
--- a/test/experiment/product_policy.cc
+++ b/test/experiment/product_policy.cc
@@ -62,12 +62,30 @@
   return teams;
 }
 
+/// How an entry learns about runners.
+enum class Routing {
+  kBids,    ///< It asks the agents of the candidates.
+  kIndex,   ///< Cache events and loads of all runners reach it up to 200 ms late.
+  kGossip,  ///< Loads of all runners reach it up to 200 ms late, nothing of caches.
+};
+
+/// What an entry was told about a runner.
+struct RunnerView {
+  RunnerLoad load;
+  PrefixCache cache;  ///< For `Prefix` and counts only: a copy's order is not its own.
+};
+
+constexpr Duration kViewInterval = Millis(200);
+/// An index entry: block id, runner and one pointer.
+constexpr int64_t kIndexEntryBytes = 32;
+
 /// The product's decisions from src/core, fed with what entries and agents know. The link order is
 /// a placeholder for the link schedule. Agents read the engine's
 /// cache and queues exactly here, while real cache events and load reports lag.
 class Product : public Policy {
  public:
-  explicit Product(const Deployment& deployment) : retention_(StoreOptions(deployment)) {
+  Product(const Deployment& deployment, Routing routing)
+      : routing_(routing), retention_(StoreOptions(deployment)) {
     quota_.Configure(Teams(), 1);
     GateLimits limits;
     limits.cold_limit = kColdLimit;
@@ -87,7 +105,19 @@
     return runner;
   }
 
-  int bid_round_trips() const override { return 1; }
+  int bid_round_trips() const override { return routing_ == Routing::kBids ? 1 : 0; }
+
+  RoutingCost routing_cost() const override {
+    RoutingCost cost{messages_, 0};
+    for (const RunnerView& view : views_) {
+      cost.state_bytes += static_cast<int64_t>(sizeof(RunnerLoad));
+      if (routing_ != Routing::kIndex) continue;
+      cost.messages += view.cache.changes();
+      cost.state_bytes += static_cast<int64_t>(view.cache.size()) * kIndexEntryBytes;
+    }
+    return cost;
+  }
+
   Duration drain_delay() const override { return Seconds(1); }
 
   bool Push(Job& job, const Runner& runner, TimePoint now) override {
@@ -228,9 +258,13 @@
 
   int Choose(const Request& request, const Fleet& fleet, TimePoint now) {
     Observe(request, fleet, now);
+    if (routing_ != Routing::kBids) View(request, fleet, now);
     const std::vector<int> ranked = Ranked(request, fleet);
     const double rate = hot_prefix_.Record(std::to_string(HomeKey(request)), now);
-    const size_t count = hot_prefix_.Candidates(rate, Rules().bid_candidates);
+    // An index tells where blocks are, so every runner is a candidate.
+    const size_t count = routing_ == Routing::kIndex
+                             ? std::max<size_t>(1, ranked.size())
+                             : hot_prefix_.Candidates(rate, Rules().bid_candidates);
     for (size_t first = 0; first < ranked.size(); first += count) {
       const size_t end = std::min(first + count, ranked.size());
       const std::span<const int> runners(&ranked[first], end - first);
@@ -271,7 +305,11 @@
     std::vector<Bid> bids;
     for (const int runner : runners) {
       if (request.plain_call) return runner;
-      const Result<Bid> bid = MakeBid(question, LoadOf(request, fleet, fleet.runners[runner]));
+      const Runner& asked = fleet.runners[runner];
+      messages_ += routing_ == Routing::kBids ? 2 : 0;
+      const Result<Bid> bid =
+          MakeBid(question, routing_ == Routing::kBids ? LoadOf(request, fleet, asked)
+                                                       : LateLoadOf(request, fleet, asked));
       if (bid) bids.push_back(bid.value());
     }
     const std::optional<size_t> chosen =
@@ -279,6 +317,28 @@
     return chosen ? std::stoi(bids[*chosen].runner) : kRefuse;
   }
 
+  void View(const Request& request, const Fleet& fleet, TimePoint now) {
+    if (now < next_view_) return;
+    next_view_ = now + kViewInterval;
+    views_.clear();
+    for (const Runner& runner : fleet.runners) {
+      views_.push_back({LoadOf(request, fleet, runner), runner.cache});
+    }
+    messages_ += static_cast<int64_t>(views_.size());
+  }
+
+  /// The load of the last view. An index knows what the stores hold without delay.
+  RunnerLoad LateLoadOf(const Request& request, const Fleet& fleet, const Runner& runner) const {
+    RunnerLoad load = views_[runner.id].load;
+    load.resident_blocks = 0;
+    load.fetchable_blocks = 0;
+    if (routing_ == Routing::kGossip) return load;
+    const std::vector<BlockKey> blocks = BlocksOf(request, runner.weight_version);
+    load.resident_blocks = views_[runner.id].cache.Prefix(blocks);
+    load.fetchable_blocks = fleet.StoredRun(blocks, static_cast<int>(load.resident_blocks));
+    return load;
+  }
+
   RunnerLoad LoadOf(const Request& request, const Fleet& fleet, const Runner& runner) const {
     const std::vector<BlockKey> blocks = BlocksOf(request, runner.weight_version);
     RunnerLoad load;
@@ -328,6 +388,10 @@
     return job;
   }
 
+  Routing routing_;
+  std::vector<RunnerView> views_;  ///< By runner.
+  TimePoint next_view_{};
+  int64_t messages_ = 0;
   int version_ = 0;            ///< Weight version that new requests use.
   RetentionPolicy retention_;  ///< Of both stores.
   TeamQuota quota_;
@@ -342,7 +406,15 @@
 }  // namespace
 
 std::unique_ptr<Policy> MakeProductPolicy(const Deployment& deployment) {
-  return std::make_unique<Product>(deployment);
+  return std::make_unique<Product>(deployment, Routing::kBids);
+}
+
+std::unique_ptr<Policy> MakeIndexPolicy(const Deployment& deployment) {
+  return std::make_unique<Product>(deployment, Routing::kIndex);
+}
+
+std::unique_ptr<Policy> MakeGossipPolicy(const Deployment& deployment) {
+  return std::make_unique<Product>(deployment, Routing::kGossip);
 }
 
 }  // namespace fuchsiaweir::experiment
--- a/test/experiment/report.cc
+++ b/test/experiment/report.cc
@@ -94,6 +94,8 @@
       {"change_served", &Cell::change_served},
       {"late_dispatches", nullptr, &Cell::late_dispatches},
       {"cold_overloads", nullptr, &Cell::cold_overloads},
+      {"messages_per_s", &Cell::messages_per_second},
+      {"state_bytes", nullptr, &Cell::state_bytes},
   };
   return columns;
 }
@@ -196,6 +198,8 @@
   cell.change_served = Ratio(samples.change_served, samples.change_total);
   cell.late_dispatches = result.late_dispatches;
   cell.cold_overloads = result.cold_overloads;
+  cell.messages_per_second = static_cast<double>(result.routing.messages) / length;
+  cell.state_bytes = result.routing.state_bytes;
   return cell;
 }
 
--- a/test/experiment/report.h
+++ b/test/experiment/report.h
@@ -25,6 +25,8 @@
   double change_p95 = 0;
   double change_served = 0;  ///< Share of the requests in the change window that were served.
   int64_t late_dispatches = 0, cold_overloads = 0;
+  double messages_per_second = 0;  ///< Of routing, per entry.
+  int64_t state_bytes = 0;         ///< Of routing, per entry.
 };
 
 /// A target of section 7 of the design page, checked for the product in one cell.
--- a/test/experiment/simulation.cc
+++ b/test/experiment/simulation.cc
@@ -96,6 +96,7 @@
   }
   ReportLoad();
   clock_.Run();
+  result_.routing = policy_->routing_cost();
   return std::move(result_);
 }
 
--- a/test/experiment/simulation.h
+++ b/test/experiment/simulation.h
@@ -27,7 +27,8 @@
   std::vector<Outcome> outcomes;
   Duration length{};
   int64_t link_bytes = 0;
-  int64_t wasted_bytes = 0;     ///< Fetched in vain, or written and evicted unread.
+  int64_t wasted_bytes = 0;  ///< Fetched in vain, or written and evicted unread.
+  RoutingCost routing;
   int64_t late_dispatches = 0;  ///< To a data centre, more than 3 s after its drain.
   int64_t cold_overloads = 0;   ///< Runs started above a cold engine's limit.
 };
--- a/test/experiment/time_model.cc
+++ b/test/experiment/time_model.cc
@@ -34,7 +34,9 @@
   }
   order_.push_front(block);
   places_[block] = order_.begin();
+  changes_ += 1;
   if (order_.size() <= capacity_) return;
+  changes_ += 1;
   places_.erase(order_.back());
   order_.pop_back();
 }
--- a/test/experiment/time_model.h
+++ b/test/experiment/time_model.h
@@ -36,11 +36,14 @@
   bool Contains(BlockKey block) const { return places_.count(block) != 0; }
   void Use(BlockKey block);
   void Clear();
+  size_t size() const { return order_.size(); }
+  int64_t changes() const { return changes_; }  ///< Blocks that came or left.
   /// Number of leading blocks of `blocks` in the cache.
   int Prefix(const std::vector<BlockKey>& blocks) const;
 
  private:
   size_t capacity_;
+  int64_t changes_ = 0;
   std::list<BlockKey> order_;
   std::unordered_map<BlockKey, std::list<BlockKey>::iterator> places_;
 };
