--- a/test/experiment/simulation.cc
+++ b/test/experiment/simulation.cc
@@ -62,6 +62,7 @@
   void SetCentre(int centre, void (Simulation::*action)(Runner&));
   void DrainRunner(Runner& runner);
   void StopRunner(Runner& runner);
+  void TurnCold(Runner& runner);
   void RestoreRunner(Runner& runner);
   void SwapWeights();
   void LoadNextWeights();
@@ -95,6 +96,7 @@
   }
   ReportLoad();
   clock_.Run();
+  result_.routing = policy_->routing_cost();
   return std::move(result_);
 }
 
@@ -104,7 +106,7 @@
   for (Runner& runner : fleet_.runners) {
     runner.reported_load = runner.load();
     const int running = static_cast<int>(runner.active.size());
-    reports_.push_back({runner.id, runner.instance, running, runner.token_time()});
+    reports_.push_back({runner.id, running, runner.token_time()});
   }
   if (now() - TimePoint{} < result_.length) clock_.After(kReportInterval, [this] { ReportLoad(); });
 }
@@ -306,8 +308,9 @@
     const auto waiting = std::count_if(store.queue.begin(), store.queue.end(),
                                        [](const Transfer& t) { return t.write_back(); });
     if (!store.up || static_cast<size_t>(waiting) >= policy_->MaxWriteBacks()) continue;
-    StoredBlock fresh{now(), job.request->next_return, job.request->team, false,
-                      static_cast<int>(i)};
+    const BlockKey previous = i == 0 ? 0 : job.blocks[i - 1];
+    StoredBlock fresh{now(), job.request->next_return, job.request->team,
+                      false, static_cast<int>(i),      previous};
     store.queue.push_back({job.blocks[i], -1, static_cast<int>(i), now(), now(), fresh});
     PumpLink(index);
   }
@@ -411,7 +414,7 @@
       fleet_.stores[change.index].bytes_per_second = kLinkBytesPerSecond;
       return;
     case Kind::kRunnerCold:
-      return fleet_.runners[change.index].TurnCold();
+      return TurnCold(fleet_.runners[change.index]);
     case Kind::kWeightSwap:
       return SwapWeights();
     case Kind::kDrain:
@@ -462,7 +465,12 @@
   runner.listed = true;
   runner.draining = false;
   runner.computing = nullptr;
-  if (!runner.plain) runner.TurnCold();
+  if (!runner.plain) TurnCold(runner);
+}
+
+void Simulation::TurnCold(Runner& runner) {
+  runner.TurnCold();
+  policy_->NewInstance(runner);
 }
 
 void Simulation::SwapWeights() {
@@ -480,7 +488,7 @@
   clock_.After(kWeightLoad, [this, &runner] {
     runner.loading = false;
     runner.weight_version += 1;
-    runner.TurnCold();
+    TurnCold(runner);
     Admit(runner);
     LoadNextWeights();
   });
