--- a/src/net/agent_service.cc
+++ b/src/net/agent_service.cc
@@ -16,6 +16,8 @@
 
 constexpr char kRunsPath[] = "/internal/v1/runs";
 constexpr Duration kRunsPeriod = Seconds(1);
+/// An outcome that is not recorded by then leaves its call as unknown.
+constexpr Duration kFlushLimit = Seconds(10);
 
 BlockMoverOptions MoverOptions(const Settings& settings) {
   return {settings.host, settings.data_centre, settings.block_memory_bytes};
@@ -33,7 +35,8 @@
       settings_(settings),
       config_(kernel.Find<ConfigService>("config")),
       client_(kernel.Find<HttpClients>("http_clients").outside()),
-      calls_(client_, kernel.Find<ObjectApi>("object_api"), Millis(settings.platform_timeout_ms)),
+      calls_(kernel.io(), client_, kernel.Find<ObjectApi>("object_api"),
+             kernel.Find<Metrics>("metrics"), Millis(settings.platform_timeout_ms)),
       mover_(
           kernel.io(), client_, [this]() { return InventoryOf(config_); },
           kernel.Find<Metrics>("metrics"), MoverOptions(settings)),
@@ -53,6 +56,7 @@
   // The server stays open meanwhile, so that an entry whose connection broke can attach again.
   co_await runs_.Finish();
   co_await server_.Drain();
+  co_await calls_.Flush(kFlushLimit);
 }
 
 Awaitable<void> AgentService::Handle(HttpExchange& exchange) {
@@ -99,7 +103,8 @@
       refusal = Error{ErrorCode::kNoTarget, RunState::kNotRun,
                       "no such service on this host: " + call.value().replica, Duration{0}};
     } else {
-      answer = co_await calls_.Dispatch(std::move(call.value()), *service);
+      answer = co_await calls_.Dispatch(std::move(call.value()), *service,
+                                        Seconds(config->inventory.rules.claim_lifetime_s));
       if (!answer) refusal = answer.error();
     }
   }
--- a/src/net/daemon.cc
+++ b/src/net/daemon.cc
@@ -21,11 +21,13 @@
 #include "net/membership.h"
 #include "net/metrics.h"
 #include "net/object_api.h"
+#include "net/peer_authenticator.h"
 #include "net/revision_exchange.h"
 #include "net/service_gate.h"
 #include "net/suspect_service.h"
 #include "net/timer_service.h"
 #include "net/tls_context.h"
+#include "net/weight_loader.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -55,11 +57,14 @@
   ConfigService& config = kernel.Add<ConfigService>("config", kernel.io(), settings, objects,
                                                     membership, clients.peers());
   kernel.Add<RevisionExchange>("revision_exchange", config, clients.peers(), settings);
+  // Added after the hook above, so that the proof covers the sender's name.
+  kernel.Add<PeerAuthenticator>("peer_authenticator", kernel, clients.peers(), settings);
   kernel.Add<ServiceGate>("service_gate", settings, config, membership);
   if (role == Role::kEntry) {
     kernel.Add<SuspectService>("suspects", kernel, settings);
     kernel.Add<EntryService>("entry", kernel, settings, ServerOptions(settings, tls.server));
   } else {
+    kernel.Add<WeightLoader>("weight_loader", kernel, settings);
     kernel.Add<AgentService>("agent", kernel, settings, ServerOptions(settings, tls.server));
   }
 }
