--- a/test/capacity/core_slopes.cc
+++ b/test/capacity/core_slopes.cc
@@ -210,6 +210,7 @@
           const double rate = hot.Record(query.prefix_block, now);
           const auto candidates = table.Choose(query);
           std::vector<Bid> bids;
+          bids.reserve(candidates.size());
           for (const CandidateRunner* runner : candidates) {
             bids.push_back(
                 {runner->name, Micros(static_cast<int64_t>(random() % 200'000)), 0, 0, 3});
--- a/test/capacity/process_slopes.cc
+++ b/test/capacity/process_slopes.cc
@@ -282,6 +282,7 @@
     }
   };
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) callers.emplace_back(call);
   for (std::thread& caller : callers) caller.join();
   if (failed > requests / 50)
@@ -423,6 +424,7 @@
   Slope cpu{"connection_cpu", "idle connections", "us per second of an entry", {}};
   Deployment::Options options;
   options.agents = 0;
+  options.entries = 2;  // A lone process would get an empty list of peers.
   Deployment deployment(options);
   deployment.Start();
   std::vector<int> open;
@@ -509,7 +511,7 @@
           {"tokens", "1 entry, 2 agents and stand-ins", &Tokens},
           {"prompt_lengths", "1 entry, 2 agents and stand-ins", &PromptLengths},
           {"service_calls", "1 entry, 2 agents and stand-ins", &ServiceCalls},
-          {"connections", "1 entry and the platform stand-in", &Connections},
+          {"connections", "2 entries and the platform stand-in", &Connections},
           {"resident", "1 entry, 1 agent and stand-ins", &Resident},
           {"own_runners", "1 entry, 1 agent and stand-ins", &OwnRunners}};
 }
