--- a/test/standin/platform.cc
+++ b/test/standin/platform.cc
@@ -33,6 +33,7 @@
 struct Faults {
   bool down = false;
   bool stale = false;
+  bool stale_watches = false;
   int64_t delay_ms = 0;
   int64_t lose_answers = 0;
   int64_t writes_per_second = 1'000'000;
@@ -46,10 +47,12 @@
     {"reads_per_second", &Faults::reads_per_second}};
 
 struct Stats {
+  int64_t calls = 0;  ///< Of every kind, those that are refused or find the platform down included.
+  int64_t host_reads = 0;
   int64_t reads = 0;
   int64_t writes = 0;
   int64_t watches = 0;
-  int64_t host_reads = 0;
+  int64_t waiting = 0;  ///< Watches that wait now.
   int64_t conflicts = 0;
   int64_t refused = 0;
   int64_t weight_loads = 0;
@@ -100,6 +103,7 @@
   const std::string method = exchange.request().method;
   if (path == "/fault") co_return co_await SetFault(exchange);
   if (path == "/stats") co_return co_await SendStats(exchange);
+  ++stats_.calls;
   if (faults_.delay_ms > 0) co_await SleepFor(Millis(faults_.delay_ms));
   if (faults_.down) co_return co_await SendJson(exchange, 503, R"({"error":"down"})");
   if (path == "/hosts") co_return co_await Hosts(exchange);
@@ -116,6 +120,7 @@
   const json::object body = ParseJsonObject(exchange.request().body);
   if (body.contains("down")) faults_.down = BooleanField(body, "down");
   if (body.contains("stale")) faults_.stale = BooleanField(body, "stale");
+  if (body.contains("stale_watches")) faults_.stale_watches = BooleanField(body, "stale_watches");
   for (const auto& [name, member] : kNumericFaults) {
     if (body.contains(name)) faults_.*member = IntegerField(body, name);
   }
@@ -124,10 +129,12 @@
 }
 
 Awaitable<void> Platform::SendStats(HttpExchange& exchange) {
-  const json::object body{{"reads", stats_.reads},
+  const json::object body{{"calls", stats_.calls},
+                          {"host_reads", stats_.host_reads},
+                          {"reads", stats_.reads},
                           {"writes", stats_.writes},
                           {"watches", stats_.watches},
-                          {"host_reads", stats_.host_reads},
+                          {"waiting", stats_.waiting},
                           {"conflicts", stats_.conflicts},
                           {"refused", stats_.refused},
                           {"weight_loads", stats_.weight_loads},
@@ -156,10 +163,13 @@
   const int64_t wait_ms = exchange.target().QueryInteger("wait_ms", 0);
   ++(wait_ms > 0 ? stats_.watches : stats_.reads);
   const int64_t after = exchange.target().QueryInteger("after", 0);
+  ++stats_.waiting;
   if (wait_ms > 0) co_await WaitForVersion(key, after, Millis(wait_ms));
+  --stats_.waiting;
   if (faults_.down) co_return co_await SendJson(exchange, 503, R"({"error":"down"})");
   const Object& object = objects_[key];
-  const bool stale = faults_.stale && object.previous_version > 0;
+  const bool asked_stale = faults_.stale || (faults_.stale_watches && wait_ms > 0);
+  const bool stale = asked_stale && object.previous_version > 0;
   if (object.version == 0) co_return co_await SendJson(exchange, 404, R"({"error":"not found"})");
   co_await SendJson(exchange, 200, RenderObject(object, stale));
 }
