--- a/src/net/store_set.cc
+++ b/src/net/store_set.cc
@@ -31,8 +31,8 @@
     {WriteEnd::kEvicted, "evicted"},
 }};
 
-// One copy would be lost with its store's turn in the hash when the inventory changes; two keep
-// blocks findable while one store is out, at twice the lookups.
+// A block is written to one of two stores, so that it finds a place while the other is down or
+// full.
 constexpr size_t kCandidates = 2;
 
 // Progress is seen once per range, so a range is a small part of a block of some 100 MB.
