--- a/test/experiment/policy.h
+++ b/test/experiment/policy.h
@@ -15,7 +15,6 @@
 /// What an engine reported about itself.
 struct EngineReport {
   int runner = 0;
-  int instance = 0;  ///< Changes when the engine turns cold.
   int running = 0;
   Duration token_time{};
 };
@@ -27,6 +26,12 @@
   Duration patience = Seconds(5);
 };
 
+/// What routing cost one entry up to now.
+struct RoutingCost {
+  int64_t messages = 0;  ///< Sent and received, without dispatches.
+  int64_t state_bytes = 0;
+};
+
 /// The decisions under comparison. The defaults are those of a plain stack: first come, first
 /// served, every stored block fetched, the least recently used block evicted from a store.
 class Policy {
@@ -36,6 +41,8 @@
   /// Picks a runner for the request, or kRefuse.
   virtual int Place(const Request& request, const Fleet& fleet, TimePoint now) = 0;
 
+  virtual RoutingCost routing_cost() const { return {}; }
+
   /// Round trips between entry and agents before dispatch.
   virtual int bid_round_trips() const { return 0; }
 
@@ -89,6 +96,10 @@
   virtual void Left(const Job&) {}
   virtual void Finished(const Job&, Duration /*token_time*/) {}
 
+  /// A runner's engine turned cold. An agent ordered the weight load that ended, or sees the
+  /// connections to the former instance close.
+  virtual void NewInstance(const Runner&) {}
+
   /// Receives each runner's load report, which lags by one report interval.
   virtual void Report(const EngineReport&) {}
 };
@@ -102,6 +113,9 @@
 const std::vector<PolicyEntry>& Policies();
 
 std::unique_ptr<Policy> MakeProductPolicy(const Deployment& deployment);
+/// The same with an index of all caches in the entry, or with gossiped loads, in place of bids.
+std::unique_ptr<Policy> MakeIndexPolicy(const Deployment& deployment);
+std::unique_ptr<Policy> MakeGossipPolicy(const Deployment& deployment);
 
 /// Whether new work may be sent to the runner as far as the drain orders and the host list tell.
 bool Serves(const Runner& runner, const Request& request, bool sees_orders);
--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -32,23 +32,6 @@
 
 namespace json = boost::json;
 
-/// Returns a port that no socket is bound to.
-int FreePort() {
-  static std::set<int> given;
-  while (true) {
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    socklen_t size = sizeof(address);
-    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-    close(descriptor);
-    const int port = ntohs(address.sin_port);
-    if (given.insert(port).second) return port;
-  }
-}
-
 std::string Environment(const char* name) {
   const char* value = std::getenv(name);
   if (value == nullptr) throw std::runtime_error(std::string(name) + " is not set");
@@ -75,15 +58,31 @@
 
 }  // namespace
 
+int FreePort() {
+  static std::set<int> given;
+  while (true) {
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    socklen_t size = sizeof(address);
+    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    close(descriptor);
+    const int port = ntohs(address.sin_port);
+    if (given.insert(port).second) return port;
+  }
+}
+
 json::object Reply::json() const {
   const json::value parsed = json::parse(body.empty() ? "{}" : body);
   return parsed.as_object();
 }
 
 Reply Send(const std::string& method, int port, const std::string& target, const std::string& body,
-           const HttpHeaders& headers, Duration timeout) {
+           const HttpHeaders& headers, Duration timeout, TlsContext tls) {
   boost::asio::io_context io(1);
-  HttpClient client(io);
+  HttpClient client(io, std::move(tls));
   Reply reply;
   HttpRequest request{method, target, headers, body};
   boost::asio::co_spawn(
@@ -216,6 +215,9 @@
     std::vector<std::string> command = {standin, kind, absl::StrCat("--port=", ports_.at(name))};
     if (kind == "engine") {
       command.insert(command.end(), options_.engine_flags.begin(), options_.engine_flags.end());
+      if (options_.weight_store) {
+        command.push_back(absl::StrCat("--platform=127.0.0.1:", ports_["platform"]));
+      }
     }
     AddProcess(name, command);
     Eventually([&]() { return Send("GET", port(name), "/stats").status == 200; });
@@ -250,7 +252,8 @@
     const bool daemon = name.rfind("agent", 0) == 0 || name.rfind("entry", 0) == 0;
     const char* path = daemon ? "/readyz" : "/stats";
     if (name.rfind("service", 0) == 0) path = "/executions";
-    if (Send("GET", port, path).status != 200) return false;
+    const TlsContext tls = daemon ? options_.daemon_tls : nullptr;
+    if (Send("GET", port, path, "", {}, Seconds(30), tls).status != 200) return false;
   }
   return true;
 }
@@ -344,12 +347,13 @@
 Reply Deployment::Complete(const std::string& prompt, int max_tokens, const std::string& entry) {
   const json::object body{{"model", "model"}, {"prompt", prompt}, {"max_tokens", max_tokens}};
   return Send("POST", port(entry), "/v1/completions", json::serialize(body),
-              {{"Authorization", "Bearer key-alpha"}});
+              {{"Authorization", "Bearer key-alpha"}}, Seconds(30), options_.daemon_tls);
 }
 
 Reply Deployment::Book(const std::string& key, const std::string& body, const std::string& entry) {
   return Send("POST", port(entry), "/v1/services/booking/book", body,
-              {{"Authorization", "Bearer key-alpha"}, {"Idempotency-Key", key}});
+              {{"Authorization", "Bearer key-alpha"}, {"Idempotency-Key", key}}, Seconds(30),
+              options_.daemon_tls);
 }
 
 int Deployment::Executions(const std::string& body) {
--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -12,6 +12,7 @@
 
 #include "core/clock.h"
 #include "net/http_types.h"
+#include "net/tls_context.h"
 
 namespace fuchsiaweir::testing {
 
@@ -27,7 +28,10 @@
 /// Sends one request and waits for the whole answer.
 Reply Send(const std::string& method, int port, const std::string& target,
            const std::string& body = "", const HttpHeaders& headers = {},
-           Duration timeout = Seconds(30));
+           Duration timeout = Seconds(30), TlsContext tls = nullptr);
+
+/// Returns a port that no socket is bound to and that was not returned before.
+int FreePort();
 
 /// Repeats `condition` until it holds or the time is up; returns whether it held.
 bool Eventually(const std::function<bool()>& condition, Duration within = Seconds(20));
@@ -46,9 +50,11 @@
     int entries = 1;
     int stores = 0;
     std::vector<std::string> engine_flags;
+    bool weight_store = false;    ///< Engines load weights from the platform's weight store.
     std::string runner_settings;  ///< Further lines of every [runner].
     std::string rules;            ///< Further lines of [rules].
     std::string settings;         ///< Further sections of every settings file.
+    TlsContext daemon_tls;        ///< Requests to daemons use TLS when it is set.
   };
 
   Deployment() : Deployment(Options{}) {}
--- a/test/standin/platform.cc
+++ b/test/standin/platform.cc
@@ -48,11 +48,12 @@
 
 struct Stats {
   int64_t calls = 0;  ///< Of every kind, those that are refused or find the platform down included.
-  int64_t host_reads = 0;
   int64_t reads = 0;
   int64_t writes = 0;
   int64_t watches = 0;
-  int64_t waiting = 0;  ///< Watches that wait now.
+  int64_t host_reads = 0;
+  int64_t hosts_sent = 0;  ///< Host reads that were answered with the list itself.
+  int64_t waiting = 0;     ///< Watches that wait now.
   int64_t conflicts = 0;
   int64_t refused = 0;
   int64_t weight_loads = 0;
@@ -130,11 +131,12 @@
 
 Awaitable<void> Platform::SendStats(HttpExchange& exchange) {
   const json::object body{{"calls", stats_.calls},
-                          {"host_reads", stats_.host_reads},
                           {"reads", stats_.reads},
                           {"writes", stats_.writes},
                           {"watches", stats_.watches},
                           {"waiting", stats_.waiting},
+                          {"hosts_sent", stats_.hosts_sent},
+                          {"host_reads", stats_.host_reads},
                           {"conflicts", stats_.conflicts},
                           {"refused", stats_.refused},
                           {"weight_loads", stats_.weight_loads},
@@ -149,6 +151,11 @@
   }
 }
 
+Awaitable<void> SendNotModified(HttpExchange& exchange) {
+  HttpResponse response{304, {}, ""};
+  co_await exchange.Respond(std::move(response));
+}
+
 std::string RenderObject(const Object& object, bool stale) {
   const json::object body{{"version", stale ? object.previous_version : object.version},
                           {"value", stale ? object.previous_value : object.value}};
@@ -171,6 +178,7 @@
   const bool asked_stale = faults_.stale || (faults_.stale_watches && wait_ms > 0);
   const bool stale = asked_stale && object.previous_version > 0;
   if (object.version == 0) co_return co_await SendJson(exchange, 404, R"({"error":"not found"})");
+  if (wait_ms > 0 && object.version <= after) co_return co_await SendNotModified(exchange);
   co_await SendJson(exchange, 200, RenderObject(object, stale));
 }
 
@@ -208,7 +216,9 @@
   ++stats_.host_reads;
   const std::string tag = absl::StrCat("\"", std::hash<std::string>{}(hosts_), "\"");
   HttpResponse response = JsonResponse(200, hosts_);
-  if (HeaderValue(exchange.request().headers, "If-None-Match") == tag) response = {304, {}, ""};
+  const bool unchanged = HeaderValue(exchange.request().headers, "If-None-Match") == tag;
+  if (unchanged) response = {304, {}, ""};
+  if (!unchanged) ++stats_.hosts_sent;
   response.headers.emplace_back("ETag", tag);
   co_await exchange.Respond(std::move(response));
 }
