Tell the retention policy the block before each retained block

Change: the block mover passes the block before each block of a prompt, so that its memory tier also gives up chains from their tail. The member has a default, so code that retains single blocks need not name it.

--- a/src/core/retention_policy.h
+++ b/src/core/retention_policy.h
@@ -25,7 +25,7 @@
   std::string team;
   int64_t bytes = 1;
   Duration recompute{0};  ///< Prefill time of the block's tokens at its place in the prompt.
-  std::optional<BlockId> previous;  ///< The block before it in the prompt.
+  std::optional<BlockId> previous = std::nullopt;  ///< The block before it in the prompt.
 };
 
 /// What one write-back round may use.
--- a/src/net/block_mover.cc
+++ b/src/net/block_mover.cc
@@ -48,6 +48,13 @@
   return ids;
 }
 
+/// The block before `id` in a prompt.
+std::optional<BlockId> PreviousOf(const std::vector<BlockId>& chain, const BlockId& id) {
+  const auto found = std::find(chain.begin(), chain.end(), id);
+  if (found == chain.end() || found == chain.begin()) return std::nullopt;
+  return *std::prev(found);
+}
+
 }  // namespace
 
 struct BlockMover::RunnerState {
@@ -345,7 +352,8 @@
   fetches_[block.id] = task;
   const BlockDemand& demand = work.demand;
   task->block = {demand.team, block.bytes,
-                 PrefillTime(demand.block_tokens, demand.prefill_tokens_per_second)};
+                 PrefillTime(demand.block_tokens, demand.prefill_tokens_per_second),
+                 PreviousOf(demand.chain, block.id)};
   const auto rest = static_cast<int64_t>(work.plan.blocks - index);
   FetchTerms terms;
   terms.team = demand.team;
@@ -460,6 +468,7 @@
   block.team = demand.team;
   block.bytes = static_cast<int64_t>(exported.bytes.size());
   block.recompute = PrefillTime(demand.block_tokens, demand.prefill_tokens_per_second);
+  block.previous = PreviousOf(demand.chain, id);
   Store(id, block, exported.bytes);
   co_return true;
 }
