--- a/src/net/block_mover.cc
+++ b/src/net/block_mover.cc
@@ -48,9 +48,10 @@
   return ids;
 }
 
-std::optional<BlockId> BlockBefore(const std::vector<BlockId>& chain, const BlockId& id) {
+/// The block before `id` in a prompt.
+std::optional<BlockId> PreviousOf(const std::vector<BlockId>& chain, const BlockId& id) {
   const auto found = std::find(chain.begin(), chain.end(), id);
-  if (found == chain.begin() || found == chain.end()) return std::nullopt;
+  if (found == chain.end() || found == chain.begin()) return std::nullopt;
   return *std::prev(found);
 }
 
@@ -350,10 +351,9 @@
   task->waiters = 1;
   fetches_[block.id] = task;
   const BlockDemand& demand = work.demand;
-  task->block.team = demand.team;
-  task->block.bytes = block.bytes;
-  task->block.recompute = PrefillTime(demand.block_tokens, demand.prefill_tokens_per_second);
-  task->block.previous = BlockBefore(demand.chain, block.id);
+  task->block = {demand.team, block.bytes,
+                 PrefillTime(demand.block_tokens, demand.prefill_tokens_per_second),
+                 PreviousOf(demand.chain, block.id)};
   const auto rest = static_cast<int64_t>(work.plan.blocks - index);
   FetchTerms terms;
   terms.team = demand.team;
@@ -468,7 +468,7 @@
   block.team = demand.team;
   block.bytes = static_cast<int64_t>(exported.bytes.size());
   block.recompute = PrefillTime(demand.block_tokens, demand.prefill_tokens_per_second);
-  block.previous = BlockBefore(demand.chain, id);
+  block.previous = PreviousOf(demand.chain, id);
   Store(id, block, exported.bytes);
   co_return true;
 }
