Tell the retention policy which block precedes another

BlockMover now fills it for exported and for fetched blocks, so that the policy can value a block by its place in the prompt; the capacity program passes no previous block, as its blocks are single.

--- a/src/net/block_mover.cc
+++ b/src/net/block_mover.cc
@@ -40,6 +40,15 @@
   return Micros(tokens * 1'000'000 / std::max<int64_t>(tokens_per_second, 1));
 }
 
+RetainedBlock RetainedBlockOf(const BlockDemand& demand, size_t index, int64_t bytes) {
+  RetainedBlock block;
+  block.team = demand.team;
+  block.bytes = bytes;
+  block.recompute = PrefillTime(demand.block_tokens, demand.prefill_tokens_per_second);
+  if (index > 0) block.previous = demand.chain[index - 1];
+  return block;
+}
+
 std::vector<BlockId> ParseIds(const std::vector<std::string>& texts) {
   std::vector<BlockId> ids;
   for (const std::string& text : texts) {
@@ -344,8 +353,7 @@
   task->waiters = 1;
   fetches_[block.id] = task;
   const BlockDemand& demand = work.demand;
-  task->block = {demand.team, block.bytes,
-                 PrefillTime(demand.block_tokens, demand.prefill_tokens_per_second)};
+  task->block = RetainedBlockOf(demand, work.resident + index, block.bytes);
   const auto rest = static_cast<int64_t>(work.plan.blocks - index);
   FetchTerms terms;
   terms.team = demand.team;
@@ -436,10 +444,11 @@
 Awaitable<void> BlockMover::RetainBlocks(BlockDemand demand, std::shared_ptr<RunnerState> runner) {
   if (demand.chain.size() > kMaxPromptBlocks) demand.chain.resize(kMaxPromptBlocks);
   bool answering = true;
-  for (const BlockId& id : demand.chain) {
+  for (size_t i = 0; i < demand.chain.size(); ++i) {
+    const BlockId& id = demand.chain[i];
     const bool valued = policy_.ReturnChance(id, SteadyNow()) > 0;
     if (!answering || !valued || arena_.Find(id) != nullptr) continue;
-    answering = co_await Export(demand, runner, id);
+    answering = co_await Export(demand, runner, i);
   }
   StartWriteBack(demand);
   --retains_;
@@ -447,7 +456,8 @@
 
 // Returns false when the engine does not answer or was reset.
 Awaitable<bool> BlockMover::Export(const BlockDemand& demand, std::shared_ptr<RunnerState> runner,
-                                   const BlockId& id) {
+                                   size_t index) {
+  const BlockId& id = demand.chain[index];
   const uint64_t epoch = runner->residency.epoch();
   const EngineExport exported = co_await runner->engine->ExportBlock(ToHex(id), kExportTimeout);
   if (exported.outcome != CallOutcome::kDone || epoch != runner->residency.epoch()) co_return false;
@@ -456,11 +466,8 @@
     co_return true;
   }
   runner->residency.Add(id);
-  RetainedBlock block;
-  block.team = demand.team;
-  block.bytes = static_cast<int64_t>(exported.bytes.size());
-  block.recompute = PrefillTime(demand.block_tokens, demand.prefill_tokens_per_second);
-  Store(id, block, exported.bytes);
+  const auto bytes = static_cast<int64_t>(exported.bytes.size());
+  Store(id, RetainedBlockOf(demand, index, bytes), exported.bytes);
   co_return true;
 }
 
--- a/src/net/block_mover.h
+++ b/src/net/block_mover.h
@@ -71,7 +71,7 @@
 
   Awaitable<void> RetainBlocks(BlockDemand demand, std::shared_ptr<RunnerState> runner);
   Awaitable<bool> Export(const BlockDemand& demand, std::shared_ptr<RunnerState> runner,
-                         const BlockId& id);
+                         size_t index);
   void Store(const BlockId& id, const RetainedBlock& block, const std::string& bytes);
   void ForgetLost();
   void StartWriteBack(const BlockDemand& demand);
--- a/test/capacity/core_slopes.cc
+++ b/test/capacity/core_slopes.cc
@@ -245,7 +245,7 @@
       if (!place) throw std::runtime_error("the arena refuses a block");
       arena->Write(*place, content);
       arena->Seal(*place);
-      policy->Stored(id, {team, kBytes, Millis(200)});
+      policy->Stored(id, {team, kBytes, Millis(200), std::nullopt});
       for (const BlockId& lost : arena->TakeLost()) policy->Dropped(lost);
     };
     for (int i = 0; i < blocks; ++i) add();
