--- a/test/process/configuration.cc
+++ b/test/process/configuration.cc
@@ -14,9 +14,9 @@
 namespace fuchsiaweir::testing {
 namespace {
 
-Deployment::Options FourProcessesPerDataCentre() {
+Deployment::Options EightProcessesPerDataCentre() {
   Deployment::Options options;
-  options.agents = 6;
+  options.agents = 14;  // With 6 watchers in each data centre, two processes of each poll.
   options.entries = 2;
   return options;
 }
@@ -46,21 +46,21 @@
 // Guards against a change that does not reach the processes that do not watch the platform, and
 // against processes that watch it although others of their data centre do.
 TEST(Configuration, ReachesAllProcessesThroughAFewWatchers) {
-  Deployment deployment(FourProcessesPerDataCentre());
+  Deployment deployment(EightProcessesPerDataCentre());
   deployment.Start();
   deployment.ListHosts();
-  CHECK(Eventually([&]() { return deployment.Stats("platform").at("waiting").as_int64() == 6; }));
+  CHECK(Eventually([&]() { return deployment.Stats("platform").at("waiting").as_int64() == 12; }));
   LONGS_EQUAL(0, deployment.OperateOnPlatform({"drain", "host", "agent0", "--who=test"}));
   CHECK(Eventually([&]() { return deployment.AllAtRevision(2); }, Seconds(10)));
-  LONGS_EQUAL(6, deployment.Stats("platform").at("waiting").as_int64());
+  LONGS_EQUAL(12, deployment.Stats("platform").at("waiting").as_int64());
 }
 
 // Guards against a process that waits for a watcher that went silent: its connection stays open.
 TEST(Configuration, ReachesAProcessWhoseWatcherIsSilent) {
-  Deployment deployment(FourProcessesPerDataCentre());
+  Deployment deployment(EightProcessesPerDataCentre());
   deployment.Start();
   deployment.ListHosts();
-  CHECK(Eventually([&]() { return deployment.Stats("platform").at("waiting").as_int64() == 6; }));
+  CHECK(Eventually([&]() { return deployment.Stats("platform").at("waiting").as_int64() == 12; }));
   const std::string silent = FirstPollTarget(deployment);
   deployment.Signal(silent, SIGSTOP);
   LONGS_EQUAL(0, deployment.OperateOnPlatform({"drain", "host", "agent0", "--who=test"}));
