--- a/src/net/model_router.cc
+++ b/src/net/model_router.cc
@@ -126,7 +126,7 @@
   const BlockScope scope{session.team.name, model->name, model->adapter, model->version};
   session.blocks = HexIds(BlockChain(scope, session.prompt, model->block_tokens));
   session.digest = RequestDigest(session.team, session.request());
-  const std::optional<Error> poisoned = CheckSuspect(session);
+  std::optional<Error> poisoned = CheckSuspect(session);
   if (poisoned) return poisoned;
   session.deadline = session.started + Millis(session.rules().request_deadline_ms);
   // A prompt shorter than a block has nothing to reuse, so it goes to any runner.
@@ -174,7 +174,7 @@
                                   {"code", std::string(Name(failure->code))},
                                   {"reason", failure->message}});
     session.outcomes.push_back(RunOutcome(session.last_stage));
-    const std::optional<Error> poisoned = NoteCrash(session, *failure);
+    std::optional<Error> poisoned = NoteCrash(session, *failure);
     if (poisoned) co_return poisoned;
     const bool retry = co_await PrepareRetry(session, *failure);
     if (!retry) co_return failure;
--- a/src/net/operator_session.cc
+++ b/src/net/operator_session.cc
@@ -16,12 +16,13 @@
 #include "core/settings.h"
 #include "net/config_client.h"
 #include "net/log.h"
+#include "net/peer_authenticator.h"
 
 ABSL_FLAG(std::string, settings, "", "settings file of a process (INI)");
 ABSL_FLAG(std::string, platform, "", "ADDRESS:PORT of the platform's object API");
 ABSL_FLAG(std::vector<std::string>, peers, {},
           "ADDRESS:PORT of processes to ask while the platform does not answer");
-ABSL_FLAG(std::string, who, "", "name in the audit trail; $USER when empty");
+ABSL_FLAG(std::string, who, "", "name in the audit trail; required when $USER is not set");
 ABSL_FLAG(std::string, output, "text", "text or json");
 ABSL_FLAG(bool, wait, false, "wait until the change is in force in every live process");
 ABSL_FLAG(absl::Duration, timeout, absl::Seconds(30), "longest duration of the command");
@@ -50,6 +51,12 @@
   // The process of the settings is a further peer that knows the configuration.
   options.peers.push_back({settings->listen_address, static_cast<uint16_t>(settings->listen_port)});
   options.tls = LoadTlsContexts(*settings, findings).client;
+  options.host = settings->host;
+  if (settings->peer_key_file.empty()) return;
+  const std::optional<std::string> keys = ReadFileText(settings->peer_key_file, findings);
+  if (!keys) return;
+  const auto parsed = ParsePeerKeys(*keys, settings->peer_key_file, findings);
+  if (parsed) options.peer_key = parsed->front();
 }
 
 void CheckEndpoint(const std::string& flag, const Endpoint& endpoint, Findings& findings) {
@@ -115,7 +122,14 @@
       outside_(io),
       peers_(io, options_.tls),
       objects_(outside_, options_.platform),
-      host_list_(outside_, options_.platform) {}
+      host_list_(outside_, options_.platform) {
+  if (!options_.peer_key) return;
+  HttpClientHook hook;
+  hook.before = [this](const Endpoint&, HttpRequest& request) {
+    SignRequest(request, *options_.peer_key, options_.host);
+  };
+  peers_.AddHook(std::move(hook));
+}
 
 Awaitable<Result<VersionedConfig>> OperatorSession::ReadPlatform() {
   if (options_.platform.port == 0) co_return PlatformError("no platform address is given");
--- a/src/net/operator_session.h
+++ b/src/net/operator_session.h
@@ -11,6 +11,7 @@
 
 #include "core/config_document.h"
 #include "core/inventory.h"
+#include "core/peer_auth.h"
 #include "core/result.h"
 #include "net/awaitable.h"
 #include "net/host_list.h"
@@ -47,6 +48,8 @@
   Duration timeout{0};
   Duration tighten{0};
   TlsContext tls;
+  std::optional<PeerKey> peer_key;  ///< Signs messages to processes; from the settings' key file.
+  std::string host;                 ///< Host of the settings, the sender of signed messages.
 };
 
 /// The configuration object as read from the platform; version 0 when it does not exist.
--- a/src/net/peer_authenticator.cc
+++ b/src/net/peer_authenticator.cc
@@ -23,13 +23,24 @@
 
 }  // namespace
 
+void SignRequest(HttpRequest& request, const PeerKey& key, const std::string& sender) {
+  if (HeaderValue(request.headers, kHostHeader).empty()) {
+    request.headers.emplace_back(kHostHeader, sender);
+  }
+  const PeerMessage message{request.method, request.target, request.body,
+                            HeaderValue(request.headers, kHostHeader)};
+  request.headers.emplace_back(kAuthHeader, SignPeerMessage(key, message, UnixMs()));
+}
+
 PeerAuthenticator::PeerAuthenticator(Kernel& kernel, HttpClient& peers, const Settings& settings)
     : settings_(settings) {
   if (!active()) return;
   ReadKeys();
   if (keys_.empty()) throw std::runtime_error("unusable key file " + settings.peer_key_file);
   HttpClientHook hook;
-  hook.before = [this](const Endpoint&, HttpRequest& request) { Sign(request); };
+  hook.before = [this](const Endpoint&, HttpRequest& request) {
+    SignRequest(request, keys_.front(), settings_.host);
+  };
   peers.AddHook(std::move(hook));
   kernel.Find<TimerService>("timer").Subscribe("peer_keys", kReadPeriod,
                                                [this](TimePoint) { ReadKeys(); });
@@ -48,15 +59,6 @@
   LogWarning("peer_keys_not_read", {{"reason", findings.ToString()}});
 }
 
-void PeerAuthenticator::Sign(HttpRequest& request) const {
-  if (HeaderValue(request.headers, kHostHeader).empty()) {
-    request.headers.emplace_back(kHostHeader, settings_.host);
-  }
-  const PeerMessage message{request.method, request.target, request.body,
-                            HeaderValue(request.headers, kHostHeader)};
-  request.headers.emplace_back(kAuthHeader, SignPeerMessage(keys_.front(), message, UnixMs()));
-}
-
 std::optional<Error> PeerAuthenticator::Refusal(const HttpExchange& exchange) const {
   if (!active()) return std::nullopt;
   const HttpRequest& request = exchange.request();
--- a/src/net/peer_authenticator.h
+++ b/src/net/peer_authenticator.h
@@ -14,6 +14,9 @@
 
 namespace fuchsiaweir {
 
+/// Adds X-Fw-Auth with a proof by `key`, and X-Fw-Host with `sender` unless it is present.
+void SignRequest(HttpRequest& request, const PeerKey& key, const std::string& sender);
+
 /// Adds X-Fw-Auth to every message to a peer and checks it on every internal message. Without a
 /// key file it does neither.
 ///
@@ -31,7 +34,6 @@
  private:
   bool active() const { return !settings_.peer_key_file.empty(); }
   void ReadKeys();
-  void Sign(HttpRequest& request) const;
 
   const Settings& settings_;
   std::vector<PeerKey> keys_;
--- a/test/demo/main.cc
+++ b/test/demo/main.cc
@@ -63,7 +63,8 @@
 bool ShowDrain(Deployment& deployment) {
   const std::string platform = absl::StrCat("--platform=127.0.0.1:", deployment.port("platform"));
   std::string output;
-  const int drained = deployment.Operate({"drain", "dc", "east", platform, "--wait"}, &output);
+  const int drained =
+      deployment.Operate({"drain", "dc", "east", platform, "--who=demo", "--wait"}, &output);
   Print("Data centre east is taken out of service:", output);
   const int64_t before = Started(deployment, "engine0");
   int answered = 0;
@@ -73,7 +74,8 @@
   const int64_t new_work = Started(deployment, "engine0") - before;
   Print("20 prompts while it is out:",
         absl::StrCat("answered ", answered, ", new work in east: ", new_work));
-  const int restored = deployment.Operate({"restore", "dc", "east", platform, "--wait"}, &output);
+  const int restored =
+      deployment.Operate({"restore", "dc", "east", platform, "--who=demo", "--wait"}, &output);
   Print("Data centre east returns:", output);
   return drained == 0 && restored == 0 && answered == 20 && new_work == 0;
 }
--- a/test/process/peer_security.cc
+++ b/test/process/peer_security.cc
@@ -74,6 +74,11 @@
   LONGS_EQUAL(200, StatusOfSigned(deployment, kFirstKey));
   LONGS_EQUAL(401, StatusOfSigned(deployment, kSecondKey));
 
+  const std::string settings = "--settings=" + deployment.directory() + "/entry0.ini";
+  LONGS_EQUAL(0, deployment.Operate({"tighten", "host", "agent1", "--seconds=1", settings}));
+  // Without the key no process takes the order.
+  LONGS_EQUAL(1, deployment.OperateOnPlatform({"tighten", "host", "agent1", "--seconds=1"}));
+
   files.Write("keys", kFirstKey + kSecondKey);
   CHECK(Eventually([&]() { return StatusOfSigned(deployment, kSecondKey) == 200; }));
   LONGS_EQUAL(200, StatusOfSigned(deployment, kFirstKey));
