--- a/src/net/call_dispatcher.cc
+++ b/src/net/call_dispatcher.cc
@@ -115,9 +115,9 @@
       client_(client),
       objects_(objects),
       platform_timeout_(platform_timeout),
-      proposals_(metrics.Counter("fuchsiaweir_claim_proposals_total", "Claims asked for")),
-      writes_(metrics.Counter("fuchsiaweir_claim_writes_total", "Writes of claim shards")),
-      conflicts_(metrics.Counter("fuchsiaweir_claim_conflicts_total",
+      proposals_(metrics.Counter("fw_claim_proposals_total", "Claims asked for")),
+      writes_(metrics.Counter("fw_claim_writes_total", "Writes of claim shards")),
+      conflicts_(metrics.Counter("fw_claim_conflicts_total",
                                  "Writes of claim shards that another agent overtook")) {}
 
 Awaitable<Result<ServiceAnswer>> CallDispatcher::Call(ServiceCall call, Service service,
