--- a/src/net/agent_runs.cc
+++ b/src/net/agent_runs.cc
@@ -174,4 +174,16 @@
   while (buffers_->undelivered() > 0) co_await SleepFor(kFinishPoll);
 }
 
+void AgentRuns::Report(Metrics& metrics) const {
+  for (const auto& [name, dispatcher] : dispatchers_) {
+    const Metrics::Labels labels{{"runner", name}};
+    metrics.Gauge("fw_runner_queued", "Runs that wait for the runner.", labels)
+        .Set(static_cast<double>(dispatcher->queued()));
+    metrics.Gauge("fw_runner_running", "Runs that the gate has admitted.", labels)
+        .Set(static_cast<double>(dispatcher->running()));
+    metrics.Gauge("fw_runner_limit", "Concurrent runs that the gate admits.", labels)
+        .Set(static_cast<double>(dispatcher->limit()));
+  }
+}
+
 }  // namespace fuchsiaweir
--- a/src/net/agent_runs.h
+++ b/src/net/agent_runs.h
@@ -13,6 +13,7 @@
 #include "net/config_service.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/metrics.h"
 #include "net/run_buffers.h"
 #include "net/runner_dispatcher.h"
 
@@ -41,6 +42,9 @@
   /// Returns once every accepted run has ended and been read, or has no caller any more.
   Awaitable<void> Finish();
 
+  /// Sets the gauges of queue, running runs and gate limit of each runner.
+  void Report(Metrics& metrics) const;
+
   /// Returns the dispatcher of a runner that the inventory has on this host, or null.
   std::shared_ptr<RunnerDispatcher> Find(const std::string& runner);
 
--- a/src/net/agent_service.cc
+++ b/src/net/agent_service.cc
@@ -47,6 +47,7 @@
   kernel.Find<TimerService>("timer").Subscribe("agent_runs", kRunsPeriod, [this](TimePoint now) {
     mover_.AdoptInventory();
     runs_.Tick(now);
+    runs_.Report(kernel_.Find<Metrics>("metrics"));
   });
 }
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -5,8 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <deque>
-#include <map>
+#include <list>
 #include <utility>
 #include <vector>
 
@@ -21,7 +20,8 @@
 using tcp = asio::ip::tcp;
 using ResponseParser = http::response_parser<http::string_body>;
 
-constexpr size_t kMaxIdlePerEndpoint = 16;
+/// Bounds the connections of an entry, whose prompts have their homes on all agents.
+constexpr size_t kMaxIdle = 512;
 constexpr Duration kMaxIdleTime = Seconds(60);  // Below the server's idle timeout of 75 s.
 constexpr size_t kMaxLineBytes = 4'000'000;
 
@@ -46,6 +46,7 @@
 }
 
 struct IdleConnection {
+  Endpoint endpoint;
   std::unique_ptr<HttpTransport> transport;
   TimePoint since;
 };
@@ -100,6 +101,7 @@
 
   std::unique_ptr<HttpTransport> TakeIdle(const Endpoint& endpoint);
   void PutIdle(const Endpoint& endpoint, std::unique_ptr<HttpTransport> transport);
+  void CloseExpired();
   Awaitable<std::unique_ptr<HttpTransport>> Connect(Endpoint endpoint, Duration timeout,
                                                     std::string& failure);
   Awaitable<std::unique_ptr<HttpTransport>> Acquire(Endpoint endpoint, CallOptions options,
@@ -120,30 +122,31 @@
   asio::io_context& io;
   TlsContext tls;
   std::vector<HttpClientHook> hooks;
-  std::map<Endpoint, std::deque<IdleConnection>> idle;
+  std::list<IdleConnection> idle;  ///< Least recently used first.
 };
 
 std::unique_ptr<HttpTransport> HttpClient::Impl::TakeIdle(const Endpoint& endpoint) {
-  const auto found = idle.find(endpoint);
-  if (found == idle.end()) return nullptr;
-  std::deque<IdleConnection>& connections = found->second;
-  const TimePoint now = SteadyNow();
-  while (!connections.empty()) {
-    IdleConnection connection = std::move(connections.back());
-    connections.pop_back();
-    if (now - connection.since < kMaxIdleTime && !connection.transport->PeerClosed()) {
-      return std::move(connection.transport);
-    }
+  CloseExpired();
+  for (auto it = idle.end(); it != idle.begin();) {
+    --it;
+    if (it->endpoint != endpoint) continue;
+    std::unique_ptr<HttpTransport> transport = std::move(it->transport);
+    it = idle.erase(it);
+    if (!transport->PeerClosed()) return transport;
   }
-  idle.erase(found);
   return nullptr;
 }
 
 void HttpClient::Impl::PutIdle(const Endpoint& endpoint, std::unique_ptr<HttpTransport> transport) {
-  std::deque<IdleConnection>& connections = idle[endpoint];
-  if (connections.size() >= kMaxIdlePerEndpoint) connections.pop_front();
   transport->tcp().expires_never();
-  connections.push_back({std::move(transport), SteadyNow()});
+  idle.push_back({endpoint, std::move(transport), SteadyNow()});
+  if (idle.size() > kMaxIdle) idle.pop_front();
+  CloseExpired();
+}
+
+void HttpClient::Impl::CloseExpired() {
+  const TimePoint now = SteadyNow();
+  while (!idle.empty() && now - idle.front().since >= kMaxIdleTime) idle.pop_front();
 }
 
 Awaitable<std::unique_ptr<HttpTransport>> HttpClient::Impl::Connect(Endpoint endpoint,
@@ -188,13 +191,7 @@
 
 void HttpClient::AddHook(HttpClientHook hook) { impl_->hooks.push_back(std::move(hook)); }
 
-int64_t HttpClient::idle_connections() const {
-  int64_t count = 0;
-  for (const auto& [endpoint, connections] : impl_->idle) {
-    count += static_cast<int64_t>(connections.size());
-  }
-  return count;
-}
+int64_t HttpClient::idle_connections() const { return static_cast<int64_t>(impl_->idle.size()); }
 
 Awaitable<HttpResult> HttpClient::Call(Endpoint endpoint, HttpRequest request,
                                        CallOptions options) {
--- a/src/net/runner_dispatcher.h
+++ b/src/net/runner_dispatcher.h
@@ -55,6 +55,11 @@
   std::string version() const;
   bool idle() const { return accepted_.empty(); }
 
+  int64_t queued() const { return static_cast<int64_t>(queue_.size()); }
+  int64_t running() const { return gate_.running(); }
+  /// Concurrent runs that the gate admits now.
+  int64_t limit() const { return gate_.limit(); }
+
  private:
   using Accepted = std::shared_ptr<AcceptedRun>;
   /// Blocks of an ended run that wait for proof that the engine did not change meanwhile.
