Keep a request suspect when its caller leaves before it completes

Cause: a suspect request whose caller had left counted as completed, since the attempt then has no failure; its crash record was erased, and the next try could crash two further runners. An exception during the attempts would also have kept the team's concurrency slot.

Change: only a complete output clears the record; the slot is released by a scope guard.

--- a/src/net/model_router.cc
+++ b/src/net/model_router.cc
@@ -1,5 +1,6 @@
 #include "net/model_router.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/random/distributions.h>
 #include <absl/strings/str_cat.h>
 
@@ -152,11 +153,11 @@
                   NewRunId(random_));
   std::optional<Error> failure = Check(session);
   if (!failure) {
+    const absl::Cleanup release = [this, &session]() { quota_.Release(session.team.name); };
     retry_budget_.OnFirstAttempt();
     failure = co_await RunAttempts(session);
-    quota_.Release(session.team.name);
   }
-  if (!failure && session.suspect) suspects_.ReportCompletion(session.digest);
+  if (session.assembly.complete() && session.suspect) suspects_.ReportCompletion(session.digest);
   CountEnd(session, failure);
   if (session.caller_gone) co_return;
   if (failure) {
--- a/test/process/poison_request.cc
+++ b/test/process/poison_request.cc
@@ -69,6 +69,27 @@
   LONGS_EQUAL(2, CrashedEngines());
 }
 
+// Guards against a suspect that is cleared although its caller left before it completed.
+TEST(PoisonRequest, StaysSuspectWhenItsCallerLeaves) {
+  const std::string prompt = Words(60, 7);  // Longer than a block, so that it has one home runner.
+  const auto started = [&](int i) {
+    return deployment.Stats(EngineName(i)).at("started").as_int64();
+  };
+  LONGS_EQUAL(200, deployment.Complete(prompt, 1).status);
+  int home = 0;
+  while (started(home) == 0) ++home;
+  deployment.Fault(EngineName(home), R"({"crash_on":"w7x3"})");
+  const boost::json::object body{{"model", "model"}, {"prompt", prompt}, {"max_tokens", 5'000}};
+  Send("POST", deployment.port("entry0"), "/v1/completions", boost::json::serialize(body),
+       {{"Authorization", "Bearer key-alpha"}}, Millis(1'500));
+  LONGS_EQUAL(1, CrashedEngines());
+  for (int i = 0; i < kAgents; ++i) {
+    if (i != home) deployment.Fault(EngineName(i), R"({"crash_on":"w7x3"})");
+  }
+  STRCMP_EQUAL("poisoned", CodeOf(deployment.Complete(prompt, 4)).c_str());
+  LONGS_EQUAL(2, CrashedEngines());
+}
+
 // Guards against bystanders that are refused or cut because another request crashed their runner.
 TEST(PoisonRequest, BystandersComplete) {
   Reply replies[8];
