Share the lease checks and warn when peers are not authenticated

Cause: the weight loader checked and wrote its lease twice in the same way; a process without a key file accepted internal messages from anyone without a word about it.

--- a/src/net/peer_authenticator.cc
+++ b/src/net/peer_authenticator.cc
@@ -34,7 +34,10 @@
 
 PeerAuthenticator::PeerAuthenticator(Kernel& kernel, HttpClient& peers, const Settings& settings)
     : settings_(settings) {
-  if (!active()) return;
+  if (!active()) {
+    LogWarning("peer_authentication_off", {{"reason", "peers.key_file is not set"}});
+    return;
+  }
   ReadKeys();
   if (keys_.empty()) throw std::runtime_error("unusable key file " + settings.peer_key_file);
   HttpClientHook hook;
--- a/src/net/weight_loader.cc
+++ b/src/net/weight_loader.cc
@@ -32,14 +32,6 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
-/// Content of the platform object `leases/RUNNER`.
-struct LeaseObject {
-  OrderLeaseRecord record;
-  /// Configuration revision that the holder acted on. An agent with an older one must not order,
-  /// since it would bring back a former version.
-  int64_t revision = 0;
-};
-
 std::string Encode(const LeaseObject& lease) {
   return json::serialize(json::object{{"holder", lease.record.holder},
                                       {"fence", lease.record.fence},
@@ -262,32 +254,34 @@
   }
   lease->record = target->lease.Propose(lease->record);
   lease->revision = target->revision;
+  co_return co_await WriteLease(target, *lease, read.version);
+}
+
+Awaitable<bool> WeightLoader::WriteLease(std::shared_ptr<Target> target, LeaseObject lease,
+                                         int64_t version) {
   const TimePoint began = SteadyNow();
-  const ObjectWrite write = co_await objects_.Write(target->lease_object(), Encode(*lease),
-                                                    read.version, platform_timeout_);
+  const ObjectWrite write =
+      co_await objects_.Write(target->lease_object(), Encode(lease), version, platform_timeout_);
   if (write.outcome != CallOutcome::kDone) co_return false;
-  target->lease.Written(lease->record, began, SteadyNow());
+  target->lease.Written(lease.record, began, SteadyNow());
   co_return true;
 }
 
+bool WeightLoader::Holds(const Target& target, const LeaseObject& lease) const {
+  return lease.record.holder == self_ && lease.record.fence == target.lease.fence();
+}
+
 Awaitable<bool> WeightLoader::RenewLease(std::shared_ptr<Target> target) {
   const ObjectRead read = co_await objects_.Read(target->lease_object(), platform_timeout_);
   const std::optional<LeaseObject> lease = DecodeLease(read);
-  if (!lease || lease->record.holder != self_) co_return false;
-  if (lease->record.fence != target->lease.fence()) co_return false;
-  const TimePoint began = SteadyNow();
-  const ObjectWrite write = co_await objects_.Write(target->lease_object(), Encode(*lease),
-                                                    read.version, platform_timeout_);
-  if (write.outcome != CallOutcome::kDone) co_return false;
-  target->lease.Written(lease->record, began, SteadyNow());
-  co_return true;
+  if (!lease || !Holds(*target, *lease)) co_return false;
+  co_return co_await WriteLease(target, *lease, read.version);
 }
 
 Awaitable<void> WeightLoader::ReleaseLease(std::shared_ptr<Target> target) {
   const ObjectRead read = co_await objects_.Read(target->lease_object(), platform_timeout_);
   std::optional<LeaseObject> lease = DecodeLease(read);
-  if (!lease || lease->record.holder != self_) co_return;
-  if (lease->record.fence != target->lease.fence()) co_return;
+  if (!lease || !Holds(*target, *lease)) co_return;
   lease->record.holder.clear();
   co_await objects_.Write(target->lease_object(), Encode(*lease), read.version, platform_timeout_);
 }
--- a/src/net/weight_loader.h
+++ b/src/net/weight_loader.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "core/inventory.h"
+#include "core/order_lease.h"
 #include "core/settings.h"
 #include "core/weight_slots.h"
 #include "net/config_service.h"
@@ -15,6 +16,14 @@
 
 namespace fuchsiaweir {
 
+/// Content of the platform object `leases/RUNNER`.
+struct LeaseObject {
+  OrderLeaseRecord record;
+  /// Configuration revision that the holder acted on. An agent with an older one must not order,
+  /// since it would bring back a former version.
+  int64_t revision = 0;
+};
+
 /// Brings the engines of this host to the weight version that the configuration names.
 ///
 /// An order needs one of the fleet's weight slots and the runner's order lease. It carries the
@@ -45,6 +54,9 @@
   Awaitable<bool> TakeLease(std::shared_ptr<Target> target);
   Awaitable<bool> RenewLease(std::shared_ptr<Target> target);
   Awaitable<void> ReleaseLease(std::shared_ptr<Target> target);
+  Awaitable<bool> WriteLease(std::shared_ptr<Target> target, LeaseObject lease, int64_t version);
+  /// Whether the object names this agent's present lease.
+  bool Holds(const Target& target, const LeaseObject& lease) const;
 
   Kernel& kernel_;
   const Settings& settings_;
