Count service calls against their team's quota

Cause: quotas covered completions only, so that one team could hold any number of service calls open.

Change: completions and service calls share one quota component per entry.

--- a/src/net/daemon.cc
+++ b/src/net/daemon.cc
@@ -25,6 +25,7 @@
 #include "net/revision_exchange.h"
 #include "net/service_gate.h"
 #include "net/suspect_service.h"
+#include "net/team_quotas.h"
 #include "net/timer_service.h"
 #include "net/tls_context.h"
 #include "net/weight_loader.h"
@@ -61,6 +62,7 @@
   kernel.Add<PeerAuthenticator>("peer_authenticator", kernel, clients.peers(), settings);
   kernel.Add<ServiceGate>("service_gate", settings, config, membership);
   if (role == Role::kEntry) {
+    kernel.Add<TeamQuotas>("team_quotas", kernel.Find<ConfigService>("config"));
     kernel.Add<SuspectService>("suspects", kernel, settings);
     kernel.Add<EntryService>("entry", kernel, settings, ServerOptions(settings, tls.server));
   } else {
--- a/src/net/entry_service.cc
+++ b/src/net/entry_service.cc
@@ -23,6 +23,7 @@
       config_(kernel.Find<ConfigService>("config")),
       models_(kernel),
       services_(config_, kernel.Find<ServiceGate>("service_gate"),
+                kernel.Find<TeamQuotas>("team_quotas"),
                 kernel.Find<HttpClients>("http_clients").peers()),
       server_(kernel.io(), std::move(options),
               [this](HttpExchange& exchange) { return Handle(exchange); }) {}
--- a/src/net/model_router.cc
+++ b/src/net/model_router.cc
@@ -92,6 +92,7 @@
       config_(kernel.Find<ConfigService>("config")),
       gate_(kernel.Find<ServiceGate>("service_gate")),
       suspects_(kernel.Find<SuspectService>("suspects")),
+      quotas_(kernel.Find<TeamQuotas>("team_quotas")),
       agents_(kernel.Find<HttpClients>("http_clients").peers()),
       metrics_(kernel.Find<Metrics>("metrics")),
       hot_prefixes_(HotPrefixRules{}),
@@ -103,14 +104,11 @@
   configured_generation_ = generation;
   const std::shared_ptr<const ConfigSnapshot> config = config_.current();
   const Inventory& inventory = config->inventory;
-  const auto entries = std::count_if(inventory.hosts.begin(), inventory.hosts.end(),
-                                     [](const Host& host) { return host.role == "entry"; });
   auto candidates = std::make_shared<CandidateTable>(inventory);
   for (const Runner& runner : inventory.runners) {
     if (!gate_.RunnerAccepts(runner.name)) candidates->SetInService(runner.name, false);
   }
   candidates_ = std::move(candidates);
-  quota_.Configure(inventory.teams, static_cast<size_t>(std::max<int64_t>(1, entries)));
   if (inventory.rules.retry_budget_percent != retry_budget_percent_) {
     retry_budget_percent_ = inventory.rules.retry_budget_percent;
     retry_budget_ = RetryBudget(retry_budget_percent_, kRetryBurst);
@@ -137,7 +135,7 @@
   session.candidate_count =
       hot_prefixes_.Candidates(rate, static_cast<size_t>(session.rules().bid_candidates));
   const int64_t tokens = static_cast<int64_t>(session.prompt.size()) + session.request().max_tokens;
-  return quota_.Admit(session.team.name, tokens, session.started);
+  return quotas_.Admit(session.team.name, tokens);
 }
 
 std::optional<Error> ModelRouter::CheckSuspect(Session& session) {
@@ -153,7 +151,7 @@
                   NewRunId(random_));
   std::optional<Error> failure = Check(session);
   if (!failure) {
-    const absl::Cleanup release = [this, &session]() { quota_.Release(session.team.name); };
+    const absl::Cleanup release = [this, &session]() { quotas_.Release(session.team.name); };
     retry_budget_.OnFirstAttempt();
     failure = co_await RunAttempts(session);
   }
--- a/src/net/model_router.h
+++ b/src/net/model_router.h
@@ -16,7 +16,6 @@
 #include "core/inventory.h"
 #include "core/retry_budget.h"
 #include "core/retry_policy.h"
-#include "core/team_quota.h"
 #include "net/bid_collector.h"
 #include "net/config_service.h"
 #include "net/http_client.h"
@@ -26,6 +25,7 @@
 #include "net/run_stream.h"
 #include "net/service_gate.h"
 #include "net/suspect_service.h"
+#include "net/team_quotas.h"
 
 namespace fuchsiaweir {
 
@@ -62,13 +62,13 @@
   ConfigService& config_;
   ServiceGate& gate_;
   SuspectService& suspects_;
+  TeamQuotas& quotas_;
   HttpClient& agents_;
   Metrics& metrics_;
 
   int64_t configured_generation_ = -1;
   std::shared_ptr<const CandidateTable> candidates_;
   HotPrefix hot_prefixes_;
-  TeamQuota quota_;
   int64_t retry_budget_percent_ = Rules{}.retry_budget_percent;
   RetryBudget retry_budget_;
   RetryRules retry_rules_;
--- a/src/net/service_router.cc
+++ b/src/net/service_router.cc
@@ -1,5 +1,6 @@
 #include "net/service_router.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
@@ -90,13 +91,13 @@
 
 }  // namespace
 
-ServiceRouter::ServiceRouter(ConfigService& config, ServiceGate& gate, HttpClient& agents)
-    : config_(config), gate_(gate), agents_(agents) {}
+ServiceRouter::ServiceRouter(ConfigService& config, ServiceGate& gate, TeamQuotas& quotas,
+                             HttpClient& agents)
+    : config_(config), gate_(gate), quotas_(quotas), agents_(agents) {}
 
 Awaitable<void> ServiceRouter::Serve(HttpExchange& exchange, Team team) {
-  const std::shared_ptr<const ConfigSnapshot> config = config_.current();
   ServiceCall call = MakeCall(exchange, team);
-  const Result<ServiceAnswer> answer = co_await Route(std::move(call), config);
+  const Result<ServiceAnswer> answer = co_await RouteWithinQuota(std::move(call));
   HttpResponse response;
   if (answer) {
     response.status = static_cast<int>(answer.value().status);
@@ -109,6 +110,14 @@
   co_await exchange.Respond(std::move(response));
 }
 
+Awaitable<Result<ServiceAnswer>> ServiceRouter::RouteWithinQuota(ServiceCall call) {
+  const std::string team = call.team;
+  const std::optional<Error> refusal = quotas_.Admit(team, /*tokens=*/0);
+  if (refusal) co_return *refusal;
+  const absl::Cleanup release = [this, &team]() { quotas_.Release(team); };
+  co_return co_await Route(std::move(call), config_.current());
+}
+
 Awaitable<Result<ServiceAnswer>> ServiceRouter::Route(
     ServiceCall call, std::shared_ptr<const ConfigSnapshot> config) {
   const Inventory& inventory = config->inventory;
--- a/src/net/service_router.h
+++ b/src/net/service_router.h
@@ -10,23 +10,26 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/service_gate.h"
+#include "net/team_quotas.h"
 
 namespace fuchsiaweir {
 
 /// Routes calls under /v1/services/NAME/ to the agent beside a replica of the service.
 class ServiceRouter {
  public:
-  ServiceRouter(ConfigService& config, ServiceGate& gate, HttpClient& agents);
+  ServiceRouter(ConfigService& config, ServiceGate& gate, TeamQuotas& quotas, HttpClient& agents);
 
   Awaitable<void> Serve(HttpExchange& exchange, Team team);
 
  private:
+  Awaitable<Result<ServiceAnswer>> RouteWithinQuota(ServiceCall call);
   Awaitable<Result<ServiceAnswer>> Route(ServiceCall call,
                                          std::shared_ptr<const ConfigSnapshot> config);
   Awaitable<Result<ServiceAnswer>> CallAgent(const ServiceCall& call, Host host);
 
   ConfigService& config_;
   ServiceGate& gate_;
+  TeamQuotas& quotas_;
   HttpClient& agents_;
 };
 
--- /dev/null
+++ b/src/net/team_quotas.h
@@ -0,0 +1,34 @@
+#ifndef FUCHSIAWEIR_NET_TEAM_QUOTAS_H_
+#define FUCHSIAWEIR_NET_TEAM_QUOTAS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "core/result.h"
+#include "core/team_quota.h"
+#include "net/config_service.h"
+#include "net/kernel.h"
+
+namespace fuchsiaweir {
+
+/// The entry's quotas, shared by completions and calls of plain services.
+class TeamQuotas : public Component {
+ public:
+  explicit TeamQuotas(ConfigService& config) : config_(config) {}
+
+  /// Admits a request of this many tokens under the limits in force, or refuses it as not_run.
+  std::optional<Error> Admit(const std::string& team, int64_t tokens);
+
+  /// Ends an admitted request.
+  void Release(const std::string& team) { quota_.Release(team); }
+
+ private:
+  ConfigService& config_;
+  int64_t revision_ = -1;
+  TeamQuota quota_;
+};
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_NET_TEAM_QUOTAS_H_
