Skip candidates that a request's configuration lacks and drop unused parameters

Cause: a retry uses the newest candidate table with the configuration that the request began with. A host that was added in between is in the table and not in the configuration; its null pointer would have ended the entry. Found by reading; no test causes it yet. The header parameters of the bid and run messages were always empty, since the client's hooks add all headers.

Change: such candidates are skipped; the parameters are gone.

--- a/src/net/bid_collector.cc
+++ b/src/net/bid_collector.cc
@@ -59,10 +59,10 @@
 
 Awaitable<CollectedBids> CollectBids(boost::asio::io_context& io, HttpClient& client,
                                      std::vector<BidTarget> targets, BidRequest request,
-                                     HttpHeaders headers, Duration timeout) {
+                                     Duration timeout) {
   auto collection = std::make_shared<Collection>(io);
   collection->pending = targets.size();
-  HttpRequest message{"POST", "/internal/v1/bids", std::move(headers), EncodeBidRequest(request)};
+  HttpRequest message{"POST", "/internal/v1/bids", {}, EncodeBidRequest(request)};
   for (const BidTarget& target : targets) {
     Spawn(io, "bid", [collection, &client, target, message, timeout]() {
       return AskAgent(collection, client, target, message, timeout);
--- a/src/net/bid_collector.h
+++ b/src/net/bid_collector.h
@@ -36,7 +36,7 @@
 /// at least one bid has arrived, or at the latest after `timeout`.
 Awaitable<CollectedBids> CollectBids(boost::asio::io_context& io, HttpClient& client,
                                      std::vector<BidTarget> targets, BidRequest request,
-                                     HttpHeaders headers, Duration timeout);
+                                     Duration timeout);
 
 }  // namespace fuchsiaweir
 
--- a/src/net/model_router.cc
+++ b/src/net/model_router.cc
@@ -209,7 +209,8 @@
     const bool asked = std::any_of(targets.begin(), targets.end(), [&](const BidTarget& target) {
       return target.host == candidate->host;
     });
-    if (asked) continue;
+    // The table may be newer than this request's configuration and name a host that it lacks.
+    if (asked || host == nullptr) continue;
     targets.push_back({host->name, {host->address, static_cast<uint16_t>(host->port)}});
   }
   BidRequest request;
@@ -220,9 +221,7 @@
   request.max_tokens = session.request().max_tokens;
   request.priority = QueuePriority(session.request().priority);
   request.deadline_ms = ToMillis(session.deadline - SteadyNow());
-  HttpHeaders headers;
-  co_return co_await CollectBids(io_, agents_, std::move(targets), std::move(request),
-                                 std::move(headers), kBidTimeout);
+  co_return co_await CollectBids(io_, agents_, std::move(targets), std::move(request), kBidTimeout);
 }
 
 Result<ModelRouter::Target> ModelRouter::PickBid(Session& session, const CollectedBids& collected,
@@ -271,6 +270,7 @@
   }
   if (!target && fallback != nullptr) {
     const Host* host = FindByName(session.config->inventory.hosts, fallback->host);
+    if (host == nullptr) co_return target;
     target = Target{fallback->name, {host->address, static_cast<uint16_t>(host->port)}};
   }
   co_return target;
@@ -299,8 +299,7 @@
   rules.silence = Millis(session.rules().progress_deadline_ms);
   rules.attach_window = Millis(session.rules().attach_window_ms);
   RunStream stream(agents_, target.value().agent, session.assembly, rules, session.deadline);
-  HttpHeaders headers;
-  RunEvent last = co_await stream.Open(std::move(run), std::move(headers));
+  RunEvent last = co_await stream.Open(std::move(run));
   if (last.kind != RunEvent::Kind::kFailed) last = co_await Relay(session, stream);
   session.last_stage = last.stage;
   const bool done = last.kind == RunEvent::Kind::kDone;
--- a/src/net/run_stream.cc
+++ b/src/net/run_stream.cc
@@ -40,9 +40,8 @@
   return absl::StrCat(kRunsPath, "/", assembly_.run(), "?attempt=", assembly_.attempt());
 }
 
-Awaitable<RunEvent> RunStream::Open(RunRequest request, HttpHeaders headers) {
-  headers_ = std::move(headers);
-  HttpRequest message{"POST", kRunsPath, headers_, EncodeRunRequest(request)};
+Awaitable<RunEvent> RunStream::Open(RunRequest request) {
+  HttpRequest message{"POST", kRunsPath, {}, EncodeRunRequest(request)};
   CallOptions options;
   options.timeout = rules_.silence;
   attempt_.OnConnecting();
@@ -112,7 +111,6 @@
 Awaitable<HttpStreamResult> RunStream::Attach() {
   HttpRequest message;
   message.target = absl::StrCat(RunTarget(), "&offset=", assembly_.position());
-  message.headers = headers_;
   CallOptions options;
   options.timeout = rules_.silence;
   co_return co_await client_.OpenStream(agent_, std::move(message), options);
@@ -143,7 +141,6 @@
   HttpRequest message;
   message.method = "DELETE";
   message.target = RunTarget();
-  message.headers = headers_;
   CallOptions options;
   options.timeout = kCancelTimeout;
   co_await client_.Call(agent_, std::move(message), options);
--- a/src/net/run_stream.h
+++ b/src/net/run_stream.h
@@ -35,7 +35,7 @@
             TimePoint deadline);
 
   /// Sends the request. Returns kHeartbeat once the agent has taken it, else kFailed.
-  Awaitable<RunEvent> Open(RunRequest request, HttpHeaders headers);
+  Awaitable<RunEvent> Open(RunRequest request);
 
   /// Waits for the next event.
   Awaitable<RunEvent> Next();
@@ -56,7 +56,6 @@
   TimePoint deadline_;
   ProgressDeadline progress_;
   AttemptProgress attempt_;
-  HttpHeaders headers_;
   std::unique_ptr<HttpStream> stream_;
 };
 
