Bound and clean what errors and logs echo of a caller

Cause: a model name with invalid UTF-8 went raw into the JSON of an error, which then is no JSON, and messages carried the parser's place in its source (boost.json:25 at ...value.hpp).

--- a/src/core/bid.cc
+++ b/src/core/bid.cc
@@ -7,6 +7,8 @@
 #include <cmath>
 #include <utility>
 
+#include "core/json_fields.h"
+
 namespace fuchsiaweir {
 namespace {
 
@@ -147,7 +149,7 @@
     }
     return request;
   } catch (const std::exception& e) {
-    return Refuse(ErrorCode::kBadRequest, std::string("malformed bid request: ") + e.what());
+    return Refuse(ErrorCode::kBadRequest, std::string("malformed bid request: ") + ParseFault(e));
   }
 }
 
@@ -178,7 +180,8 @@
     }
     return bids;
   } catch (const std::exception& e) {
-    return Refuse(ErrorCode::kIncompleteAnswer, std::string("malformed bid answer: ") + e.what());
+    return Refuse(ErrorCode::kIncompleteAnswer,
+                  std::string("malformed bid answer: ") + ParseFault(e));
   }
 }
 
--- a/src/core/claim.cc
+++ b/src/core/claim.cc
@@ -7,6 +7,8 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "core/json_fields.h"
+
 namespace fuchsiaweir {
 namespace {
 
@@ -80,7 +82,7 @@
     return shard;
   } catch (const std::exception& e) {
     return Error{ErrorCode::kInternal, RunState::kNotRun,
-                 std::string("malformed claim shard: ") + e.what()};
+                 std::string("malformed claim shard: ") + ParseFault(e)};
   }
 }
 
--- a/src/core/completion_api.cc
+++ b/src/core/completion_api.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <array>
+#include <stdexcept>
 #include <utility>
 
 #include "core/json_fields.h"
@@ -35,6 +36,7 @@
 std::string JoinMessages(const json::array& messages) {
   std::string prompt;
   for (const json::value& item : messages) {
+    if (!item.is_object()) throw std::invalid_argument("a message is not a JSON object");
     const json::object& message = item.as_object();
     absl::StrAppend(&prompt, StringField(message, "role"), ": ", StringField(message, "content"),
                     "\n");
@@ -44,7 +46,7 @@
 
 std::string ParsePrompt(CompletionKind kind, const json::object& object) {
   if (kind == CompletionKind::kText) return StringField(object, "prompt");
-  return JoinMessages(object.at("messages").as_array());
+  return JoinMessages(ArrayField(object, "messages"));
 }
 
 Result<CompletionRequest> CheckRanges(CompletionRequest request) {
@@ -108,7 +110,7 @@
     const char* required =
         kind == CompletionKind::kText ? "model and prompt" : "model and messages";
     return BadRequest(
-        absl::StrCat("the body must be a JSON object with ", required, ": ", e.what()));
+        absl::StrCat("the body must be a JSON object with ", required, ": ", ParseFault(e)));
   }
 }
 
--- a/src/core/config_document.cc
+++ b/src/core/config_document.cc
@@ -10,6 +10,7 @@
 #include "core/findings.h"
 #include "core/ini_document.h"
 #include "core/inventory.h"
+#include "core/json_fields.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -98,7 +99,7 @@
         json::parse(json::string_view(text.data(), text.size()), {}, options).as_object());
   } catch (const std::exception& e) {
     return Error{ErrorCode::kIncompleteAnswer, RunState::kUnknown,
-                 absl::StrCat("malformed ", what, ": ", e.what())};
+                 absl::StrCat("malformed ", what, ": ", ParseFault(e))};
   }
 }
 
--- a/src/core/crash_records.cc
+++ b/src/core/crash_records.cc
@@ -33,7 +33,7 @@
     return records;
   } catch (const std::exception& e) {
     return Error{ErrorCode::kBadRequest, RunState::kNotRun,
-                 std::string("malformed crash records: ") + e.what()};
+                 std::string("malformed crash records: ") + ParseFault(e)};
   }
 }
 
--- a/src/core/frame.cc
+++ b/src/core/frame.cc
@@ -67,7 +67,7 @@
     return DecodeObject(ParseJsonObject(line));
   } catch (const std::exception& e) {
     return Error{ErrorCode::kIncompleteAnswer, RunState::kUnknown,
-                 std::string("malformed frame: ") + e.what(), Duration{0}};
+                 std::string("malformed frame: ") + ParseFault(e), Duration{0}};
   }
 }
 
--- a/src/core/json_fields.cc
+++ b/src/core/json_fields.cc
@@ -1,38 +1,85 @@
 #include "core/json_fields.h"
 
+#include <absl/strings/str_cat.h>
+
+#include <stdexcept>
+
+#include "core/safe_text.h"
+
 namespace fuchsiaweir {
 
 namespace json = boost::json;
 
+namespace {
+
+const json::value& Member(const json::object& object, const char* name) {
+  const json::value* value = object.if_contains(name);
+  if (value == nullptr) throw std::invalid_argument(absl::StrCat("\"", name, "\" is missing"));
+  return *value;
+}
+
+std::invalid_argument WrongType(const char* name, const char* type) {
+  return std::invalid_argument(absl::StrCat("\"", name, "\" must be ", type));
+}
+
+}  // namespace
+
 json::parse_options TokenParseOptions() {
   json::parse_options options;
   options.allow_invalid_utf8 = true;
   return options;
 }
 
+std::string ParseFault(const std::exception& fault) {
+  const auto* system = dynamic_cast<const boost::system::system_error*>(&fault);
+  return system == nullptr ? fault.what() : system->code().message();
+}
+
 json::object ParseJsonObject(std::string_view text) {
-  return json::parse(json::string_view(text.data(), text.size()), {}, TokenParseOptions())
-      .as_object();
+  boost::system::error_code failure;
+  json::value value =
+      json::parse(json::string_view(text.data(), text.size()), failure, {}, TokenParseOptions());
+  // The library's exceptions name places in its source, which say nothing to a caller.
+  if (failure) throw std::invalid_argument("not valid JSON: " + failure.message());
+  if (!value.is_object()) throw std::invalid_argument("not a JSON object");
+  return std::move(value.as_object());
 }
 
 std::string StringField(const json::object& object, const char* name) {
-  return std::string(object.at(name).as_string());
+  const json::value& value = Member(object, name);
+  if (!value.is_string()) throw WrongType(name, "a string");
+  return std::string(value.as_string());
 }
 
 int64_t IntegerField(const json::object& object, const char* name) {
-  return object.at(name).to_number<int64_t>();
+  boost::system::error_code failure;
+  const auto number = Member(object, name).to_number<int64_t>(failure);
+  if (failure) throw WrongType(name, "an integer");
+  return number;
 }
 
 bool BooleanField(const json::object& object, const char* name) {
-  return object.at(name).as_bool();
+  const json::value& value = Member(object, name);
+  if (!value.is_bool()) throw WrongType(name, "true or false");
+  return value.as_bool();
 }
 
 std::vector<std::string> StringsField(const json::object& object, const char* name) {
+  const json::array& array = ArrayField(object, name);
   std::vector<std::string> strings;
-  for (const json::value& item : object.at(name).as_array()) strings.emplace_back(item.as_string());
+  for (const json::value& item : array) {
+    if (!item.is_string()) throw WrongType(name, "a list of strings");
+    strings.emplace_back(item.as_string());
+  }
   return strings;
 }
 
+const json::array& ArrayField(const json::object& object, const char* name) {
+  const json::value& value = Member(object, name);
+  if (!value.is_array()) throw WrongType(name, "a list");
+  return value.as_array();
+}
+
 json::array ToJsonArray(const std::vector<std::string>& strings) {
   return json::array(strings.begin(), strings.end());
 }
@@ -40,7 +87,7 @@
 json::object ErrorToJson(const Error& error) {
   return {{"code", std::string(Name(error.code))},
           {"run_state", std::string(Name(error.run_state))},
-          {"message", error.message},
+          {"message", SafeText(error.message, kMaxErrorMessage)},
           {"retry_after_ms", ToMillis(error.retry_after)},
           {"crashed_instance", error.crashed_instance}};
 }
--- a/src/core/json_fields.h
+++ b/src/core/json_fields.h
@@ -3,6 +3,7 @@
 
 #include <boost/json.hpp>
 #include <cstdint>
+#include <exception>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,15 +16,19 @@
 /// over two tokens, so strings need not be valid UTF-8.
 boost::json::parse_options TokenParseOptions();
 
-/// Parses text that must be one JSON object. Throws boost::system::system_error otherwise.
+/// Returns why decoding failed, without the place in a library's source that its exceptions name.
+std::string ParseFault(const std::exception& fault);
+
+/// Parses text that must be one JSON object. Throws std::invalid_argument otherwise.
 boost::json::object ParseJsonObject(std::string_view text);
 
-/// Returns the member as a string, integer, boolean or list of strings. A missing member or one of
-/// another type throws std::exception, which the caller turns into an `Error`.
+/// Returns the member as a string, integer, boolean or list. A missing member or one of another
+/// type throws std::invalid_argument, whose message names the member and is fit for callers.
 std::string StringField(const boost::json::object& object, const char* name);
 int64_t IntegerField(const boost::json::object& object, const char* name);
 bool BooleanField(const boost::json::object& object, const char* name);
 std::vector<std::string> StringsField(const boost::json::object& object, const char* name);
+const boost::json::array& ArrayField(const boost::json::object& object, const char* name);
 
 /// Returns the strings as a JSON array.
 boost::json::array ToJsonArray(const std::vector<std::string>& strings);
--- a/src/core/run_message.cc
+++ b/src/core/run_message.cc
@@ -14,7 +14,7 @@
     return decode(ParseJsonObject(body));
   } catch (const std::exception& e) {
     return Error{ErrorCode::kBadRequest, RunState::kNotRun,
-                 std::string("malformed message: ") + e.what(), Duration{0}};
+                 std::string("malformed message: ") + ParseFault(e), Duration{0}};
   }
 }
 
--- a/src/net/engine_client.cc
+++ b/src/net/engine_client.cc
@@ -5,6 +5,8 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "core/json_fields.h"
+
 namespace fuchsiaweir {
 namespace {
 
@@ -37,7 +39,7 @@
     event.tokens = Strings(body.at("tokens"));
   } catch (const std::exception& e) {
     event.kind = EngineEvent::Kind::kBroken;
-    event.failure = std::string("malformed engine event: ") + e.what();
+    event.failure = std::string("malformed engine event: ") + ParseFault(e);
   }
   return event;
 }
--- a/src/net/host_list.cc
+++ b/src/net/host_list.cc
@@ -5,6 +5,8 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "core/json_fields.h"
+
 namespace fuchsiaweir {
 namespace {
 
@@ -29,7 +31,7 @@
     }
     return hosts;
   } catch (const std::exception& e) {
-    return Unavailable(std::string("malformed host list: ") + e.what());
+    return Unavailable(std::string("malformed host list: ") + ParseFault(e));
   }
 }
 
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -17,6 +17,7 @@
 #include <utility>
 
 #include "core/clock.h"
+#include "core/safe_text.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -29,6 +30,9 @@
 /// hundred requests a second with two records each.
 constexpr int64_t kRecordsPerSecond = 400;
 
+/// Longest value of a field in bytes: ids and paths are the caller's bytes.
+constexpr size_t kMaxValue = 1'000;
+
 /// Counts the records of an event within the current second.
 struct EventBound {
   TimePoint second;
@@ -84,7 +88,7 @@
       {"level", trivial::to_string(level)},
       {"process", process_name},
       {"event", event}};
-  for (const auto& [name, value] : fields) record[name] = value;
+  for (const auto& [name, value] : fields) record[name] = SafeText(value, kMaxValue);
   if (dropped > 0) record["left_out"] = dropped;
   if (records_without_room > 0) record["no_room"] = std::exchange(records_without_room, 0);
   BOOST_LOG_STREAM_WITH_PARAMS(trivial::logger::get(), (boost::log::keywords::severity = level))
--- a/test/process/bad_input.cc
+++ b/test/process/bad_input.cc
@@ -108,6 +108,15 @@
   CheckStillServes();
 }
 
+// Guards against bytes of a caller that are echoed into an error and leave it no valid JSON.
+TEST(BadInput, NamesThatAreNoTextLeaveTheErrorReadable) {
+  const std::string name = "\xFF\xFE" + std::string(5'000, 'n');
+  const Reply reply = Post(deployment, absl::StrCat(R"({"model":")", name, R"(","prompt":"a b"})"));
+  LONGS_EQUAL(404, reply.status);
+  STRCMP_EQUAL("unknown_model", CodeOf(reply).c_str());
+  CHECK(reply.body.size() < 1'000);
+}
+
 // Guards against deeply nested JSON that exhausts the stack.
 TEST(BadInput, DeeplyNestedJsonIsRefused) {
   STRCMP_EQUAL("bad_request", CodeOf(Post(deployment, std::string(90'000, '['))).c_str());
