Add a command that follows one request through the logs

fuchsiaweir trace REQUEST-ID [FILE...] joins the logs of all processes: the request's steps by time, what its runners and processes were known to do within 5 s of it, and a conclusion in one sentence.

--- /dev/null
+++ b/src/core/request_trace.cc
@@ -0,0 +1,146 @@
+#include "core/request_trace.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <set>
+
+namespace fuchsiaweir {
+namespace {
+
+namespace json = boost::json;
+
+/// What a process learned this long before a request or after it can explain how that went: longer
+/// than a runner's report is used, and than a process goes on without the store.
+constexpr int64_t kContextUs = 5'000'000;
+
+/// Changes of a process's own belief; they need not name a runner of the request.
+constexpr std::string_view kProcessEvents[] = {
+    "authority_gained",      "authority_lost",       "store_lost",
+    "store_regained",        "store_history_gone",   "desired_state_adopted",
+    "data_centre_evacuated", "data_centre_restored", "weights_named",
+    "part_store_lost",       "part_store_regained",  "shutdown_started",
+    "settings_loaded",       "settings_refused",     "daemon_started"};
+
+std::string ToText(const json::value& value) {
+  return value.is_string() ? std::string(value.as_string()) : json::serialize(value);
+}
+
+bool IsProcessEvent(const std::string& event) {
+  return std::find(std::begin(kProcessEvents), std::end(kProcessEvents), event) !=
+         std::end(kProcessEvents);
+}
+
+void SortByTime(std::vector<LogRecord>& records) {
+  std::stable_sort(
+      records.begin(), records.end(),
+      [](const LogRecord& one, const LogRecord& other) { return one.time_us < other.time_us; });
+}
+
+const LogRecord* LastOf(const std::vector<LogRecord>& steps, std::string_view event) {
+  for (auto step = steps.rbegin(); step != steps.rend(); ++step) {
+    if (step->event == event) return &*step;
+  }
+  return nullptr;
+}
+
+std::string Conclude(const std::vector<LogRecord>& steps) {
+  if (steps.empty()) return "";
+  const LogRecord* ended = LastOf(steps, "request_ended");
+  if (ended == nullptr) return "no record of its end: the process was lost, or its log is missing";
+  const std::string outcome = ended->Field("outcome");
+  const std::string took = absl::StrCat(" after ", ended->Field("took_ms"), " ms");
+  const LogRecord* refused = LastOf(steps, "request_refused");
+  const LogRecord* failed = LastOf(steps, "runner_failed");
+  std::string cause;
+  if (failed != nullptr) {
+    cause = absl::StrCat("; runner ", failed->Field("runner"), " was ", failed->Field("sign"), " ",
+                         failed->Field("after_ms"), " ms after the request was sent (",
+                         failed->Field("reason"), ")");
+  }
+  if (outcome == "refused" && refused != nullptr) {
+    return absl::StrCat("answered ", refused->Field("status"), took, ": ", refused->Field("reason"),
+                        cause);
+  }
+  if (outcome == "cut") {
+    return absl::StrCat("cut", took, " behind event ", ended->Field("last_event"), cause);
+  }
+  if (outcome == "delivered") {
+    return absl::StrCat("delivered", took, ", first byte after ", ended->Field("first_ms"),
+                        " ms of an objective of ", ended->Field("objective_ms"), " ms", cause);
+  }
+  return absl::StrCat(outcome, took, cause);
+}
+
+}  // namespace
+
+std::string LogRecord::Field(std::string_view name) const {
+  for (const auto& [key, value] : fields) {
+    if (key == name) return value;
+  }
+  return "";
+}
+
+std::optional<LogRecord> ParseLogRecord(std::string_view line) {
+  const size_t begin = line.find('{');
+  if (begin == std::string_view::npos) return std::nullopt;
+  boost::system::error_code failure;
+  const json::value value =
+      json::parse(json::string_view(line.data() + begin, line.size() - begin), failure);
+  if (failure || !value.is_object()) return std::nullopt;
+  LogRecord record;
+  for (const auto& [key, field] : value.as_object()) {
+    if (key == "time") {
+      record.time = ToText(field);
+    } else if (key == "process") {
+      record.process = ToText(field);
+    } else if (key == "event") {
+      record.event = ToText(field);
+    } else {
+      record.fields.emplace_back(key, ToText(field));
+    }
+  }
+  absl::Time time;
+  std::string fault;
+  if (record.event.empty() || !absl::ParseTime(absl::RFC3339_full, record.time, &time, &fault)) {
+    return std::nullopt;
+  }
+  record.time_us = absl::ToUnixMicros(time);
+  return record;
+}
+
+RequestTrace TraceRequest(const std::vector<LogRecord>& records, const std::string& request) {
+  RequestTrace trace;
+  std::set<std::string> processes;
+  std::set<std::string> runners;
+  for (const LogRecord& record : records) {
+    if (record.Field("request") != request) continue;
+    trace.steps.push_back(record);
+    processes.insert(record.process);
+    const std::string runner = record.Field("runner");
+    if (!runner.empty()) runners.insert(runner);
+  }
+  if (trace.steps.empty()) return trace;
+  SortByTime(trace.steps);
+  const int64_t from = trace.steps.front().time_us - kContextUs;
+  const int64_t to = trace.steps.back().time_us + kContextUs;
+  for (const LogRecord& record : records) {
+    if (record.time_us < from || record.time_us > to) continue;
+    // Other requests at the same runner are told by its failures only.
+    const bool other_request = !record.Field("request").empty();
+    if (record.Field("request") == request) continue;
+    const bool of_runner =
+        runners.count(record.Field("runner")) > 0 &&
+        (!other_request || record.event == "runner_failed" || record.event == "runner_unreachable");
+    const bool of_process = processes.count(record.process) > 0 && IsProcessEvent(record.event);
+    if (of_runner || of_process) trace.context.push_back(record);
+  }
+  SortByTime(trace.context);
+  trace.conclusion = Conclude(trace.steps);
+  return trace;
+}
+
+}  // namespace fuchsiaweir
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -627,14 +627,16 @@
                  {{"kind", kind}})
         .Observe(ToSeconds(request.first_byte_after));
   }
-  LogInfo("request_ended", {{"request", request.caller.id},
-                            {"route", request.route == nullptr ? "" : request.route->name},
-                            {"outcome", outcome},
-                            {"status", absl::StrCat(status)},
-                            {"took_ms", Ms(took)},
-                            {"first_ms", Ms(request.first_byte_after)},
-                            {"last_event", absl::StrCat(request.last_event)},
-                            {"attempts", absl::StrJoin(request.trail, ",")}});
+  LogInfo("request_ended",
+          {{"request", request.caller.id},
+           {"route", request.route == nullptr ? "" : request.route->name},
+           {"outcome", outcome},
+           {"status", absl::StrCat(status)},
+           {"took_ms", Ms(took)},
+           {"first_ms", Ms(request.first_byte_after)},
+           {"objective_ms", Ms(request.route == nullptr ? Duration{0} : request.route->objective)},
+           {"last_event", absl::StrCat(request.last_event)},
+           {"attempts", absl::StrJoin(request.trail, ",")}});
 }
 
 void Forwarder::Tick(TimePoint now) {
--- a/src/main.cc
+++ b/src/main.cc
@@ -17,6 +17,7 @@
 #include "net/command_show.h"
 #include "net/command_status.h"
 #include "net/command_tighten.h"
+#include "net/command_trace.h"
 #include "net/command_version.h"
 #include "net/daemon.h"
 #include "net/operator_session.h"
@@ -78,6 +79,8 @@
      &fuchsiaweir::RunRestore},
     {"tighten", "order all processes directly to give a place no new work",
      fuchsiaweir::kTightenHelp, &fuchsiaweir::RunTighten},
+    {"trace", "follow one request through the logs", fuchsiaweir::kTraceHelp,
+     &fuchsiaweir::RunTrace},
     {"audit", "print the audit trail", fuchsiaweir::kAuditHelp, &fuchsiaweir::RunAudit},
     {"version", "print the version", fuchsiaweir::kVersionHelp, &fuchsiaweir::RunVersion},
 };
