Leave room in engines' memory for what cannot be seen when a prompt is placed

Reports are 0.12 s apart, every gateway counts only its own placements between two of them, and running requests still grow. A home kept its prompts up to 1.5 times the mean load, a bound that a nearly full fleet never reaches. Change: placement adds the tokens that the other gateways are expected to have sent since the report (PromptDemand) and half of the output of the running requests; a home is left at 0.2 above the mean.

--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -13,6 +13,9 @@
 /// a few requests more stand at a runner while all are nearly idle.
 constexpr double kLoadFactor = 1.5;
 constexpr double kLoadMargin = 0.15;
+/// But at most this much more than the mean: where all are nearly full, a factor alone would let a
+/// home collect a queue while others have none.
+constexpr double kMostLoadMargin = 0.2;
 /// Share of an engine's memory up to which requests of the highest priority are placed, and how
 /// much less each lower priority gets. The rest is for tokens that the runs still generate.
 constexpr double kMemoryHigh = 0.93;
@@ -33,6 +36,11 @@
 /// Without the bound all requests would meet at the first runners that have the new weights.
 constexpr double kOldWeightsLoad = 0.06;
 
+/// Share of its output limit that a run still generates on average.
+constexpr double kGrowthShare = 0.5;
+/// From a placement until the report of the runner's host counts the request.
+constexpr Duration kPlacementTransit = Millis(60);
+
 constexpr Duration kRetryLoading = Millis(400);
 constexpr Duration kRetryCold = Millis(700);
 constexpr Duration kRetryFull = Millis(300);
@@ -69,24 +77,46 @@
          kWaitingMemory * static_cast<double>(state.report->waiting);
 }
 
+/// Load pattern: many gateways fill the same engine between two of its reports. Returns the tokens
+/// that all other gateways are expected to send to each engine in a second, if they see about the
+/// demand that this one sees.
+double UnseenTokensPerSecond(const PlacementQuery& query, const RunnerBoard& board, TimePoint now) {
+  if (query.gateways == nullptr || query.gateways->size() < 2) return 0;
+  int64_t engines = 0;
+  for (const auto& [id, state] : board.runners()) {
+    const bool takes = state.record.service == query.service && state.ReportFresh(now) &&
+                       !state.Avoided(now) && !state.replaced && !state.record.draining;
+    engines += takes ? 1 : 0;
+  }
+  if (engines == 0) return 0;
+  const auto others = static_cast<double>(query.gateways->size() - 1);
+  return query.demand.tokens_per_s * others / static_cast<double>(engines);
+}
+
 /// Load pattern: demand beyond the memory of all engines. An engine that runs out of memory
 /// preempts runs and reads their prompts again, so that each request more lowers what it finishes.
 /// Requests of lower priority stop earlier, which leaves the rest of the memory to the others.
-bool FitsMemory(const PlacementQuery& query, const RunnerState& state, TimePoint now) {
+bool FitsMemory(const PlacementQuery& query, const RunnerState& state, double unseen_per_s,
+                TimePoint now) {
   if (!state.ReportFresh(now) || state.report->memory_total <= 0) return true;
   const EngineReport& report = *state.report;
   const int64_t mean = report.memory_used / std::max<int64_t>(1, report.running);
-  const int64_t used = report.memory_used + report.waiting * mean + state.tokens_since_report;
+  const double unseen = unseen_per_s * ToSeconds(now - state.reported_at + kPlacementTransit);
+  const double growth =
+      kGrowthShare * query.demand.output_tokens * static_cast<double>(report.running);
+  const double used = static_cast<double>(report.memory_used + report.waiting * mean +
+                                          state.tokens_since_report + query.tokens) +
+                      unseen + growth;
   const double limit =
       std::max(kMemoryLeast, kMemoryHigh - kMemoryStep * static_cast<double>(query.priority));
   // An engine without runs takes a request of any size that it can hold at all.
   return report.running + report.waiting == 0 ||
-         static_cast<double>(used + query.tokens) <=
-             limit * static_cast<double>(report.memory_total);
+         used <= limit * static_cast<double>(report.memory_total);
 }
 
 /// Returns whether the runner may get the request now; otherwise notes why not.
-bool Admits(const PlacementQuery& query, RunnerState& state, Placement& placement, TimePoint now) {
+bool Admits(const PlacementQuery& query, RunnerState& state, double unseen_per_s,
+            Placement& placement, TimePoint now) {
   if (query.closed_data_centres != nullptr &&
       query.closed_data_centres->count(state.record.data_centre) > 0) {
     Note(placement, PlacementRefusal::kClosed, kRetryUnreachable);
@@ -113,7 +143,7 @@
          std::max(kRetryUnreachable / 2, state.avoid_until - now));
     return false;
   }
-  if (query.tokens > 0 && !FitsMemory(query, state, now)) {
+  if (query.tokens > 0 && !FitsMemory(query, state, unseen_per_s, now)) {
     Note(placement, PlacementRefusal::kFull, kRetryFull);
     return false;
   }
@@ -172,6 +202,7 @@
   std::vector<Candidate> candidates;
   double total = 0;
   uint64_t home_affinity = 0;
+  const double unseen_per_s = query.tokens > 0 ? UnseenTokensPerSecond(query, board, now) : 0;
   for (auto& [id, state] : board.runners()) {
     if (state.record.service != query.service) continue;
     const uint64_t affinity = RendezvousMix(query.prefix_hash, RendezvousHash(id));
@@ -181,7 +212,7 @@
       placement.home = id;
     }
     if (query.tried != nullptr && query.tried->count(id) > 0) continue;
-    if (!Admits(query, state, placement, now)) continue;
+    if (!Admits(query, state, unseen_per_s, placement, now)) continue;
     Candidate candidate{&id, &state, LoadShare(query, state, now), affinity, false};
     candidate.doubtful = state.FailureShare(now) > kFailureHigh;
     if (state.record.weights_version < query.preferred_weights) candidate.load += kOldWeightsLoad;
@@ -196,7 +227,10 @@
   }
   const double mean = total / static_cast<double>(candidates.size());
   const Candidate* chosen = nullptr;
-  if (query.prefix_hash != 0) chosen = ChooseHome(candidates, kLoadFactor * mean + kLoadMargin);
+  if (query.prefix_hash != 0) {
+    chosen =
+        ChooseHome(candidates, std::min(kLoadFactor * mean + kLoadMargin, mean + kMostLoadMargin));
+  }
   if (chosen == nullptr) chosen = ChooseLeastLoaded(candidates, query);
   // A runner whose queue is as long as its batch cannot start another request soon.
   const RunnerState& state = *chosen->state;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "core/prompt_demand.h"
 #include "core/runner_board.h"
 
 namespace fuchsiaweir {
@@ -28,8 +29,9 @@
   const std::set<std::string>* tried = nullptr;                ///< Runners of earlier attempts.
   std::string self;                                            ///< Name of this gateway.
   const std::vector<std::string>* gateways = nullptr;
-  double cold_rate = 0;  ///< Requests a second that a cold runner bears; 0: no limit.
-  double random = 0;     ///< In [0, 1); decides between equal runners.
+  double cold_rate = 0;   ///< Requests a second that a cold runner bears; 0: no limit.
+  double random = 0;      ///< In [0, 1); decides between equal runners.
+  DemandEstimate demand;  ///< Of this gateway's prompts for the service.
 };
 
 /// Why no runner takes a request.
--- /dev/null
+++ b/src/core/prompt_demand.cc
@@ -0,0 +1,32 @@
+#include "core/prompt_demand.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fuchsiaweir {
+namespace {
+
+/// Time in which a request's weight falls to 1/e: long enough to see a few large prompts of a small
+/// gateway, short enough to follow a burst.
+constexpr double kMemorySeconds = 2.0;
+
+double Decay(TimePoint from, TimePoint to) {
+  return std::exp(-std::max(0.0, ToSeconds(to - from)) / kMemorySeconds);
+}
+
+}  // namespace
+
+void PromptDemand::OnPlaced(int64_t prompt_tokens, int64_t output_tokens, TimePoint now) {
+  const double decay = Decay(at_, now);
+  at_ = now;
+  weight_ = weight_ * decay + 1;
+  tokens_ = tokens_ * decay + static_cast<double>(prompt_tokens + output_tokens);
+  output_ = output_ * decay + static_cast<double>(output_tokens);
+}
+
+DemandEstimate PromptDemand::Estimate(TimePoint now) const {
+  if (weight_ <= 0) return {};
+  return {tokens_ * Decay(at_, now) / kMemorySeconds, output_ / weight_};
+}
+
+}  // namespace fuchsiaweir
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -319,6 +319,7 @@
   query.priority = request.priority();
   query.repeatable = request.repeatable();
   query.random = Random();
+  query.demand = demands_[request.service].Estimate(now);
   const auto service = request.table->services.find(request.service);
   if (service != request.table->services.end()) query.cold_rate = service->second.cold_rate;
   if (const WeightsHistory* weights = view_.weights(request.caller.model)) {
@@ -345,6 +346,10 @@
     if (request.caller_gone) co_return placement;
     if (!placement.runner.empty()) {
       view_.board().OnPlaced(placement.runner, request.tokens(), now);
+      if (!request.caller.parts.empty()) {
+        demands_[request.service].OnPlaced(request.caller.prompt_tokens,
+                                           request.caller.output_tokens, now);
+      }
       co_return placement;
     }
     const bool over = now - began + kWaitPoll > limit || now + kWaitPoll > request.deadline;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -10,6 +10,7 @@
 
 #include "core/placement.h"
 #include "core/poison_tracker.h"
+#include "core/prompt_demand.h"
 #include "core/refusal_pace.h"
 #include "core/retry_budget.h"
 #include "gateway/fleet_view.h"
@@ -72,8 +73,9 @@
   Metrics& metrics_;
   RunnerChannels channels_;
   std::set<Request*> requests_;
-  std::map<std::string, RetryBudget> budgets_;  ///< By service.
-  std::map<std::string, RefusalPace> paces_;    ///< By service.
+  std::map<std::string, RetryBudget> budgets_;   ///< By service.
+  std::map<std::string, RefusalPace> paces_;     ///< By service.
+  std::map<std::string, PromptDemand> demands_;  ///< By service.
   PoisonTracker poison_;
   std::vector<PendingBlame> blames_;
   uint64_t random_state_;
--- a/test/correctness/worst_load.cc
+++ b/test/correctness/worst_load.cc
@@ -17,13 +17,14 @@
 
 constexpr int64_t kPromptTokens = 10'800;
 constexpr int64_t kOutputTokens = 1'200;
-constexpr int64_t kReadMs = 110;  ///< Time in which an engine reads a prompt; its runs stand still.
 constexpr int64_t kGenerateMs = 2'000;  ///< Time in which an undisturbed run generates its output.
 
 /// An engine that admits a request when its memory holds the prompt. When the outputs outgrow the
 /// memory it preempts the newest run, whose prompt it reads again later.
 struct Engine {
-  std::vector<int64_t> runs;  ///< Milliseconds of generation left, oldest run first.
+  int64_t memory = kMemory;
+  int64_t read_ms = 110;           ///< Time in which it reads a prompt; its runs stand still.
+  std::vector<int64_t> runs = {};  ///< Milliseconds of generation left, oldest run first.
   int64_t waiting = 0;
   int64_t reading_ms = 0;
   int64_t preempted = 0;
@@ -38,10 +39,10 @@
   }
 
   void Work() {
-    if (waiting > 0 && reading_ms == 0 && used() + kPromptTokens <= kMemory) {
+    if (waiting > 0 && reading_ms == 0 && used() + kPromptTokens <= memory) {
       --waiting;
       runs.push_back(kGenerateMs);
-      reading_ms = kReadMs;
+      reading_ms = read_ms;
     }
     if (reading_ms > 0) {
       --reading_ms;
@@ -51,7 +52,7 @@
     const size_t before = runs.size();
     std::erase_if(runs, [](int64_t left) { return left <= 0; });
     finished += static_cast<int64_t>(before - runs.size());
-    while (used() > kMemory) {
+    while (used() > memory) {
       ++preempted;
       ++waiting;
       runs.pop_back();
@@ -65,12 +66,22 @@
   int64_t refused = 0;
 };
 
+/// Decisions that a replay compares.
+struct Rules {
+  bool by_memory = true;  ///< Engines' memory bounds what is placed.
+  size_t gateways = 1;
+  bool count_unseen = true;  ///< What other gateways placed since the report counts too.
+  Engine engine = {};
+};
+
 /// Plays 20 s of long prompts at `demand` times what the memory of the engines bears.
-Outcome PlayOverload(double demand, bool by_memory) {
+Outcome PlayOverload(double demand, const Rules& rules) {
   std::mt19937 random(20261204);
-  RunnerBoard board;
-  std::vector<Engine> engines(4);
-  std::vector<std::string> gateways{"gateway"};
+  std::vector<RunnerBoard> boards(rules.gateways);
+  std::vector<PromptDemand> demands(rules.gateways);
+  std::vector<Engine> engines(4, rules.engine);
+  std::vector<std::string> gateways;
+  for (size_t i = 0; i < rules.gateways; ++i) gateways.push_back("gateway" + std::to_string(i));
   for (size_t i = 0; i < engines.size(); ++i) {
     RunnerRecord record;
     record.id = "runner-" + std::to_string(i);
@@ -78,11 +89,13 @@
     record.address = "10.0.0.1";
     record.port = static_cast<uint16_t>(i + 1);
     record.slots = 64;
-    board.Upsert(record, kStart);
+    for (RunnerBoard& board : boards) board.Upsert(record, kStart);
   }
   Outcome outcome;
-  // Eight runs fit; each reads its prompt and generates while the seven others read theirs.
-  const double per_ms = demand * 4.0 * 8 / static_cast<double>(kGenerateMs + 8 * kReadMs);
+  // Each of the runs that fit reads its prompt and generates while the others read theirs.
+  const int64_t fit = rules.engine.memory / (kPromptTokens + kOutputTokens);
+  const double per_ms = demand * 4.0 * static_cast<double>(fit) /
+                        static_cast<double>(kGenerateMs + fit * rules.engine.read_ms);
   double due = 0;
   for (int64_t ms = 0; ms < 20'000; ++ms) {
     const TimePoint now = kStart + Millis(ms);
@@ -92,22 +105,28 @@
       report.running = static_cast<int64_t>(engines[i].runs.size());
       report.waiting = engines[i].waiting;
       report.memory_used = engines[i].used();
-      report.memory_total = kMemory;
-      board.OnReport("10.0.0.1", static_cast<uint16_t>(i + 1), report, Duration{0}, now);
+      report.memory_total = engines[i].memory;
+      for (RunnerBoard& board : boards) {
+        board.OnReport("10.0.0.1", static_cast<uint16_t>(i + 1), report, Duration{0}, now);
+      }
     }
     for (due += per_ms; due >= 1; due -= 1) {
+      const size_t self = random() % rules.gateways;
+      RunnerBoard& board = boards[self];
       PlacementQuery query;
       query.service = "llm";
-      query.self = "gateway";
+      query.self = gateways[self];
       query.gateways = &gateways;
       query.prefix_hash = RendezvousHash(std::to_string(random() % 200));
-      query.tokens = by_memory ? kPromptTokens + kOutputTokens : 0;
+      query.tokens = rules.by_memory ? kPromptTokens + kOutputTokens : 0;
+      if (rules.count_unseen) query.demand = demands[self].Estimate(now);
       const Placement placement = Place(query, board, now);
       if (placement.runner.empty()) {
         ++outcome.refused;
         continue;
       }
       board.OnPlaced(placement.runner, kPromptTokens + kOutputTokens, now);
+      demands[self].OnPlaced(kPromptTokens, kOutputTokens, now);
       ++engines[static_cast<size_t>(placement.runner.back() - '0')].waiting;
     }
   }
@@ -126,17 +145,64 @@
 // the runners. Guards against engines that preempt runs and read prompts again; a request without
 // room is refused at once, and no fewer are finished than without the limit.
 TEST(WorstLoad, PromptsBeyondTheMemoryAreRefusedAndNotPreempted) {
-  const Outcome former = PlayOverload(1.6, false);
-  const Outcome now = PlayOverload(1.6, true);
+  const Outcome former = PlayOverload(1.6, {.by_memory = false});
+  const Outcome now = PlayOverload(1.6, {});
   CHECK(former.preempted > 0);
   LONGS_EQUAL(0, now.preempted);
   CHECK(now.finished >= former.finished);
   CHECK(now.refused > 0);
 }
 
+// Replays the same demand at twelve gateways. Guards against engines that all of them fill at once
+// between two reports, as each knows only its own placements.
+TEST(WorstLoad, GatewaysLeaveRoomForWhatOthersPlace) {
+  const Engine large{.memory = 6 * kMemory, .read_ms = 15};
+  const Outcome former =
+      PlayOverload(1.6, {.gateways = 12, .count_unseen = false, .engine = large});
+  const Outcome now = PlayOverload(1.6, {.gateways = 12, .engine = large});
+  CHECK(former.preempted > 0);
+  CHECK(now.preempted * 4 <= former.preempted);
+  CHECK(now.finished * 100 >= former.finished * 98);
+}
+
+// Replays runners that are all nearly full while prompts of one home queue up there. Guards against
+// a home that keeps its prompts until its queue is half as long again as the mean load.
+TEST(WorstLoad, AFullHomeIsLeft) {
+  RunnerBoard board;
+  const std::vector<std::string> gateways{"gateway"};
+  PlacementQuery query;
+  query.service = "llm";
+  query.self = "gateway";
+  query.gateways = &gateways;
+  query.prefix_hash = RendezvousHash("subject");
+  for (int i = 0; i < 8; ++i) {
+    RunnerRecord record;
+    record.id = "runner-" + std::to_string(i);
+    record.service = "llm";
+    record.port = static_cast<uint16_t>(i + 1);
+    record.slots = 64;
+    board.Upsert(record, kStart);
+    EngineReport report;
+    report.running = 20;
+    report.memory_used = 80'000;
+    report.memory_total = kMemory;
+    board.OnReport("", record.port, report, Duration{0}, kStart);
+  }
+  const std::string home = Place(query, board, kStart).runner;
+  EngineReport queued;
+  queued.running = 20;
+  queued.waiting = 12;
+  queued.memory_used = 80'000;
+  queued.memory_total = kMemory;
+  board.OnReport("", board.Find(home)->record.port, queued, Duration{0}, kStart);
+  const Placement placement = Place(query, board, kStart);
+  STRCMP_EQUAL(home.c_str(), placement.home.c_str());
+  CHECK(placement.runner != home);
+}
+
 // Guards against refusals while the engines have room.
 TEST(WorstLoad, NothingIsRefusedBelowTheLimit) {
-  const Outcome now = PlayOverload(0.6, true);
+  const Outcome now = PlayOverload(0.6, {});
   LONGS_EQUAL(0, now.refused);
   LONGS_EQUAL(0, now.preempted);
 }
