Count saves on their way when a store's room is judged

Change: the room of a store is judged with the saves that all gateways are expected to have begun within 0.8 s (TokenDemand, the former PromptDemand under a name that fits both uses). Test: PartDirectory.RoomForSavesOnTheirWayIsKept.

--- a/src/core/part_directory.cc
+++ b/src/core/part_directory.cc
@@ -96,7 +96,8 @@
       if (!store.contents->known()) continue;
       if (store.contents->TokensOf(salt, parts[i].id) >= parts[i].tokens) holder = &store;
       const double limit = kFullShare * static_cast<double>(store.capacity_tokens);
-      if (static_cast<double>(store.contents->tokens() + parts[i].tokens) > limit) continue;
+      const double used = static_cast<double>(store.contents->tokens() + parts[i].tokens);
+      if (used + store.arriving_tokens > limit) continue;
       if (target == nullptr ||
           Score(parts[i].id, store, data_centre) > Score(parts[i].id, *target, data_centre)) {
         target = &store;
--- a/src/core/part_directory.h
+++ b/src/core/part_directory.h
@@ -50,6 +50,7 @@
   const StoreContents* contents = nullptr;
   std::string data_centre;
   double bytes_per_second = 0;  ///< Of its link; 0 when it is not told.
+  double arriving_tokens = 0;   ///< Of saves that its changes do not tell yet; an estimate.
 };
 
 /// Where each part of a prompt is read from and saved to; "" for nowhere.
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "core/clock.h"
-#include "core/prompt_demand.h"
 #include "core/runner_board.h"
+#include "core/token_demand.h"
 
 namespace fuchsiaweir {
 
--- a/src/core/prompt_demand.cc
+++ b/src/core/token_demand.cc
@@ -1,4 +1,4 @@
-#include "core/prompt_demand.h"
+#include "core/token_demand.h"
 
 #include <algorithm>
 #include <cmath>
@@ -6,7 +6,7 @@
 namespace fuchsiaweir {
 namespace {
 
-/// Time in which a request's weight falls to 1/e: long enough to see a few large prompts of a small
+/// Time in which an item's weight falls to 1/e: long enough to see a few large prompts of a small
 /// gateway, short enough to follow a burst.
 constexpr double kMemorySeconds = 2.0;
 
@@ -16,15 +16,15 @@
 
 }  // namespace
 
-void PromptDemand::OnPlaced(int64_t prompt_tokens, int64_t output_tokens, TimePoint now) {
+void TokenDemand::OnSent(int64_t tokens, int64_t output_tokens, TimePoint now) {
   const double decay = Decay(at_, now);
   at_ = now;
   weight_ = weight_ * decay + 1;
-  tokens_ = tokens_ * decay + static_cast<double>(prompt_tokens + output_tokens);
+  tokens_ = tokens_ * decay + static_cast<double>(tokens);
   output_ = output_ * decay + static_cast<double>(output_tokens);
 }
 
-DemandEstimate PromptDemand::Estimate(TimePoint now) const {
+DemandEstimate TokenDemand::Estimate(TimePoint now) const {
   if (weight_ <= 0) return {};
   return {tokens_ * Decay(at_, now) / kMemorySeconds, output_ / weight_};
 }
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -347,8 +347,7 @@
     if (!placement.runner.empty()) {
       view_.board().OnPlaced(placement.runner, request.tokens(), now);
       if (!request.caller.parts.empty()) {
-        demands_[request.service].OnPlaced(request.caller.prompt_tokens,
-                                           request.caller.output_tokens, now);
+        demands_[request.service].OnSent(request.tokens(), request.caller.output_tokens, now);
       }
       co_return placement;
     }
@@ -373,6 +372,10 @@
     if (order.weights_version > 0) {
       PartPlan plan = PlanParts(request.caller.parts, order.cache_salt, parts_.Stores(),
                                 runner.record.data_centre);
+      for (size_t i = 0; i < plan.save_to.size(); ++i) {
+        if (plan.save_to[i].empty()) continue;
+        parts_.OnSaved(plan.save_to[i], request.caller.parts[i].tokens);
+      }
       order.fetch_from = std::move(plan.fetch_from);
       order.save_to = std::move(plan.save_to);
       const TimePoint now = SteadyNow();
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -10,9 +10,9 @@
 
 #include "core/placement.h"
 #include "core/poison_tracker.h"
-#include "core/prompt_demand.h"
 #include "core/refusal_pace.h"
 #include "core/retry_budget.h"
+#include "core/token_demand.h"
 #include "gateway/fleet_view.h"
 #include "gateway/part_watch.h"
 #include "gateway/runner_channel.h"
@@ -73,9 +73,9 @@
   Metrics& metrics_;
   RunnerChannels channels_;
   std::set<Request*> requests_;
-  std::map<std::string, RetryBudget> budgets_;   ///< By service.
-  std::map<std::string, RefusalPace> paces_;     ///< By service.
-  std::map<std::string, PromptDemand> demands_;  ///< By service.
+  std::map<std::string, RetryBudget> budgets_;  ///< By service.
+  std::map<std::string, RefusalPace> paces_;    ///< By service.
+  std::map<std::string, TokenDemand> demands_;  ///< By service.
   PoisonTracker poison_;
   std::vector<PendingBlame> blames_;
   uint64_t random_state_;
--- a/src/gateway/part_watch.cc
+++ b/src/gateway/part_watch.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "core/rendezvous.h"
+#include "core/token_demand.h"
 #include "net/log.h"
 #include "platform/runner_api.h"
 
@@ -23,6 +24,8 @@
 constexpr Duration kPeerWait = Millis(800);
 constexpr Duration kPeerPoll = Millis(50);
 constexpr Duration kPeerTimeout = Millis(1500);
+/// From the start of a save, when the store reserves its room, until a gateway knows of the part.
+constexpr double kContentsLagSeconds = 0.8;
 /// Share of a store's watchers that gateways use; the rest is left for others and for reconnects.
 constexpr double kWatcherShare = 0.5;
 /// Longer than any fetch: these end after a share of a request's objective.
@@ -59,6 +62,7 @@
   std::string service;
   StoreSpec spec;
   StoreContents contents;
+  TokenDemand saves;  ///< Of this gateway.
   bool removed = false;
   /// Recent changes, each with the position that follows it.
   std::deque<std::pair<int64_t, CacheChange>> history;
@@ -85,14 +89,22 @@
 
 std::vector<StoreChoice> PartWatch::Stores() const {
   std::vector<StoreChoice> choices;
+  const TimePoint now = SteadyNow();
+  const auto gateways = static_cast<double>(std::max<size_t>(1, view_.gateways().size()));
   for (const auto& [address, store] : stores_) {
     if (!store->contents.known()) continue;
     choices.push_back({address, store->spec.capacity_tokens, &store->contents,
-                       store->spec.data_centre, store->spec.bytes_per_second});
+                       store->spec.data_centre, store->spec.bytes_per_second,
+                       store->saves.Estimate(now).tokens_per_s * gateways * kContentsLagSeconds});
   }
   return choices;
 }
 
+void PartWatch::OnSaved(const std::string& store, int64_t tokens) {
+  const auto found = stores_.find(store);
+  if (found != stores_.end()) found->second->saves.OnSent(tokens, 0, SteadyNow());
+}
+
 void PartWatch::OnTable(const RouteTable& table) {
   std::map<std::string, std::shared_ptr<Store>> next;
   for (const auto& [name, service] : table.services) {
--- a/src/gateway/part_watch.h
+++ b/src/gateway/part_watch.h
@@ -20,6 +20,8 @@
 
   /// The stores whose contents are known.
   std::vector<StoreChoice> Stores() const;
+  /// Notes that a part of this size was sent to the store.
+  void OnSaved(const std::string& store, int64_t tokens);
   /// Answers a gateway that asks for changes: the target's query names store, epoch and position.
   Awaitable<HttpResponse> ServePeer(HttpTarget target);
 
--- a/test/correctness/part_directory.cc
+++ b/test/correctness/part_directory.cc
@@ -137,6 +137,18 @@
   CHECK(busiest(now) <= 0.75 * busiest(by_room));
 }
 
+// Guards against saves of many gateways that find no room, because a store's changes tell of them
+// only later.
+TEST(PartDirectory, RoomForSavesOnTheirWayIsKept) {
+  StoreContents contents;
+  contents.Reset(Changes(1, 1, {{true, "s", "other", 500}}));
+  std::vector<StoreChoice> stores{{"10.0.0.1:1", 1'000, &contents, "a", 1e9, 300}};
+  const std::vector<PromptPart> parts{{"part", 100}, {"own", 10}};
+  STRCMP_EQUAL("10.0.0.1:1", PlanParts(parts, "s", stores, "a").save_to[0].c_str());
+  stores[0].arriving_tokens = 400;
+  CHECK(PlanParts(parts, "s", stores, "a").save_to.empty());
+}
+
 // Guards against a count of kept tokens that drifts, after which a store seems full or empty.
 TEST(PartDirectory, TokensEqualTheSumOfTheParts) {
   CheckProperty("tokens follow the changes", [] {
--- a/test/correctness/worst_load.cc
+++ b/test/correctness/worst_load.cc
@@ -78,7 +78,7 @@
 Outcome PlayOverload(double demand, const Rules& rules) {
   std::mt19937 random(20261204);
   std::vector<RunnerBoard> boards(rules.gateways);
-  std::vector<PromptDemand> demands(rules.gateways);
+  std::vector<TokenDemand> demands(rules.gateways);
   std::vector<Engine> engines(4, rules.engine);
   std::vector<std::string> gateways;
   for (size_t i = 0; i < rules.gateways; ++i) gateways.push_back("gateway" + std::to_string(i));
@@ -126,7 +126,7 @@
         continue;
       }
       board.OnPlaced(placement.runner, kPromptTokens + kOutputTokens, now);
-      demands[self].OnPlaced(kPromptTokens, kOutputTokens, now);
+      demands[self].OnSent(kPromptTokens + kOutputTokens, kOutputTokens, now);
       ++engines[static_cast<size_t>(placement.runner.back() - '0')].waiting;
     }
   }
