Add status of gateways, checks of settings and a test of the log's bound

Tests (GatewayOperation): trace leads from three failed requests to their causes, status with a process that is gone, findings of settings, and a log pipe that nobody reads: 400 requests are answered and the next record that finds room tells how many had none.

--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -487,6 +487,7 @@
     LogInfo("runner_gone", {{"runner", id}, {"reason", "not listed again after an outage"}});
   }
   CountGateways(now);
+  SetGauges(now);
   const bool held = HoldsAuthority();
   if (held != authority_held_) {
     LogInfo(held ? "authority_gained" : "authority_lost",
@@ -496,6 +497,32 @@
   }
 }
 
+void FleetView::SetGauges(TimePoint now) {
+  metrics_.Gauge("fuchsiaweir_ready", "Whether callers can be served.").Set(Ready() ? 1 : 0);
+  metrics_
+      .Gauge("fuchsiaweir_authority_age_ms",
+             "Age of the last confirmation of the desired state; -1 before the first.")
+      .Set(static_cast<double>(AuthorityAgeMs()));
+  metrics_
+      .Gauge("fuchsiaweir_store_kinds_failing",
+             "Kinds of objects whose last call to the platform's store failed.")
+      .Set(static_cast<double>(failing_kinds_.size()));
+  std::map<std::string, double> states{
+      {"avoided", 0}, {"cold", 0}, {"leaving", 0}, {"missing", 0}, {"in_use", 0}};
+  for (const auto& [id, state] : board_.runners()) {
+    const char* name = state.record.draining || state.replaced ? "leaving"
+                       : state.missing_since                   ? "missing"
+                       : state.Avoided(now)                    ? "avoided"
+                       : state.Cold(now)                       ? "cold"
+                                                               : "in_use";
+    ++states[name];
+  }
+  for (const auto& [name, count] : states) {
+    metrics_.Gauge("fuchsiaweir_runners", "Runners by what is believed of them.", {{"state", name}})
+        .Set(count);
+  }
+}
+
 void FleetView::Broadcast(const PeerMessage& message) {
   for (const auto& [name, peer] : peers_) {
     if (peer.gateway) link_.Send(peer.endpoint, message);
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -125,6 +125,7 @@
   /// The kind is read again, from the store or a relay.
   void NoteSound(const Kind& kind);
   void Tick(TimePoint now);
+  void SetGauges(TimePoint now);
   /// Notes that the runners were read, from the store or from a relay that tells of an outage or
   /// not.
   void NoteRunnersRead(std::optional<bool> relay_outage);
--- a/src/net/command_check.cc
+++ b/src/net/command_check.cc
@@ -1,5 +1,7 @@
 #include "net/command_check.h"
 
+#include <absl/flags/flag.h>
+
 #include <iostream>
 #include <optional>
 #include <string>
@@ -9,10 +11,43 @@
 #include "core/findings.h"
 #include "core/ini_document.h"
 #include "core/inventory.h"
+#include "core/settings.h"
+#include "gateway/gateway_settings.h"
+
+ABSL_FLAG(std::string, as, "inventory", "inventory, entry, agent, gateway or sidecar");
 
 namespace fuchsiaweir {
 namespace {
 
+struct FileKind {
+  const char* name;
+  void (*check)(const IniDocument& document, Findings& findings);
+};
+
+constexpr FileKind kFileKinds[] = {
+    {"inventory",
+     [](const IniDocument& document, Findings& findings) { ParseInventory(document, findings); }},
+    {"entry",
+     [](const IniDocument& document, Findings& findings) { ParseSettings(document, findings); }},
+    {"agent",
+     [](const IniDocument& document, Findings& findings) { ParseSettings(document, findings); }},
+    {"gateway",
+     [](const IniDocument& document, Findings& findings) {
+       ParseGatewaySettings(document, PlatformRole::kGateway, findings);
+     }},
+    {"sidecar",
+     [](const IniDocument& document, Findings& findings) {
+       ParseGatewaySettings(document, PlatformRole::kSidecar, findings);
+     }},
+};
+
+const FileKind* FindKind(const std::string& name) {
+  for (const FileKind& kind : kFileKinds) {
+    if (name == kind.name) return &kind;
+  }
+  return nullptr;
+}
+
 boost::json::object FindingsToJson(const Findings& findings) {
   boost::json::array items;
   for (const Finding& finding : findings.items()) {
@@ -25,10 +60,11 @@
 }  // namespace
 
 ExitCode RunCheck(const Operands& operands) {
-  if (operands.size() != 1) return ExitCode::kUsage;
+  const FileKind* kind = FindKind(absl::GetFlag(FLAGS_as));
+  if (operands.size() != 1 || kind == nullptr) return ExitCode::kUsage;
   Findings findings;
   if (const std::optional<std::string> text = ReadFileText(operands[0], findings)) {
-    ParseInventory(ParseIni(*text, operands[0], findings), findings);
+    kind->check(ParseIni(*text, operands[0], findings), findings);
   }
   if (JsonOutput()) {
     std::cout << boost::json::serialize(FindingsToJson(findings)) << "\n";
--- a/src/net/command_status.cc
+++ b/src/net/command_status.cc
@@ -1,5 +1,6 @@
 #include "net/command_status.h"
 
+#include <absl/flags/flag.h>
 #include <absl/strings/str_cat.h>
 
 #include <string>
@@ -7,6 +8,10 @@
 #include <vector>
 
 #include "net/fleet_status.h"
+#include "net/metrics_status.h"
+
+ABSL_FLAG(std::vector<std::string>, metrics, {},
+          "ADDRESS:PORT of the metrics of gateways and sidecars");
 
 namespace fuchsiaweir {
 namespace {
@@ -56,6 +61,8 @@
 
 ExitCode RunStatus(const Operands& operands) {
   if (!operands.empty()) return ExitCode::kUsage;
+  const std::vector<std::string> addresses = absl::GetFlag(FLAGS_metrics);
+  if (!addresses.empty()) return PrintMetricsStatus(addresses);
   return RunOperator([](OperatorSession& session) { return Status(session); });
 }
 
--- a/src/net/command_status.h
+++ b/src/net/command_status.h
@@ -12,7 +12,10 @@
     "  --settings=FILE           take the platform and peers from a process's settings\n"
     "  --output=text|json\n"
     "  --peers=ADDRESS:PORT,...  processes to ask while the platform does not answer\n"
-    "exit codes: 0 done, 1 failed, 64 usage\n";
+    "  --metrics=ADDRESS:PORT,...  print the state of these gateways and sidecars instead, read "
+    "from\n"
+    "                              their metrics addresses\n"
+    "exit codes: 0 done, 1 failed or a process does not answer, 64 usage\n";
 
 /// Prints the state of every process.
 ExitCode RunStatus(const Operands& operands);
--- /dev/null
+++ b/src/net/metrics_status.h
@@ -0,0 +1,17 @@
+#ifndef FUCHSIAWEIR_NET_METRICS_STATUS_H_
+#define FUCHSIAWEIR_NET_METRICS_STATUS_H_
+
+#include <string>
+#include <vector>
+
+#include "net/operator_session.h"
+
+namespace fuchsiaweir {
+
+/// Prints the state of gateways and sidecars as their metrics tell it. Returns kFailed when one
+/// does not answer.
+ExitCode PrintMetricsStatus(const std::vector<std::string>& addresses);
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_NET_METRICS_STATUS_H_
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -38,6 +38,10 @@
   void Signal(const std::string& name, int signal) { processes_.Signal(name, signal); }
   void Restart(const std::string& name) { processes_.Restart(name); }
   int Wait(const std::string& name) { return processes_.Wait(name); }
+  /// Runs a command of the binary. Returns its exit code.
+  int Operate(const std::vector<std::string>& arguments, std::string* output = nullptr) {
+    return processes_.Operate(arguments, output);
+  }
   const std::string& directory() const { return processes_.directory(); }
   int store_port() const { return store_port_; }
   int caller_port(int gateway) const { return gateways_.at(static_cast<size_t>(gateway)).callers; }
--- /dev/null
+++ b/test/process/gateway_operation.cc
@@ -0,0 +1,138 @@
+// What an operator does with gateways and sidecars: commands, logs and metrics.
+
+#include <CppUTest/TestHarness.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+
+#include "platform/names.h"
+#include "process/fleet.h"
+
+namespace fuchsiaweir::testing {
+namespace {
+
+std::string IdOf(const Reply& reply) {
+  return HeaderValue(reply.headers, platform::kRequestIdHeader);
+}
+
+}  // namespace
+
+TEST_GROUP(GatewayOperation){};
+
+// Guards against a failed request whose cause the logs hold and the command does not show, for each
+// of three kinds: outcome unknown, refused because the store is lost, and cut.
+TEST(GatewayOperation, TraceLeadsFromARequestToItsCause) {
+  Fleet fleet(1, 1);
+  fleet.Start();
+  const std::string log = fleet.directory() + "/gateway0.log";
+  const auto trace = [&](const std::string& id, const std::string& conclusion) {
+    std::string output;
+    const bool found = Eventually([&]() {
+      return fleet.Operate({"trace", id, log}, &output) == 0 &&
+             absl::StrContains(output, conclusion);
+    });
+    CHECK_TEXT(found, output.c_str());
+    return output;
+  };
+  fleet.Fault("runner0", R"({"lose": true})");
+  const Reply unknown = fleet.Call("/unsafe/", "booking");
+  LONGS_EQUAL(502, unknown.status);
+  trace(IdOf(unknown), "runner runner0 was broken");
+
+  fleet.Fault("runner0", R"({"cut_after": 3})");
+  fleet.Call("/single/", "events=8");
+  // The calls of a test are numbered, and an answer that is cut off shows no header.
+  const std::string cut_id = absl::StrCat("call-", std::stoi(IdOf(unknown).substr(5)) + 1);
+  CHECK_TEXT(absl::StrContains(trace(cut_id, "cut after"), "behind event 3"), cut_id.c_str());
+
+  fleet.Signal("store", SIGKILL);
+  Reply refused;
+  CHECK(Eventually([&]() {
+    refused = fleet.Call("/safe/", "x");
+    return refused.status == 503 && absl::StrContains(refused.body, "platform_unavailable");
+  }));
+  const std::string output = trace(IdOf(refused), "API keys cannot be confirmed");
+  CHECK_TEXT(absl::StrContains(output, "store_lost"), output.c_str());
+
+  std::string json;
+  LONGS_EQUAL(0, fleet.Operate({"trace", IdOf(refused), log, "--output=json"}, &json));
+  CHECK(boost::json::parse(json).at("steps").as_array().size() >= 2);
+  LONGS_EQUAL(1, fleet.Operate({"trace", "no-such-id", log}));
+  LONGS_EQUAL(2, fleet.Operate({"trace", "no-such-id", log + ".missing"}));
+}
+
+// Guards against a process that does not answer and holds up or hides the others.
+TEST(GatewayOperation, StatusReadsTheMetricsOfEachProcess) {
+  Fleet fleet(2, 1);
+  fleet.Start();
+  LONGS_EQUAL(200, fleet.Call("/safe/", "x").status);
+  const std::string both = absl::StrCat("--metrics=127.0.0.1:", fleet.metrics_port(0),
+                                        ",127.0.0.1:", fleet.metrics_port(1));
+  std::string output;
+  // The gauges follow within a tenth of a second.
+  const bool told = Eventually([&]() {
+    LONGS_EQUAL(0, fleet.Operate({"status", both}, &output));
+    return absl::StrContains(output, "ready=1 revision=3") &&
+           absl::StrContains(output, "delivered=1") && absl::StrContains(output, "runners=1");
+  });
+  CHECK_TEXT(told, output.c_str());
+  fleet.Signal("gateway1", SIGKILL);
+  fleet.Wait("gateway1");
+  LONGS_EQUAL(1, fleet.Operate({"status", both, "--output=json"}, &output));
+  const boost::json::value status = boost::json::parse(output);
+  const boost::json::array& processes = status.at("processes").as_array();
+  LONGS_EQUAL(2, processes.size());
+  CHECK(processes[0].at("answers").as_bool());
+  CHECK_FALSE(processes[1].at("answers").as_bool());
+}
+
+// Guards against settings whose fault only shows when a process starts with them.
+TEST(GatewayOperation, CheckReportsFindingsOfSettings) {
+  Fleet fleet(1, 1);
+  fleet.Start();
+  const std::string file = fleet.directory() + "/gateway0.ini";
+  LONGS_EQUAL(0, fleet.Operate({"check", file, "--as=gateway"}));
+  std::string output;
+  LONGS_EQUAL(2, fleet.Operate({"check", file, "--as=sidecar"}, &output));
+  CHECK_TEXT(absl::StrContains(output, "\"runner\""), output.c_str());
+  std::ofstream(file, std::ios::app) << "[bounds]\nretry_ratio = -1\n[nonsense]\nkey = value\n";
+  LONGS_EQUAL(2, fleet.Operate({"check", file, "--as=gateway"}, &output));
+  CHECK_TEXT(absl::StrContains(output, "gateway0.ini:"), output.c_str());
+  CHECK_TEXT(absl::StrContains(output, "nonsense"), output.c_str());
+  LONGS_EQUAL(64, fleet.Operate({"check", file, "--as=novel"}));
+}
+
+// Guards against requests that wait for whoever reads the log, and against a loss of records that
+// nobody is told of.
+TEST(GatewayOperation, AFullLogPipeHoldsNoRequestUp) {
+  Fleet fleet(1, 1);
+  const std::string pipe = fleet.directory() + "/gateway0.log";
+  LONGS_EQUAL(0, mkfifo(pipe.c_str(), 0600));
+  const int reader = open(pipe.c_str(), O_RDWR | O_NONBLOCK);
+  CHECK(reader >= 0);
+  fleet.Start();
+  // Two records a request; the pipe holds 64 KiB.
+  for (int i = 0; i < 400; ++i) LONGS_EQUAL(200, fleet.Call("/safe/", "x").status);
+  std::string text;
+  char buffer[4'096];
+  const auto drain = [&]() {
+    for (ssize_t count = 0; (count = read(reader, buffer, sizeof(buffer))) > 0;) {
+      text.append(buffer, static_cast<size_t>(count));
+    }
+  };
+  drain();
+  CHECK_FALSE(absl::StrContains(text, "no_room"));
+  CHECK(Eventually([&]() {
+    LONGS_EQUAL(200, fleet.Call("/safe/", "x").status);
+    drain();
+    return absl::StrContains(text, "\"no_room\":");
+  }));
+  close(reader);
+}
+
+}  // namespace fuchsiaweir::testing
--- a/test/process/operator_usage.cc
+++ b/test/process/operator_usage.cc
@@ -12,8 +12,9 @@
 // Guards against a command without help, and against exit codes that scripts cannot tell apart.
 TEST(OperatorUsage, HasHelpAndDistinctExitCodes) {
   Deployment deployment;
-  for (const char* command : {"entry", "agent", "check", "apply", "show", "status", "drain",
-                              "restore", "tighten", "audit", "version"}) {
+  for (const char* command :
+       {"entry", "agent", "check", "apply", "show", "status", "drain", "restore", "tighten",
+        "trace", "audit", "gateway", "sidecar", "version"}) {
     std::string output;
     LONGS_EQUAL(0, deployment.Operate({command, "--help"}, &output));
     STRCMP_CONTAINS(command, output.c_str());
