Split the forwarder and take the store's health out of the fleet view

The forwarder held admission, crash blame, the request's state and its log in 700 lines: Admission, CrashBlame and ForwardedRequest are files of their own now, with the same code. Removed: RunnerState::MemoryUsed and tokens_in_flight, ForwardedRequest::arrivals, StoredObject::deleting, the setting process.memory_mb, the address that PeerLink gave its receiver.

--- a/src/core/runner_board.cc
+++ b/src/core/runner_board.cc
@@ -47,11 +47,6 @@
   return static_cast<double>(std::max(in_flight, reported));
 }
 
-double RunnerState::MemoryUsed(TimePoint now) const {
-  if (!ReportFresh(now) || report->memory_total <= 0) return 0;
-  return static_cast<double>(report->memory_used) / static_cast<double>(report->memory_total);
-}
-
 void RunnerBoard::Upsert(const RunnerRecord& record, TimePoint now) {
   const auto [it, created] = runners_.try_emplace(record.id);
   RunnerState& state = it->second;
@@ -62,14 +57,12 @@
   const bool newer = current && (created || restarted || record.sequence > state.record.sequence);
   if (created || restarted) {
     const int64_t in_flight = state.in_flight;
-    const int64_t tokens = state.tokens_in_flight;
     const TimePoint cold_until = state.cold_until;
     const int64_t started_ms = state.started_ms;
     state = RunnerState{};
     state.cold_until = cold_until;
     state.started_ms = started_ms;
     state.in_flight = in_flight;
-    state.tokens_in_flight = tokens;
   }
   state.record = record;
   state.started_ms = std::max(state.started_ms, record.started_ms);
@@ -148,16 +141,14 @@
   if (state == nullptr) return;
   ++state->in_flight;
   ++state->sent_since_report;
-  state->tokens_in_flight += tokens;
   state->tokens_since_report += tokens;
   if (state->Cold(now)) state->cold_sent.OnSent(now);
 }
 
-void RunnerBoard::OnEnd(const std::string& id, int64_t tokens) {
+void RunnerBoard::OnEnd(const std::string& id) {
   RunnerState* state = Find(id);
   if (state == nullptr) return;
   --state->in_flight;
-  state->tokens_in_flight -= tokens;
 }
 
 void RunnerBoard::OnSign(const std::string& id, RunnerSign sign, Duration cold_time,
--- a/src/core/runner_board.h
+++ b/src/core/runner_board.h
@@ -37,7 +37,6 @@
   TimePoint reported_at;
   bool report_failed = false;  ///< The process beside the runner gets no answer from it.
   int64_t in_flight = 0;       ///< Own requests at the runner.
-  int64_t tokens_in_flight = 0;
   int64_t sent_since_report = 0;
   int64_t tokens_since_report = 0;
   int64_t failures_in_row = 0;
@@ -56,8 +55,6 @@
   double FailureShare(TimePoint now) const;
   /// Requests at the runner from all gateways; an estimate when its report is old.
   double Load(TimePoint now, int64_t gateways) const;
-  /// Share of the engine's memory that is taken, 0 without a report.
-  double MemoryUsed(TimePoint now) const;
   bool ReportFresh(TimePoint now) const;
 };
 
@@ -78,11 +75,10 @@
                 const std::optional<EngineReport>& report, Duration cold_time, TimePoint now);
 
   /// Counts a request from its placement on: requests that are placed in the same moment, before
-  /// any
-  /// of them is sent, must see each other.
+  /// any of them is sent, must see each other.
   void OnPlaced(const std::string& id, int64_t tokens, TimePoint now);
   /// Ends a request that `OnPlaced` began.
-  void OnEnd(const std::string& id, int64_t tokens);
+  void OnEnd(const std::string& id);
   /// Learns from a request. `cold_time` applies when the sign says that the runner was restarted.
   void OnSign(const std::string& id, RunnerSign sign, Duration cold_time, TimePoint now);
 
--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -40,8 +40,6 @@
 /// Gateways of a data centre for each one that asks the store for them: the store's rates grow more
 /// slowly than the fleet.
 constexpr size_t kGatewaysPerRelay = 8;
-/// Entries that lapsed during an outage return up to two seconds after it.
-constexpr Duration kOutageTail = Millis(2500);
 /// A gateway that was not heard of for so long is not asked for anything.
 constexpr Duration kPeerLife = Seconds(6);
 
@@ -53,12 +51,6 @@
   return TimePoint(std::chrono::seconds(now.tv_sec) + Micros(now.tv_nsec / 1000));
 }
 
-int64_t UnixTimeMs() {
-  timespec now{};
-  clock_gettime(CLOCK_REALTIME, &now);
-  return static_cast<int64_t>(now.tv_sec) * 1000 + now.tv_nsec / 1'000'000;
-}
-
 /// How one kind of object is followed.
 struct FleetView::Kind {
   const char* name;
@@ -202,13 +194,13 @@
     const bool stale = age > kind.wait + kRelaySlack;
     failures = stale ? failures + 1 : 0;
     // A kind that now comes by way of a relay is not asked for directly any more.
-    if (relay && !stale) NoteSound(kind);
+    if (relay && !stale) NoteHealth(kind, true, "");
     // The state is known to be the newest as of the call's start: when the store made the answer
     // during the wait is not told.
     Held& held = held_[name];
     held.as_of = std::max(held.as_of, sent - age);
     if (kind.apply == &FleetView::ApplyRunner) {
-      NoteRunnersRead(relay ? std::optional<bool>(outage) : std::nullopt);
+      health_.OnRunnersRead(relay ? std::optional<bool>(outage) : std::nullopt, SteadyNow());
     }
     Learn(kind, answer, listed);
     if (kind.apply == &FleetView::ApplyConfig && table_ != nullptr) authority_.Confirm(held.as_of);
@@ -326,7 +318,7 @@
   ObjectChanges changes = held.log.Since(since);
   changes.age = SuspendAwareNow() - held.as_of;
 
-  changes.outage = runner_outage_;
+  changes.outage = health_.runner_outage();
   co_return JsonResponse(200, EncodeObjectChanges(changes));
 }
 
@@ -337,31 +329,21 @@
       .Counter("fuchsiaweir_store_calls_total", "Calls to the platform's store by outcome.",
                {{"kind", kind.name}, {"outcome", std::string(Name(answer.outcome))}})
       .Increment();
-  const bool lost_before = !failing_kinds_.empty();
-  if (sound) return NoteSound(kind);
-  failing_kinds_.insert(kind.name);
-  if (kind.apply == &FleetView::ApplyRunner) runners_failed_ = true;
-  if (!lost_before) {
-    LogWarning("store_lost", {{"kind", kind.name},
-                              {"outcome", std::string(Name(answer.outcome))},
-                              {"reason", answer.failure}});
-  }
-}
-
-void FleetView::NoteSound(const Kind& kind) {
-  if (failing_kinds_.erase(kind.name) == 0) return;
-
-  if (failing_kinds_.empty()) LogInfo("store_regained", {{"kind", kind.name}});
-}
-
-void FleetView::NoteRunnersRead(std::optional<bool> relay_outage) {
-  const TimePoint now = SteadyNow();
-  if (relay_outage) {
-    runner_outage_ = *relay_outage;
-    return;
+  if (!sound && kind.apply == &FleetView::ApplyRunner) health_.OnRunnersFailed();
+  NoteHealth(kind, sound, absl::StrCat(std::string(Name(answer.outcome)), " ", answer.failure));
+}
+
+void FleetView::NoteHealth(const Kind& kind, bool sound, const std::string& reason) {
+  switch (health_.OnCall(kind.name, sound)) {
+    case StoreHealth::Change::kLost:
+      LogWarning("store_lost", {{"kind", kind.name}, {"reason", reason}});
+      break;
+    case StoreHealth::Change::kRegained:
+      LogInfo("store_regained", {{"kind", kind.name}});
+      break;
+    case StoreHealth::Change::kNone:
+      break;
   }
-  if (std::exchange(runners_failed_, false)) runners_back_at_ = now;
-  runner_outage_ = now - runners_back_at_ < kOutageTail;
 }
 
 void FleetView::ApplyConfig(const StoredObject& object) {
@@ -394,7 +376,7 @@
   const RunnerState* held = board_.Find(object.name);
   if (!record) {
     if (held == nullptr) return;
-    const bool hold = runner_outage_;
+    const bool hold = health_.runner_outage();
     LogInfo("runner_unlisted", {{"runner", object.name},
                                 {"service", held->record.service},
                                 {"held", hold ? "yes" : "no"},
@@ -506,7 +488,7 @@
   metrics_
       .Gauge("fuchsiaweir_store_kinds_failing",
              "Kinds of objects whose last call to the platform's store failed.")
-      .Set(static_cast<double>(failing_kinds_.size()));
+      .Set(static_cast<double>(health_.failing_kinds()));
   std::map<std::string, double> states{
       {"avoided", 0}, {"cold", 0}, {"leaving", 0}, {"missing", 0}, {"in_use", 0}};
   for (const auto& [id, state] : board_.runners()) {
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -13,6 +13,7 @@
 #include "core/authority_lease.h"
 #include "core/route_table.h"
 #include "core/runner_board.h"
+#include "core/store_health.h"
 #include "core/weights_history.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/object_log.h"
@@ -28,9 +29,6 @@
 /// Monotonic time that also passes while the host is suspended; for leases.
 TimePoint SuspendAwareNow();
 
-/// Unix time in milliseconds.
-int64_t UnixTimeMs();
-
 /// Another process of the system.
 struct Peer {
   Endpoint endpoint;
@@ -122,13 +120,10 @@
   void AdoptTable(const boost::json::value& spec, const std::string& source);
   void NoteStore(const Kind& kind, const platform::StoreAnswer& answer);
   void CountGateways(TimePoint now);
-  /// The kind is read again, from the store or a relay.
-  void NoteSound(const Kind& kind);
+  /// Notes how a kind could be read, from the store or a relay, and logs a loss or return.
+  void NoteHealth(const Kind& kind, bool sound, const std::string& reason);
   void Tick(TimePoint now);
   void SetGauges(TimePoint now);
-  /// Notes that the runners were read, from the store or from a relay that tells of an outage or
-  /// not.
-  void NoteRunnersRead(std::optional<bool> relay_outage);
 
   static const Kind kKinds[];
 
@@ -160,13 +155,9 @@
   std::map<std::string, Peer> peers_;
   std::vector<std::string> gateways_;
   std::vector<std::string> live_gateways_;
-  bool runners_failed_ = false;  ///< The store's last answer about runners was a failure.
-  /// Entries of runners may be missing because of an outage, as seen by whoever read them last.
-  bool runner_outage_ = false;
+  StoreHealth health_;
   bool peers_listed_ = false;
-  bool first_listing_ = false;           ///< The changes being applied are the first contents.
-  std::set<std::string> failing_kinds_;  ///< Kinds whose last call to the store failed.
-  TimePoint runners_back_at_;            ///< When the runners could be read again after a loss.
+  bool first_listing_ = false;  ///< The changes being applied are the first contents.
 
   size_t relay_turn_ = 0;
   bool stopping_ = false;
--- /dev/null
+++ b/src/gateway/forwarded_request.cc
@@ -0,0 +1,42 @@
+#include "gateway/forwarded_request.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
+#include "net/log.h"
+
+namespace fuchsiaweir {
+namespace {
+
+std::string Ms(Duration duration) { return absl::StrCat(ToMillis(duration)); }
+
+}  // namespace
+
+void NoteRequestEnd(Metrics& metrics, const ForwardedRequest& request, const std::string& outcome,
+                    int status) {
+  const Duration took = SteadyNow() - request.arrived;
+  const std::string kind =
+      request.route == nullptr ? "none" : std::string(Name(request.route->kind));
+  metrics
+      .Counter("fuchsiaweir_requests_total", "Requests of callers by kind, outcome and status.",
+               {{"kind", kind}, {"outcome", outcome}, {"status", absl::StrCat(status)}})
+      .Increment();
+  if (outcome == "delivered") {
+    metrics
+        .Seconds("fuchsiaweir_first_byte_seconds", "Time to the answer's first byte.",
+                 {{"kind", kind}})
+        .Observe(ToSeconds(request.first_byte_after));
+  }
+  LogInfo("request_ended",
+          {{"request", request.caller.id},
+           {"route", request.route == nullptr ? "" : request.route->name},
+           {"outcome", outcome},
+           {"status", absl::StrCat(status)},
+           {"took_ms", Ms(took)},
+           {"first_ms", Ms(request.first_byte_after)},
+           {"objective_ms", Ms(request.route == nullptr ? Duration{0} : request.route->objective)},
+           {"last_event", absl::StrCat(request.last_event)},
+           {"attempts", absl::StrJoin(request.trail, ",")}});
+}
+
+}  // namespace fuchsiaweir
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -10,6 +10,7 @@
 #include "core/error_code.h"
 #include "core/event_splitter.h"
 #include "core/rendezvous.h"
+#include "core/unix_time.h"
 #include "core/urgency.h"
 #include "net/log.h"
 #include "net/timer_service.h"
@@ -17,8 +18,6 @@
 namespace fuchsiaweir {
 namespace {
 
-/// For callers that name no time limit.
-constexpr Duration kDefaultTimeLeft = Seconds(10);
 /// A SYN that was dropped is sent again after a second; another runner answers sooner.
 constexpr Duration kConnectTime = Millis(250);
 /// Share of the objective that a request waits for a runner before it is refused.
@@ -45,31 +44,14 @@
 /// objectives. A model engine with a fresh report is alive and only busy.
 constexpr double kSilenceFactor = 1.5;
 constexpr double kBusySilenceFactor = 4;
-/// Retries that one gateway allows itself, as a share of its part of the common budget. The rest
-/// covers gateways that see less traffic than their part.
-constexpr double kBudgetShare = 0.7;
-/// Crashed runners after which a request is not sent again.
-constexpr size_t kMaxCrashes = 3;
-/// Time within which a crash shows after a request was cut off.
-constexpr Duration kBlameTime = Seconds(5);
 
 /// Refused callers return spread over this share more than they are told at least.
 constexpr double kRetrySpread = 0.6;
 /// Callers honour a Retry-After up to a third of the time that they have left.
 constexpr double kRetryShareOfTimeLeft = 0.3;
-constexpr Duration kRetryAuthority = Millis(400);
 
-std::string Digest(const std::string& target, const std::string& team, const std::string& body) {
-  return absl::StrCat(absl::Hex(RendezvousHash(absl::StrCat(target, "\n", team, "\n", body))));
-}
-
-/// Hash of the parts that other requests share: all but the last.
-uint64_t PrefixHash(const std::vector<PromptPart>& parts) {
-  if (parts.empty()) return 0;
-  std::string text;
-  for (size_t i = 0; i + 1 < parts.size(); ++i) absl::StrAppend(&text, parts[i].id, ",");
-  return std::max<uint64_t>(1, RendezvousHash(text));
-}
+/// When a runner that refused a request, or gave no connection, is worth another try.
+constexpr Duration kRetryFull = Millis(300);
 
 std::string Ms(Duration duration) { return absl::StrCat(ToMillis(duration)); }
 
@@ -86,66 +68,14 @@
   kTimeUp,
 };
 
-struct Forwarder::Refusal {
-  int status = 503;
-  ErrorCode code = ErrorCode::kOverloaded;
-  RunState run_state = RunState::kNotRun;
-  std::string reason;
-  Duration retry_after{0};
-};
-
-struct Forwarder::Request {
-  explicit Request(HttpExchange& caller_exchange) : exchange(caller_exchange) {}
-
-  HttpExchange& exchange;
-  platform::CallerRequest caller;
-  std::shared_ptr<const RouteTable> table;  ///< In force when the request came.
-  const Route* route = nullptr;
-  const TeamSpec* team = nullptr;
-  std::string service;
-  std::string digest;
-  uint64_t prefix_hash = 0;
-  std::set<std::string> closed;
-  TimePoint arrived;
-  TimePoint deadline;
-
-  std::set<std::string> tried;
-  int64_t unsent = 0;
-  int64_t rejected = 0;
-  int64_t runs = 0;                ///< Attempts that may have run.
-  int64_t arrivals = 0;            ///< Attempts that reached a runner.
-  std::vector<std::string> trail;  ///< Runners and how the attempts ended, for the log.
-
-  RunnerChannel* channel = nullptr;  ///< Of the attempt under way.
-  std::string runner;
-  TimePoint sent_at;
-  bool first_byte = false;
-  bool caller_gone = false;
-  bool abandoned = false;   ///< The attempt was given up in favour of another runner.
-  bool retry_paid = false;  ///< The budget has already paid for the next attempt.
-  int64_t last_event = 0;
-  Duration first_byte_after{0};
-  int failure_status = 0;  ///< Kept answer of a runner that failed.
-  HttpHeaders failure_headers;
-  std::string failure_body;
-
-  bool repeatable() const { return route->Repeatable(); }
-  /// Tokens that the request may take in an engine's memory.
-  int64_t tokens() const { return caller.prompt_tokens + caller.output_tokens; }
-  /// The team's priority takes precedence over the route's.
-  int64_t priority() const {
-    return team != nullptr && team->priority ? *team->priority : route->priority;
-  }
-  bool stream() const { return route->kind == RouteKind::kStream; }
-};
-
 Forwarder::Forwarder(Kernel& kernel, FleetView& view, PartWatch& parts)
     : view_(view),
       parts_(parts),
       metrics_(kernel.Find<Metrics>("metrics")),
       channels_(kernel.io()),
-      poison_(PoisonRules{}),
-      random_state_(RendezvousHash(view.settings().name) ^ static_cast<uint64_t>(UnixTimeMs())) {
+      blame_(view),
+      admission_(view, blame_, metrics_),
+      random_state_(RendezvousHash(view.settings().name) ^ static_cast<uint64_t>(UnixMillis())) {
   kernel.Find<TimerService>("timer").Subscribe("forwarder", kTickPeriod,
                                                [this](TimePoint now) { Tick(now); });
 }
@@ -158,11 +88,11 @@
 }
 
 Awaitable<void> Forwarder::Handle(HttpExchange& exchange) {
-  Request request(exchange);
+  ForwardedRequest request(exchange);
   request.arrived = SteadyNow();
   request.caller = platform::DecodeCaller(exchange.request());
   requests_.insert(&request);
-  if (std::optional<Refusal> refusal = Admit(request)) {
+  if (std::optional<Refusal> refusal = admission_.Admit(request)) {
     co_await Refuse(request, *refusal);
   } else {
     co_await Run(request);
@@ -170,106 +100,37 @@
   requests_.erase(&request);
 }
 
-std::optional<Forwarder::Refusal> Forwarder::Admit(Request& request) {
-  request.table = view_.table();
-  if (request.table == nullptr) {
-    return Refusal{503, ErrorCode::kPlatformUnavailable, RunState::kNotRun,
-                   "no desired state is known yet", kRetryAuthority};
-  }
-  const HttpTarget& target = request.exchange.target();
-  request.route = FindRoute(*request.table, request.caller.host, target.path);
-  if (request.route == nullptr) {
-    return Refusal{404, ErrorCode::kNotFound, RunState::kNotRun, "no route matches", Duration{0}};
-  }
-  const Route& route = *request.route;
-  if (!request.table->teams.empty() && !route.anonymous) {
-    if (!view_.HoldsAuthority()) {
-      return Refusal{503, ErrorCode::kPlatformUnavailable, RunState::kNotRun,
-                     "API keys cannot be confirmed", kRetryAuthority};
-    }
-    request.team = FindTeam(*request.table, request.caller.api_key);
-    if (request.team == nullptr) {
-      return Refusal{401, ErrorCode::kUnauthorized, RunState::kNotRun, "API key is unknown",
-                     Duration{0}};
-    }
-  }
-  const Duration time_left = request.caller.time_left.value_or(kDefaultTimeLeft);
-  request.deadline = request.arrived +
-                     (route.timeout > Duration{0} ? std::min(time_left, route.timeout) : time_left);
-  request.service = ChooseService(
-      route, static_cast<double>(RendezvousHash(request.caller.id) >> 11) * 0x1.0p-53);
-  request.prefix_hash = route.sticky ? PrefixHash(request.caller.parts) : 0;
-  request.last_event = request.caller.resume_after;
-  std::vector<std::string> homes = route.home_regions;
-  if (request.team != nullptr) {
-    // Both restrictions bind: a region must be a home of the route and of the team.
-    const std::vector<std::string>& team_homes = request.team->home_regions;
-    if (homes.empty()) {
-      homes = team_homes;
-    } else if (!team_homes.empty()) {
-      std::erase_if(homes, [&](const std::string& region) {
-        return std::find(team_homes.begin(), team_homes.end(), region) == team_homes.end();
-      });
-    }
-  }
-  request.closed = view_.ClosedDataCentres(homes);
-  request.digest =
-      Digest(request.exchange.request().target, request.team == nullptr ? "" : request.team->name,
-             request.exchange.request().body);
-  const auto record = poison_.records().find(request.digest);
-  if (record != poison_.records().end() && record->second.crashes.size() >= kMaxCrashes) {
-    return Refusal{503, ErrorCode::kPoisoned, RunState::kNotRun,
-                   "the request ended several runners", Duration{0}};
-  }
-  // The budget is divided between all gateways, so that it needs their number.
-  if (view_.gateways().empty()) return std::nullopt;
-  const auto [budget, created] = budgets_.try_emplace(
-      request.service, static_cast<int64_t>(view_.settings().retry_ratio * 100 * kBudgetShare),
-      static_cast<int64_t>(view_.settings().retry_slack * kBudgetShare /
-                           static_cast<double>(view_.gateways().size())));
-  budget->second.OnFirstAttempt();
-  return std::nullopt;
-}
-
-bool Forwarder::TakeRetry(const std::string& service) {
-  const auto budget = budgets_.find(service);
-  const bool taken = budget != budgets_.end() && budget->second.TryTake();
-  metrics_
-      .Counter("fuchsiaweir_repeated_sends_total", "Requests for one more runner by outcome.",
-               {{"outcome", taken ? "granted" : "no_budget"}})
-      .Increment();
-  return taken;
-}
-
-Awaitable<void> Forwarder::Run(Request& request) {
+Awaitable<void> Forwarder::Run(ForwardedRequest& request) {
   while (true) {
     const Placement placement = co_await WaitForPlace(request);
-    if (request.caller_gone) co_return LogEnd(request, "caller_gone", 0);
+    if (request.caller_gone) co_return NoteRequestEnd(metrics_, request, "caller_gone", 0);
     if (placement.runner.empty()) {
       if (request.exchange.streaming()) {
         request.exchange.Abort();
-        co_return LogEnd(request, "cut", 0);
+        co_return NoteRequestEnd(metrics_, request, "cut", 0);
       }
       if (request.failure_status != 0) break;
       Refusal refusal = RefusalFor(request, placement);
       co_return co_await Refuse(request, std::move(refusal));
     }
     const AttemptEnd end = co_await Try(request, placement);
-    view_.board().OnEnd(placement.runner, request.tokens());
-    if (end == AttemptEnd::kDelivered) co_return LogEnd(request, "delivered", 200);
-    if (end == AttemptEnd::kCallerGone) co_return LogEnd(request, "caller_gone", 0);
+    view_.board().OnEnd(placement.runner);
+    if (end == AttemptEnd::kDelivered)
+      co_return NoteRequestEnd(metrics_, request, "delivered", 200);
+    if (end == AttemptEnd::kCallerGone)
+      co_return NoteRequestEnd(metrics_, request, "caller_gone", 0);
     request.tried.insert(placement.runner);
     if (MayRepeat(request, end)) continue;
     if (request.exchange.streaming()) {
       request.exchange.Abort();
-      co_return LogEnd(request, "cut", 0);
+      co_return NoteRequestEnd(metrics_, request, "cut", 0);
     }
     if (request.failure_status != 0 && end == AttemptEnd::kOwnFailure) break;
     if (request.runs == 0) {
       Placement none;
       none.refusal =
           end == AttemptEnd::kNotRun ? PlacementRefusal::kFull : PlacementRefusal::kUnreachable;
-      none.retry_after = Millis(300);
+      none.retry_after = kRetryFull;
       Refusal refusal = RefusalFor(request, none);
       co_return co_await Refuse(request, std::move(refusal));
     }
@@ -281,17 +142,17 @@
   HttpResponse response{status, std::move(request.failure_headers),
                         std::move(request.failure_body)};
   co_await request.exchange.Respond(std::move(response));
-  LogEnd(request, "runner_failed", status);
+  NoteRequestEnd(metrics_, request, "runner_failed", status);
 }
 
-bool Forwarder::MayRepeat(Request& request, AttemptEnd end) {
+bool Forwarder::MayRepeat(ForwardedRequest& request, AttemptEnd end) {
   const TimePoint now = SteadyNow();
   if (request.caller_gone || now >= request.deadline) return false;
   switch (end) {
     case AttemptEnd::kNotSent:
       return ++request.unsent < kMaxUnsent;
     case AttemptEnd::kNotRun:
-      return ++request.rejected < kMaxRejected && TakeRetry(request.service);
+      return ++request.rejected < kMaxRejected && admission_.TakeRetry(request.service);
     case AttemptEnd::kOwnFailure:
     case AttemptEnd::kUnknown:
     case AttemptEnd::kCut:
@@ -301,10 +162,10 @@
   }
   if (!request.repeatable() || request.runs >= request.route->attempts) return false;
   if (std::exchange(request.retry_paid, false)) return true;
-  return TakeRetry(request.service);
+  return admission_.TakeRetry(request.service);
 }
 
-Placement Forwarder::PlaceNow(Request& request, TimePoint now) {
+Placement Forwarder::PlaceNow(ForwardedRequest& request, TimePoint now) {
   PlacementQuery query;
   query.service = request.service;
   query.data_centre = view_.settings().data_centre;
@@ -333,7 +194,7 @@
   return Place(query, view_.board(), now);
 }
 
-Awaitable<Placement> Forwarder::WaitForPlace(Request& request) {
+Awaitable<Placement> Forwarder::WaitForPlace(ForwardedRequest& request) {
   const TimePoint began = SteadyNow();
   const Duration limit =
       request.exchange.streaming()
@@ -358,7 +219,7 @@
   }
 }
 
-std::string Forwarder::EncodeOrder(Request& request, const RunnerState& runner) {
+std::string Forwarder::EncodeOrder(ForwardedRequest& request, const RunnerState& runner) {
   platform::RunnerOrder order;
   order.runner_id = runner.record.id;
   order.time_left = request.deadline - SteadyNow();
@@ -395,7 +256,8 @@
   return platform::EncodeRunnerHeader(request.exchange.request(), order);
 }
 
-Awaitable<Forwarder::AttemptEnd> Forwarder::Try(Request& request, const Placement& placement) {
+Awaitable<Forwarder::AttemptEnd> Forwarder::Try(ForwardedRequest& request,
+                                                const Placement& placement) {
   const RunnerState* chosen = view_.board().Find(placement.runner);
   if (chosen == nullptr) co_return AttemptEnd::kNotSent;
   const Endpoint endpoint{chosen->record.address, chosen->record.port};
@@ -440,7 +302,6 @@
   request.sent_at = now;
   request.abandoned = false;
   request.first_byte = false;
-  ++request.arrivals;
   request.channel->ExpireAfter(request.deadline - now);
   const AttemptEnd end =
       co_await Exchange(request, *request.channel, placement.runner, std::move(header));
@@ -449,7 +310,8 @@
   co_return end;
 }
 
-Awaitable<Forwarder::AttemptEnd> Forwarder::Exchange(Request& request, RunnerChannel& channel,
+Awaitable<Forwarder::AttemptEnd> Forwarder::Exchange(ForwardedRequest& request,
+                                                     RunnerChannel& channel,
                                                      const std::string& runner,
                                                      std::string header) {
   ++request.runs;
@@ -496,7 +358,7 @@
   co_return written ? AttemptEnd::kDelivered : AttemptEnd::kCallerGone;
 }
 
-Awaitable<Forwarder::AttemptEnd> Forwarder::Relay(Request& request, RunnerChannel& channel,
+Awaitable<Forwarder::AttemptEnd> Forwarder::Relay(ForwardedRequest& request, RunnerChannel& channel,
                                                   const RunnerHeader& header,
                                                   const std::string& runner) {
   EventSplitter splitter;
@@ -543,7 +405,7 @@
   }
 }
 
-Forwarder::AttemptEnd Forwarder::EndBroken(Request& request, RunnerChannel& channel,
+Forwarder::AttemptEnd Forwarder::EndBroken(ForwardedRequest& request, RunnerChannel& channel,
                                            const std::string& runner) {
   const TimePoint now = SteadyNow();
   if (request.caller_gone) return AttemptEnd::kCallerGone;
@@ -567,11 +429,11 @@
                             {"after_ms", Ms(now - request.sent_at)},
                             {"reason", channel.failure()}});
   if (time_up) return AttemptEnd::kTimeUp;
-  if (!silent && !loading) Blame(request, runner);
+  if (!silent && !loading) blame_.Suspect(request.digest, runner);
   return request.exchange.streaming() ? AttemptEnd::kCut : AttemptEnd::kUnknown;
 }
 
-Forwarder::Refusal Forwarder::RefusalFor(const Request& request, const Placement& placement) {
+Refusal Forwarder::RefusalFor(const ForwardedRequest& request, const Placement& placement) {
   if (request.runs > 0) return FailureFor(request);
   Refusal refusal;
   refusal.code = placement.refusal == PlacementRefusal::kCold   ? ErrorCode::kCold
@@ -586,14 +448,14 @@
   return refusal;
 }
 
-Forwarder::Refusal Forwarder::FailureFor(const Request& request) const {
+Refusal Forwarder::FailureFor(const ForwardedRequest& request) const {
   const bool late = SteadyNow() >= request.deadline - Millis(5);
   return {late ? 504 : 502, ErrorCode::kTargetFailed, RunState::kUnknown,
           late ? "the runner did not answer in time" : "the runner did not complete its answer",
           Duration{0}};
 }
 
-Awaitable<void> Forwarder::Refuse(Request& request, Refusal refusal) {
+Awaitable<void> Forwarder::Refuse(ForwardedRequest& request, Refusal refusal) {
   const Duration left =
       request.caller.time_left.value_or(kDefaultTimeLeft) - (SteadyNow() - request.arrived);
   if (refusal.retry_after > Duration{0}) {
@@ -619,38 +481,12 @@
            {"revision", absl::StrCat(request.table ? request.table->revision : 0)},
            {"authority_age_ms", absl::StrCat(view_.AuthorityAgeMs())},
            {"attempts", absl::StrJoin(request.trail, ",")}});
-  LogEnd(request, "refused", refusal.status);
-}
-
-void Forwarder::LogEnd(const Request& request, const std::string& outcome, int status) {
-  const Duration took = SteadyNow() - request.arrived;
-  const std::string kind =
-      request.route == nullptr ? "none" : std::string(Name(request.route->kind));
-  metrics_
-      .Counter("fuchsiaweir_requests_total", "Requests of callers by kind, outcome and status.",
-               {{"kind", kind}, {"outcome", outcome}, {"status", absl::StrCat(status)}})
-      .Increment();
-  if (outcome == "delivered") {
-    metrics_
-        .Seconds("fuchsiaweir_first_byte_seconds", "Time to the answer's first byte.",
-                 {{"kind", kind}})
-        .Observe(ToSeconds(request.first_byte_after));
-  }
-  LogInfo("request_ended",
-          {{"request", request.caller.id},
-           {"route", request.route == nullptr ? "" : request.route->name},
-           {"outcome", outcome},
-           {"status", absl::StrCat(status)},
-           {"took_ms", Ms(took)},
-           {"first_ms", Ms(request.first_byte_after)},
-           {"objective_ms", Ms(request.route == nullptr ? Duration{0} : request.route->objective)},
-           {"last_event", absl::StrCat(request.last_event)},
-           {"attempts", absl::StrJoin(request.trail, ",")}});
+  NoteRequestEnd(metrics_, request, "refused", refusal.status);
 }
 
 void Forwarder::Tick(TimePoint now) {
-  for (Request* request : requests_) CheckRequest(*request, now);
-  ConfirmBlames(now);
+  for (ForwardedRequest* request : requests_) CheckRequest(*request, now);
+  blame_.Confirm(now);
   channels_.CloseExpired(now);
   metrics_.Gauge("fuchsiaweir_requests_in_flight", "Requests that have not been answered.")
       .Set(static_cast<double>(requests_.size()));
@@ -658,7 +494,7 @@
       .Set(static_cast<double>(channels_.opened()));
 }
 
-void Forwarder::CheckRequest(Request& request, TimePoint now) {
+void Forwarder::CheckRequest(ForwardedRequest& request, TimePoint now) {
   if (request.route == nullptr) return;
   if (!request.caller_gone && request.exchange.peer_gone()) {
     request.caller_gone = true;
@@ -674,38 +510,10 @@
   const Duration patience =
       Micros(static_cast<int64_t>(static_cast<double>(request.route->objective.count()) * factor));
   if (!dead && (request.first_byte || now - request.sent_at < patience)) return;
-  if (!TakeRetry(request.service)) return;
+  if (!admission_.TakeRetry(request.service)) return;
   request.retry_paid = true;
   request.abandoned = true;
   request.channel->Close();
 }
 
-void Forwarder::Blame(const Request& request, const std::string& runner) {
-  const RunnerState* state = view_.board().Find(runner);
-  if (state == nullptr) return;
-  blames_.push_back({request.digest, runner, state->record.started_ms, SteadyNow()});
-}
-
-void Forwarder::ConfirmBlames(TimePoint now) {
-  std::erase_if(blames_, [&](const PendingBlame& blame) {
-    const RunnerState* state = view_.board().Find(blame.runner);
-    const bool crashed = state == nullptr || state->record.started_ms != blame.started_ms ||
-                         state->report_failed || state->Avoided(now);
-    if (!crashed) return now - blame.since > kBlameTime;
-    const CrashMessage message{blame.digest, absl::StrCat(blame.runner, "@", blame.started_ms)};
-    OnCrash(message);
-    view_.Broadcast(message);
-    return true;
-  });
-}
-
-void Forwarder::OnCrash(const CrashMessage& message) {
-  poison_.RecordCrash(message.crash, {message.digest}, UnixTimeMs());
-  const auto record = poison_.records().find(message.digest);
-  const size_t crashes = record == poison_.records().end() ? 0 : record->second.crashes.size();
-  LogInfo(
-      "request_suspect",
-      {{"digest", message.digest}, {"crash", message.crash}, {"crashes", absl::StrCat(crashes)}});
-}
-
 }  // namespace fuchsiaweir
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -132,7 +132,7 @@
     options.listen.port = static_cast<uint16_t>(settings_.metrics_port);
     metrics_server_ = std::make_unique<HttpServer>(
         io_, options, [this](HttpExchange& exchange) { return ServeMetrics(exchange); });
-    link.SetReceiver([this](const PeerMessage& message, const std::string&) { Receive(message); });
+    link.SetReceiver([this](const PeerMessage& message) { Receive(message); });
     timer.Subscribe("settings", kSettingsPoll, [this](TimePoint) {
       if (ChangedAt(file_) != changed_at_) Reload("file changed");
     });
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -24,7 +24,6 @@
   int64_t peer_port = 0;         ///< TCP and UDP port for peers.
   int64_t metrics_port = 9'464;  ///< TCP port of /metrics.
   int64_t max_descriptors = 1'024;
-  int64_t memory_mb = 256;
   std::string store;                  ///< "ADDRESS:PORT" of the platform's store.
   int64_t key_revocation_ms = 5'000;  ///< Latest acceptance of a key after it was taken away.
   double shutdown_s = 8;              ///< From SIGTERM to the end of the process.
--- a/src/gateway/object_log.cc
+++ b/src/gateway/object_log.cc
@@ -60,7 +60,7 @@
   std::vector<StoredObject> changes = objects;
   for (const auto& [name, object] : contents_) {
     if (names.count(name) > 0) continue;
-    changes.push_back({name, revision, true, false, nullptr});
+    changes.push_back({name, revision, true, nullptr});
   }
   contents_.clear();
   for (StoredObject& object : objects) contents_[object.name] = std::move(object);
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -151,7 +151,7 @@
       LogDebug("datagram_malformed", {{"from", from.address().to_string()}});
       continue;
     }
-    if (receiver_) receiver_(*message, from.address().to_string());
+    if (receiver_) receiver_(*message);
   }
 }
 
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -53,7 +53,7 @@
 /// a newer one.
 class PeerLink : public Component {
  public:
-  using Receiver = std::function<void(const PeerMessage& message, const std::string& address)>;
+  using Receiver = std::function<void(const PeerMessage& message)>;
 
   /// Binds the UDP port of `own`. Throws boost::system::system_error when it is taken.
   PeerLink(boost::asio::io_context& io, const Endpoint& own);
--- a/src/gateway/weight_orders.cc
+++ b/src/gateway/weight_orders.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "core/load_rollout.h"
+#include "core/unix_time.h"
 #include "net/log.h"
 #include "platform/runner_api.h"
 
@@ -152,7 +153,7 @@
   // replaces this one on another host.
   const std::string name = view_.settings().name;
   const std::string kind = kFenceKind;
-  boost::json::value spec = boost::json::object{{"started_ms", UnixTimeMs()}};
+  boost::json::value spec = boost::json::object{{"started_ms", UnixMillis()}};
   platform::StoreAnswer answer = co_await view_.store().Create(kind, name, spec);
   if (answer.outcome == platform::StoreOutcome::kConflict) {
     answer = co_await view_.store().Read(kind, name);
--- a/src/net/call_dispatcher.cc
+++ b/src/net/call_dispatcher.cc
@@ -13,6 +13,7 @@
 
 #include "core/digest.h"
 #include "core/run_outcome.h"
+#include "core/unix_time.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -27,11 +28,6 @@
 
 constexpr size_t kDigestDigits = 32;
 
-int64_t UnixMs() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 std::string NewNonce() {
   thread_local absl::BitGen generator;
   return absl::StrCat(absl::Hex(absl::Uniform<uint64_t>(generator), absl::kZeroPad16));
@@ -77,7 +73,7 @@
   const std::string request = absl::StrCat(call.service, "\n", call.method, "\n", call.path, "\n",
                                            call.content_type, "\n", call.body);
   proposal.digest = Sha256Hex(request).substr(0, kDigestDigits);
-  proposal.key_time_ms = IdempotencyKeyTime(call.idempotency_key).value_or(UnixMs());
+  proposal.key_time_ms = IdempotencyKeyTime(call.idempotency_key).value_or(UnixMillis());
   return proposal;
 }
 
@@ -237,7 +233,7 @@
 Awaitable<void> CallDispatcher::Pump(std::shared_ptr<Shard> shard) {
   Duration pause = kFirstPause;
   while (true) {
-    const ClaimStep step = shard->writer.Next(UnixMs());
+    const ClaimStep step = shard->writer.Next(UnixMillis());
     Deliver(*shard);
     if (step == ClaimStep::kNone) break;
     const bool reached = co_await Step(shard, step);
--- a/src/net/peer_authenticator.cc
+++ b/src/net/peer_authenticator.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/file_text.h"
+#include "core/unix_time.h"
 #include "net/log.h"
 #include "net/timer_service.h"
 
@@ -16,11 +17,6 @@
 constexpr char kHostHeader[] = "X-Fw-Host";
 constexpr Duration kReadPeriod = Seconds(1);
 
-int64_t UnixMs() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 }  // namespace
 
 void SignRequest(HttpRequest& request, const PeerKey& key, const std::string& sender) {
@@ -29,7 +25,7 @@
   }
   const PeerMessage message{request.method, request.target, request.body,
                             HeaderValue(request.headers, kHostHeader)};
-  request.headers.emplace_back(kAuthHeader, SignPeerMessage(key, message, UnixMs()));
+  request.headers.emplace_back(kAuthHeader, SignPeerMessage(key, message, UnixMillis()));
 }
 
 PeerAuthenticator::PeerAuthenticator(Kernel& kernel, HttpClient& peers, const Settings& settings)
@@ -68,7 +64,7 @@
   const PeerMessage message{request.method, request.target, request.body,
                             HeaderValue(request.headers, kHostHeader)};
   const std::string proof = HeaderValue(request.headers, kAuthHeader);
-  const Result<void> result = VerifyPeerMessage(keys_, message, proof, UnixMs());
+  const Result<void> result = VerifyPeerMessage(keys_, message, proof, UnixMillis());
   if (result) return std::nullopt;
   return result.error();
 }
--- a/src/net/suspect_service.cc
+++ b/src/net/suspect_service.cc
@@ -1,10 +1,9 @@
 #include "net/suspect_service.h"
 
-#include <absl/time/clock.h>
-
 #include <utility>
 
 #include "core/crash_records.h"
+#include "core/unix_time.h"
 #include "net/log.h"
 
 namespace fuchsiaweir {
@@ -16,8 +15,6 @@
 /// 4,000 records of about 200 bytes stay below the object API's limit of 1 MB.
 constexpr size_t kMaxRecords = 4'000;
 
-int64_t UnixMillis() { return absl::ToUnixMillis(absl::Now()); }
-
 PoisonRules Bounds() {
   PoisonRules rules;
   rules.max_records = kMaxRecords;
--- a/src/net/weight_loader.cc
+++ b/src/net/weight_loader.cc
@@ -9,6 +9,7 @@
 
 #include "core/json_fields.h"
 #include "core/order_lease.h"
+#include "core/unix_time.h"
 #include "net/engine_client.h"
 #include "net/log.h"
 #include "net/timer_service.h"
@@ -27,11 +28,6 @@
 /// Attempts at a conditional write that other agents overtake.
 constexpr int kWriteAttempts = 8;
 
-int64_t UnixMs() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 std::string Encode(const LeaseObject& lease) {
   return json::serialize(json::object{{"holder", lease.record.holder},
                                       {"fence", lease.record.fence},
@@ -192,7 +188,7 @@
   const std::string wanted = target->wanted;
   while (true) {
     const bool may_order = target->lease.MayOrder(SteadyNow());
-    if (may_order && HoldsWeightSlot(target->slots, target->slot, UnixMs())) co_return true;
+    if (may_order && HoldsWeightSlot(target->slots, target->slot, UnixMillis())) co_return true;
     co_await SleepFor(target->rules.validity / 4);
     ReadWanted(*target);
     if (target->wanted != wanted) co_return false;
@@ -215,7 +211,7 @@
     const ObjectRead read = co_await objects_.Read(kSlotsObject, platform_timeout_);
     std::optional<WeightSlots> slots = DecodeSlots(read);
     if (!slots) co_return false;
-    if (!TakeWeightSlot(*slots, target->slot, target->slot_rules, UnixMs())) co_return false;
+    if (!TakeWeightSlot(*slots, target->slot, target->slot_rules, UnixMillis())) co_return false;
     const ObjectWrite write =
         co_await objects_.Write(kSlotsObject, Encode(*slots), read.version, platform_timeout_);
     if (write.outcome == CallOutcome::kDone) {
