--- a/src/core/request_trace.cc
+++ b/src/core/request_trace.cc
@@ -132,11 +132,14 @@
     // Other requests at the same runner are told by its failures only.
     const bool other_request = !record.Field("request").empty();
     if (record.Field("request") == request) continue;
+    const bool own_process = processes.count(record.process) > 0;
     const bool of_runner =
         runners.count(record.Field("runner")) > 0 &&
         (!other_request || record.event == "runner_failed" || record.event == "runner_unreachable");
-    const bool of_process = processes.count(record.process) > 0 && IsProcessEvent(record.event);
-    if (of_runner || of_process) trace.context.push_back(record);
+    // Every gateway notes what the list of runners tells; what this one knew was decisive.
+    const bool listing = absl::StartsWith(record.event, "runner_") && !other_request;
+    const bool shown = of_runner && (own_process || !listing);
+    if (shown || (own_process && IsProcessEvent(record.event))) trace.context.push_back(record);
   }
   SortByTime(trace.context);
   trace.conclusion = Conclude(trace.steps);
--- a/test/correctness/request_trace.cc
+++ b/test/correctness/request_trace.cc
@@ -51,6 +51,7 @@
       Parsed("01", "gateway2", "store_lost", R"(,"kind":"config")"),
       Parsed("02", "sidecar4", "weights_ordered", R"(,"runner":"r2")"),
       Parsed("02", "sidecar5", "weights_ordered", R"(,"runner":"r3")"),
+      Parsed("02", "gateway2", "runner_listed", R"(,"runner":"r2")"),
       Parsed("03", "gateway1", "request_sent", R"(,"request":"a1","runner":"r2")"),
       Parsed("03", "gateway1", "request_sent", R"(,"request":"b2","runner":"r2")"),
       Parsed("04", "gateway1", "request_refused",
