Give each gateway a share of the stores' links

Stores get more fetches and saves than their links bear; all of them wait, the late ones are thrown away and their prompts read after all. Change: LinkBudget holds what a gateway has planned on a store's link against its share of the link that the desired state tells; a part behind a busy link is computed at once and not saved elsewhere. Tests: LinkBudget replays an overloaded link (in time: under 0.1 of what it bears before, over 0.5 now) and bounds the share; PartDirectory.ABusyLinkIsLeftAlone.

--- a/src/core/metrics_text.cc
+++ b/src/core/metrics_text.cc
@@ -17,7 +17,8 @@
         absl::StrSplit(line.substr(end), ' ', absl::SkipEmpty());
     double value = 0;
     if (rest.empty() || !absl::SimpleAtod(rest[0], &value)) continue;
-    samples_[std::string(line.substr(0, end))] = value;
+    const std::string series(line.substr(0, end));
+    samples_[series] = value;
   }
 }
 
--- a/src/core/part_directory.cc
+++ b/src/core/part_directory.cc
@@ -11,7 +11,7 @@
 constexpr double kFullShare = 0.97;
 
 /// A transfer between data centres takes twice as long.
-constexpr double kDistanceFactor = 2;
+constexpr int64_t kDistanceFactor = 2;
 /// Assumed where the desired state does not tell a store's link: 100 Gbit/s.
 constexpr double kUnknownBytesPerSecond = 12.5e9;
 
@@ -22,7 +22,8 @@
   const double unit =
       (static_cast<double>(RendezvousScore(part, store.address) >> 11) + 0.5) * 0x1.0p-53;
   const double link = store.bytes_per_second > 0 ? store.bytes_per_second : kUnknownBytesPerSecond;
-  const double speed = link / (store.data_centre == data_centre ? 1 : kDistanceFactor);
+  const double speed =
+      link / static_cast<double>(TransferTokens(store.data_centre, data_centre, 1));
   return -speed * speed / std::log(unit);
 }
 
@@ -80,6 +81,11 @@
   }
 }
 
+int64_t TransferTokens(const std::string& store_centre, const std::string& runner_centre,
+                       int64_t tokens) {
+  return store_centre == runner_centre ? tokens : tokens * kDistanceFactor;
+}
+
 PartPlan PlanParts(const std::vector<PromptPart>& parts, const std::string& salt,
                    const std::vector<StoreChoice>& stores, const std::string& data_centre) {
   PartPlan plan;
@@ -92,8 +98,13 @@
   for (size_t i = 0; i + 1 < parts.size(); ++i) {
     const StoreChoice* holder = nullptr;
     const StoreChoice* target = nullptr;
+    bool held = false;  // By a store whose link is busy: computed, but not saved once more.
     for (const StoreChoice& store : stores) {
       if (!store.contents->known()) continue;
+      if (!store.link_free) {
+        held = held || store.contents->TokensOf(salt, parts[i].id) >= parts[i].tokens;
+        continue;
+      }
       if (store.contents->TokensOf(salt, parts[i].id) >= parts[i].tokens) holder = &store;
       const double limit = kFullShare * static_cast<double>(store.capacity_tokens);
       const double used = static_cast<double>(store.contents->tokens() + parts[i].tokens);
@@ -110,7 +121,7 @@
     }
     if (holder == nullptr) {
       leading = false;
-      if (target != nullptr) {
+      if (target != nullptr && !held) {
         plan.save_to[i] = target->address;
         save = true;
       }
--- a/src/core/part_directory.h
+++ b/src/core/part_directory.h
@@ -51,8 +51,14 @@
   std::string data_centre;
   double bytes_per_second = 0;  ///< Of its link; 0 when it is not told.
   double arriving_tokens = 0;   ///< Of saves that its changes do not tell yet; an estimate.
+  bool link_free = true;        ///< This gateway may begin a transfer, see `LinkBudget`.
 };
 
+/// Tokens that take as long on the store's link as a transfer of `tokens` to or from the runner's
+/// data centre.
+int64_t TransferTokens(const std::string& store_centre, const std::string& runner_centre,
+                       int64_t tokens);
+
 /// Where each part of a prompt is read from and saved to; "" for nowhere.
 struct PartPlan {
   std::vector<std::string> fetch_from;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -233,10 +233,9 @@
     if (order.weights_version > 0) {
       PartPlan plan = PlanParts(request.caller.parts, order.cache_salt, parts_.Stores(),
                                 runner.record.data_centre);
-      for (size_t i = 0; i < plan.save_to.size(); ++i) {
-        if (plan.save_to[i].empty()) continue;
-        parts_.OnSaved(plan.save_to[i], request.caller.parts[i].tokens);
-      }
+      const auto service = request.table->services.find(request.service);
+      parts_.OnPlanned(request.caller.parts, plan, runner.record.data_centre,
+                       service == request.table->services.end() ? 0 : service->second.token_bytes);
       order.fetch_from = std::move(plan.fetch_from);
       order.save_to = std::move(plan.save_to);
       const TimePoint now = SteadyNow();
--- a/src/gateway/part_watch.cc
+++ b/src/gateway/part_watch.cc
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "core/link_budget.h"
 #include "core/rendezvous.h"
 #include "core/token_demand.h"
 #include "net/log.h"
@@ -63,6 +64,7 @@
   StoreSpec spec;
   StoreContents contents;
   TokenDemand saves;  ///< Of this gateway.
+  LinkBudget link;
   bool removed = false;
   /// Recent changes, each with the position that follows it.
   std::deque<std::pair<int64_t, CacheChange>> history;
@@ -95,14 +97,28 @@
     if (!store->contents.known()) continue;
     choices.push_back({address, store->spec.capacity_tokens, &store->contents,
                        store->spec.data_centre, store->spec.bytes_per_second,
-                       store->saves.Estimate(now).tokens_per_s * gateways * kContentsLagSeconds});
+                       store->saves.Estimate(now).tokens_per_s * gateways * kContentsLagSeconds,
+                       store->link.Admits(now)});
   }
   return choices;
 }
 
-void PartWatch::OnSaved(const std::string& store, int64_t tokens) {
-  const auto found = stores_.find(store);
-  if (found != stores_.end()) found->second->saves.OnSent(tokens, 0, SteadyNow());
+void PartWatch::OnPlanned(const std::vector<PromptPart>& parts, const PartPlan& plan,
+                          const std::string& data_centre, int64_t token_bytes) {
+  const TimePoint now = SteadyNow();
+  const auto gateways = static_cast<double>(view_.gateways().size());
+  const auto note = [&](const std::string& address, int64_t tokens, bool save) {
+    const auto found = stores_.find(address);
+    if (found == stores_.end()) return;
+    Store& store = *found->second;
+    const int64_t work = TransferTokens(store.spec.data_centre, data_centre, tokens);
+    store.link.OnTransfer(static_cast<double>(work * token_bytes), store.spec.bytes_per_second,
+                          gateways, now);
+    if (save) store.saves.OnSent(tokens, 0, now);
+  };
+  for (size_t i = 0; i < plan.fetch_from.size(); ++i)
+    note(plan.fetch_from[i], parts[i].tokens, false);
+  for (size_t i = 0; i < plan.save_to.size(); ++i) note(plan.save_to[i], parts[i].tokens, true);
 }
 
 void PartWatch::OnTable(const RouteTable& table) {
--- a/src/gateway/part_watch.h
+++ b/src/gateway/part_watch.h
@@ -20,8 +20,10 @@
 
   /// The stores whose contents are known.
   std::vector<StoreChoice> Stores() const;
-  /// Notes that a part of this size was sent to the store.
-  void OnSaved(const std::string& store, int64_t tokens);
+  /// Notes the transfers that a request was sent with. `token_bytes` is the size of a token's KV
+  /// cache.
+  void OnPlanned(const std::vector<PromptPart>& parts, const PartPlan& plan,
+                 const std::string& data_centre, int64_t token_bytes);
   /// Answers a gateway that asks for changes: the target's query names store, epoch and position.
   Awaitable<HttpResponse> ServePeer(HttpTarget target);
 
--- /dev/null
+++ b/test/correctness/link_budget.cc
@@ -0,0 +1,80 @@
+#include "core/link_budget.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+#include "property.h"
+
+namespace fuchsiaweir {
+namespace {
+
+constexpr TimePoint kStart{Seconds(100)};
+constexpr double kLinkBytesPerSecond = 16e9;
+constexpr double kTransferBytes = 300e6;
+constexpr double kPlayedSeconds = 30;
+
+/// Share of what the link bears that ends in time, in `kPlayedSeconds` of fetches at `demand` times
+/// what it bears. The link carries one transfer after another; one that ends 250 ms after it was
+/// asked for comes too late. Gateway I sees traffic in proportion to 1 + I % 3.
+double PlayLink(double demand, size_t gateways, bool budgeted) {
+  std::mt19937 random(20261204);
+  std::exponential_distribution<double> gap(demand * kLinkBytesPerSecond / kTransferBytes);
+  std::vector<double> traffic;
+  for (size_t i = 0; i < gateways; ++i) traffic.push_back(static_cast<double>(1 + i % 3));
+  std::discrete_distribution<size_t> choose(traffic.begin(), traffic.end());
+  std::vector<LinkBudget> budgets(gateways);
+  double in_time = 0;
+  TimePoint free_at = kStart;
+  for (double at = gap(random); at < kPlayedSeconds; at += gap(random)) {
+    const TimePoint now = kStart + Micros(static_cast<int64_t>(at * 1e6));
+    LinkBudget& budget = budgets[choose(random)];
+    if (budgeted && !budget.Admits(now)) continue;
+    budget.OnTransfer(kTransferBytes, kLinkBytesPerSecond, static_cast<double>(gateways), now);
+    free_at = std::max(free_at, now) +
+              Micros(static_cast<int64_t>(kTransferBytes / kLinkBytesPerSecond * 1e6));
+    if (free_at - now <= Millis(250)) in_time += kTransferBytes;
+  }
+  return in_time / (kLinkBytesPerSecond * kPlayedSeconds);
+}
+
+}  // namespace
+
+TEST_GROUP(LinkBudget){};
+
+// Replays returning prompts that ask a store for half more than its link bears. Guards against a
+// queue in which every transfer ends too late, so that the link works for nothing.
+TEST(LinkBudget, AnOverloadedLinkStillDeliversInTime) {
+  for (const size_t gateways : {size_t{10}, size_t{50}}) {
+    CHECK(PlayLink(1.5, gateways, false) < 0.1);
+    CHECK(PlayLink(1.5, gateways, true) > 0.5);
+  }
+}
+
+// Guards against a budget that leaves a link idle while it has room.
+TEST(LinkBudget, ALinkWithRoomIsUsed) {
+  const double former = PlayLink(0.5, 10, false);
+  CHECK(PlayLink(0.5, 10, true) >= 0.95 * former);
+}
+
+// Guards against a share that carries more than its part over any time.
+TEST(LinkBudget, TheShareIsKept) {
+  CheckProperty("admitted work <= share x time + backlog + one transfer", [] {
+    LinkBudget budget;
+    const double bytes = *rc::gen::inRange(1, 1'000) * 1e6;
+    double admitted = 0;
+    TimePoint now = kStart;
+    const int steps = *rc::gen::inRange(1, 200);
+    for (int i = 0; i < steps; ++i) {
+      now += Millis(*rc::gen::inRange(0, 100));
+      if (!budget.Admits(now)) continue;
+      budget.OnTransfer(bytes, 10e9, 10, now);
+      admitted += bytes;
+    }
+    RC_ASSERT(admitted <= 1e9 * (ToSeconds(now - kStart) + 2.1) + bytes);
+  });
+}
+
+}  // namespace fuchsiaweir
--- a/test/correctness/part_directory.cc
+++ b/test/correctness/part_directory.cc
@@ -149,6 +149,20 @@
   CHECK(PlanParts(parts, "s", stores, "a").save_to.empty());
 }
 
+// Guards against a part that is computed because its store's link is busy, and then saved to
+// another store as well.
+TEST(PartDirectory, ABusyLinkIsLeftAlone) {
+  StoreContents holding;
+  holding.Reset(Changes(1, 1, {{true, "s", "part", 100}}));
+  StoreContents empty;
+  empty.Reset(Changes(1, 1, {}));
+  const std::vector<StoreChoice> stores{{"10.0.0.1:1", 1'000, &holding, "a", 1e9, 0, false},
+                                        {"10.0.0.2:1", 1'000, &empty, "a", 1e9, 0, true}};
+  CHECK(PlanParts({{"part", 100}, {"own", 10}}, "s", stores, "a").empty());
+  const PartPlan plan = PlanParts({{"new", 100}, {"own", 10}}, "s", stores, "a");
+  STRCMP_EQUAL("10.0.0.2:1", plan.save_to[0].c_str());
+}
+
 // Guards against a count of kept tokens that drifts, after which a store seems full or empty.
 TEST(PartDirectory, TokensEqualTheSumOfTheParts) {
   CheckProperty("tokens follow the changes", [] {
