Pass over known failures with an option that CppUTest has

Change: listed tests are excluded with -xsn NAME; a name that several tests have, or none, is an error.

--- a/test/main.cc
+++ b/test/main.cc
@@ -27,14 +27,17 @@
   return names;
 }
 
-bool TestExists(const std::string& full_name) {
+/// Whether exactly this test has the name: CppUTest excludes tests by their name alone.
+bool NamesOneTest(const std::string& group, const std::string& name) {
+  int named = 0;
+  bool found = false;
   for (UtestShell* test = TestRegistry::getCurrentRegistry()->getFirstTest(); test != nullptr;
        test = test->getNext()) {
-    const std::string name =
-        std::string(test->getGroup().asCharString()) + "." + test->getName().asCharString();
-    if (name == full_name) return true;
+    if (name != test->getName().asCharString()) continue;
+    ++named;
+    found = found || group == test->getGroup().asCharString();
   }
-  return false;
+  return found && named == 1;
 }
 
 }  // namespace
@@ -49,14 +52,19 @@
   const std::string directory = program.substr(0, program.rfind('/') + 1);
   setenv("FW_BINARY", (directory + "fuchsiaweir").c_str(), /*overwrite=*/0);
   setenv("FW_STANDIN", (directory + "fuchsiaweir_standin").c_str(), /*overwrite=*/0);
-  const std::vector<std::string> known_red = KnownRedTests(program.substr(program.rfind('/') + 1));
-  for (const std::string& name : known_red) {
-    if (!TestExists(name)) {
-      std::cerr << "KNOWN-RED.txt lists a test that does not exist: " << name << "\n";
+  std::vector<std::string> excluded;
+  for (const std::string& test : KnownRedTests(program.substr(program.rfind('/') + 1))) {
+    const size_t dot = test.find('.');
+    const std::string name = dot == std::string::npos ? "" : test.substr(dot + 1);
+    if (!NamesOneTest(test.substr(0, dot), name)) {
+      std::cerr << "KNOWN-RED.txt lists a test that does not exist once: " << test << "\n";
       return 1;
     }
-    std::cout << "passing over known failure " << name << "\n";
-    args.push_back("-xst");
+    std::cout << "passing over known failure " << test << "\n";
+    excluded.push_back(name);
+  }
+  for (const std::string& name : excluded) {
+    args.push_back("-xsn");
     args.push_back(name.c_str());
   }
   return CommandLineTestRunner::RunAllTests(static_cast<int>(args.size()), args.data());
