Log when a crash was confirmed and how many answers came since

Cause: the logs could not tell why equal requests are not refused: whether three crashes were counted, how late each was confirmed, or whether answers to other requests were missing. Change: request_suspect has lost_age_ms and other_answers; crash_not_confirmed is logged when a lost runner shows no sign of a crash in time. No decision changes.

--- a/src/core/crash_suspects.cc
+++ b/src/core/crash_suspects.cc
@@ -121,6 +121,12 @@
   return found == records_.end() ? 0 : found->second.crashes;
 }
 
+int64_t CrashSuspects::OtherAnswers(const std::string& trait) const {
+  const auto found = records_.find(trait);
+  if (found == records_.end()) return 0;
+  return Answers(found->second.service) - found->second.answers_before_first;
+}
+
 int64_t CrashSuspects::Answers(const std::string& service) const {
   const auto found = answers_.find(service);
   return found == answers_.end() ? 0 : found->second;
--- a/src/core/crash_suspects.h
+++ b/src/core/crash_suspects.h
@@ -57,6 +57,8 @@
   bool MayRetry(const std::vector<std::string>& traits) const;
   /// Number of counted crashes of a trait.
   int64_t Crashes(const std::string& trait) const;
+  /// Number of answers to other requests of the trait's service since its first crash.
+  int64_t OtherAnswers(const std::string& trait) const;
   size_t size() const { return records_.size(); }
 
  private:
--- a/src/gateway/crash_attribution.cc
+++ b/src/gateway/crash_attribution.cc
@@ -1,6 +1,7 @@
 #include "gateway/crash_attribution.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include "net/log.h"
 
@@ -38,7 +39,16 @@
     const bool crashed = state == nullptr || state->record.started_ms != pending.started_ms ||
                          state->report_failed || state->Avoided(now);
     const CrashReport& report = pending.report;
-    if (!crashed) return now - report.lost_at > kConfirmTimeout;
+    if (!crashed) {
+      const bool expired = now - report.lost_at > kConfirmTimeout;
+      if (expired) {
+        LogInfo("crash_not_confirmed",
+                {{"runner", pending.runner},
+                 {"traits", absl::StrJoin(report.traits, ",")},
+                 {"lost_age_ms", absl::StrCat(ToMillis(now - report.lost_at))}});
+      }
+      return expired;
+    }
     const CrashMessage message{report.service, pending.runner, report.traits, now - report.sent_at,
                                now - report.lost_at};
     OnCrash(message);
@@ -61,6 +71,8 @@
                                 {"runner", message.runner},
                                 {"crashes", absl::StrCat(suspects_.Crashes(trait))},
                                 {"sent_age_ms", absl::StrCat(ToMillis(message.sent_age))},
+                                {"lost_age_ms", absl::StrCat(ToMillis(message.lost_age))},
+                                {"other_answers", absl::StrCat(suspects_.OtherAnswers(trait))},
                                 {"refused_ms", absl::StrCat(until ? ToMillis(*until - now) : 0)}});
   }
 }
