--- a/test/correctness/crash_suspects.cc
+++ b/test/correctness/crash_suspects.cc
@@ -141,6 +141,38 @@
   }
 }
 
+// Guards against equal requests that keep crashing all runners of a small service. The runners are
+// lost together and back for a moment only, so that the gateways see few answers in between.
+TEST(CrashSuspects, EqualRequestsAreRefusedAfterTheLossOfAllRunners) {
+  const std::vector<std::string> gateways{"g0", "g1", "g2", "g3", "g4", "g5"};
+  const std::vector<std::string> deadly = RequestTraits("deadly", "", {});
+  constexpr int kRunners = 4;
+  constexpr int kMaxLaterCrashes = 3;
+  for (int answers_per_round = 0; answers_per_round < 3; ++answers_per_round) {
+    std::vector<CrashSuspects> fleet(gateways.size());
+    int later_crashes = 0;
+    for (int round = 0; round < 20; ++round) {
+      const TimePoint back_at = kStart + Millis(3'600) * round;
+      std::vector<CrashReport> reports;
+      for (size_t i = 0; i < fleet.size() && reports.size() < kRunners; ++i) {
+        const TimePoint sent_at = back_at + Millis(60) * static_cast<int64_t>(i);
+        if (fleet[i].Admit(deadly, gateways[i], gateways, sent_at)) continue;
+        reports.push_back({"llm", deadly, sent_at, sent_at + Millis(50)});
+        later_crashes += round > 0;
+      }
+      for (CrashSuspects& suspects : fleet) {
+        for (const CrashReport& report : reports) {
+          suspects.OnCrash(report, report.lost_at + Millis(300));
+        }
+        for (int i = 0; i < answers_per_round; ++i) {
+          suspects.OnAnswer("llm", RequestTraits("other", "", {}), back_at + Millis(400));
+        }
+      }
+    }
+    CHECK(later_crashes <= kMaxLaterCrashes);
+  }
+}
+
 // Guards against an answer that began before the crash and clears the part that caused it.
 TEST(CrashSuspects, AnEarlierAnswerClearsNothing) {
   CrashSuspects suspects;
--- a/test/process/crash_suspects.cc
+++ b/test/process/crash_suspects.cc
@@ -5,7 +5,9 @@
 
 #include <atomic>
 #include <functional>
+#include <future>
 #include <string>
+#include <vector>
 
 #include "platform/names.h"
 #include "process/fleet.h"
@@ -39,9 +41,9 @@
                 absl::StrCat("c0:10,", subject, ":10,", absl::StrCat("e", calls.load()), ":10")}});
 }
 
-int CrashedRunners(Fleet& fleet) {
+int CrashedRunners(Fleet& fleet, int runners = kRunners) {
   int crashed = 0;
-  for (int i = 0; i < kRunners; ++i) crashed += !fleet.Answers(i);
+  for (int i = 0; i < runners; ++i) crashed += !fleet.Answers(i);
   return crashed;
 }
 
@@ -117,4 +119,69 @@
   CHECK(Eventually([&]() { return fleet.Call("/safe/", "x").status == 200; }));
 }
 
+TEST_GROUP(DeadlyRequestsAtASmallService) {
+  static constexpr int kGateways = 3;
+  static constexpr int kFewRunners = 4;
+  static constexpr int kReturns = 4;
+  const std::string fault = R"({"crash_text": "deadly"})";
+  Fleet fleet{kGateways, kFewRunners};
+
+  /// Sends a request to each gateway at the same time. Returns the number of answers.
+  int SendToAll(const std::string& body) {
+    std::vector<std::future<Reply>> replies;
+    for (int i = 0; i < kGateways; ++i) {
+      replies.push_back(std::async(std::launch::async,
+                                   [this, &body, i]() { return fleet.Call("/safe/", body, i); }));
+    }
+    int answered = 0;
+    for (std::future<Reply>& reply : replies) answered += reply.get().status == 200;
+    return answered;
+  }
+
+  void StartCrashedRunners(int start) {
+    for (int i = 0; i < kFewRunners; ++i) {
+      if (fleet.Answers(i)) continue;
+      const std::string name = absl::StrCat("runner", i);
+      fleet.Restart(name);
+      Eventually([&]() { return fleet.Answers(i); });
+      fleet.InjectFault(name, fault);
+      fleet.ListRunner(i, "ready", 0, 1'000 + start);
+    }
+  }
+};
+
+// Guards against equal requests that crash all runners of a small service each time they are back.
+// No runner is left to answer other requests meanwhile.
+TEST(DeadlyRequestsAtASmallService, ReturningRunnersAreNotCrashedAgain) {
+  fleet.Start();
+  SleepMillis(1'500);  // The gateways have listed each other.
+  for (int i = 0; i < kFewRunners; ++i) fleet.InjectFault(absl::StrCat("runner", i), fault);
+  CHECK(Eventually([&]() {
+    SendToAll("deadly");
+    return CrashedRunners(fleet, kFewRunners) == kFewRunners;
+  }));
+  SleepMillis(kLearningTimeMs);
+  int later = 0;
+  for (int start = 1; start <= kReturns; ++start) {
+    StartCrashedRunners(start);
+    SleepMillis(1'000);  // The gateways have read the runners' new records.
+    for (int i = 0; i < 3; ++i) SendToAll("deadly");
+    later += CrashedRunners(fleet, kFewRunners);
+    SendToAll("sound");
+  }
+  CHECK(later <= kMaxLaterCrashes);
+  CHECK(Eventually([&]() { return SendToAll("sound") == kGateways; }));
+}
+
+// Guards against a crash that is noticed only when the next request is sent to the runner, seconds
+// later: requests like the deadly one reach other runners meanwhile.
+TEST(DeadlyRequestsAtASmallService, ACrashIsConfirmedWithoutFurtherRequests) {
+  fleet.Start();
+  SleepMillis(1'500);  // The gateways have listed each other.
+  for (int i = 0; i < kFewRunners; ++i) fleet.InjectFault(absl::StrCat("runner", i), fault);
+  fleet.Call("/unsafe/", "deadly");
+  LONGS_EQUAL(1, CrashedRunners(fleet, kFewRunners));
+  CHECK(Eventually([&]() { return fleet.AllGatewaysLogged("request_suspect"); }, Seconds(1)));
+}
+
 }  // namespace fuchsiaweir::testing
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -100,7 +100,7 @@
   Send("DELETE", store_port_, absl::StrCat("/objects/", kind, "/", name));
 }
 
-void Fleet::ListRunner(int runner, const std::string& state, int cold_ms) {
+void Fleet::ListRunner(int runner, const std::string& state, int cold_ms, int started_ms) {
   const std::string id = absl::StrCat("runner", runner);
   Put(platform::kRunnerKind, id,
       json::object{{"service", "llm"},
@@ -110,7 +110,7 @@
                    {"slots", 8},
                    {"state", state},
                    {"cold_left_ms", cold_ms},
-                   {"born", 1'000},
+                   {"born", started_ms},
                    {"models", json::array{{{"name", "model"}, {"version", 1}}}},
                    {"seq", ++sequence_}});
 }
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -27,8 +27,9 @@
   /// Writes an object of the store, as an operator or a runner would.
   void Put(const std::string& kind, const std::string& name, const boost::json::value& spec);
   void Delete(const std::string& kind, const std::string& name);
-  /// Writes the store's record of a runner.
-  void ListRunner(int runner, const std::string& state = "ready", int cold_ms = 0);
+  /// Writes the store's record of a runner that started at `started_ms`.
+  void ListRunner(int runner, const std::string& state = "ready", int cold_ms = 0,
+                  int started_ms = 1'000);
   /// Writes a new version of the desired state, with `keys` as the API keys of team "alpha".
   void PutDesiredState(const std::vector<std::string>& keys);
 
