Refuse equal requests after three crashed runners without waiting for other answers

Cause: a request was refused only after five answers to other requests of the service since its first crash, counted by each gateway for itself, and crashes that happened together counted once. With all runners lost within 0.3 s, and back for half a second only, neither condition is ever met. Change: equal requests count each crashed runner, also when several are lost together, and need no answers to others; parts of prompts keep both conditions, as sound parts are often lost beside deadly ones. While nothing speaks for the runners, the first trial comes after 2 s and the next after 15 s, so that a sound request that was lost with three runners is not refused for long. Why it works: a sound request is hardly at three runners that crash, and any answer to it clears it.

--- a/src/core/crash_suspects.cc
+++ b/src/core/crash_suspects.cc
@@ -1,35 +1,37 @@
 #include "core/crash_suspects.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <array>
 
 #include "core/rendezvous.h"
 
 namespace fuchsiaweir {
 namespace {
 
-/// Crashes after which requests with a trait are refused for `kTrialPause`. More than the runners
-/// to which routes usually send a request, so that a sound one is not refused for its own retries.
+/// Crashes after which requests with a trait are refused. More than the runners to which routes
+/// usually send a request, so that a sound one is not refused for its own retries.
 constexpr int64_t kMaxCrashes = 3;
-/// Pause before another request is sent, which clears a trait that was refused by mistake.
-constexpr Duration kTrialPause = Seconds(15);
+/// Pauses before another request is sent, which clears a trait that was refused by mistake. The
+/// second one follows a failed trial, or is the first where the runners are known to be sound.
+constexpr std::array<Duration, 3> kPauses = {Seconds(2), Seconds(15), std::chrono::hours(1)};
 /// Time between the moments at which two gateways may take a request on trial.
 constexpr Duration kTrialSpacing = Seconds(2);
 /// Time in which a request on trial is answered or has crashed its runner.
 constexpr Duration kTrialDuration = Seconds(5);
-/// Refusal after one more crash.
-constexpr Duration kLongPause = std::chrono::hours(1);
 /// Answers to other requests since the first crash. Without them the runners themselves may be the
 /// cause, and refusing a trait would help nobody.
 constexpr int64_t kMinOtherAnswers = 5;
 constexpr size_t kMaxRecords = 10'000;
+constexpr absl::string_view kRequestPrefix = "request:";
 
 }  // namespace
 
 std::vector<std::string> RequestTraits(const std::string& digest, const std::string& model,
                                        const std::vector<std::string>& shared_parts) {
-  std::vector<std::string> traits{absl::StrCat("request:", digest)};
+  std::vector<std::string> traits{absl::StrCat(kRequestPrefix, digest)};
   for (const std::string& id : shared_parts) {
     traits.push_back(absl::StrCat("part:", model, ":", id));
   }
@@ -42,15 +44,30 @@
     Record& record = entry->second;
     if (created) {
       record.service = report.service;
+      record.whole_request = absl::StartsWith(trait, kRequestPrefix);
       record.answers_before_first = Answers(report.service);
     }
-    if (!created && report.sent_at < record.last_crash_at) continue;
-    ++record.crashes;
-    record.last_crash_at = report.lost_at;
+    CountCrash(record, report);
   }
   EvictRecords(now);
 }
 
+void CrashSuspects::CountCrash(Record& record, const CrashReport& report) {
+  const bool sent_after_last = record.crashes == 0 || report.sent_at >= record.last_crash_at;
+  if (record.whole_request) {
+    // Several copies may be lost in one crash.
+    const auto [lost_at, first] = record.lost_at.try_emplace(report.runner, report.lost_at);
+    if (!first && report.sent_at < lost_at->second) return;
+    if (sent_after_last && Suspected(record)) ++record.failed_trials;
+    ++record.crashed_runners;
+    lost_at->second = report.lost_at;
+  } else if (!sent_after_last) {
+    return;
+  }
+  if (sent_after_last) ++record.crashes;
+  record.last_crash_at = std::max(record.last_crash_at, report.lost_at);
+}
+
 std::vector<std::string> CrashSuspects::OnAnswer(const std::string& service,
                                                  const std::vector<std::string>& traits,
                                                  TimePoint began_at) {
@@ -81,7 +98,7 @@
     Record& record = found->second;
     const std::vector<std::string> order = RendezvousTop(trait, gateways, gateways.size());
     const auto turn = std::find(order.begin(), order.end(), self) - order.begin();
-    const TimePoint eligible_at = record.last_crash_at + kTrialPause + kTrialSpacing * turn;
+    const TimePoint eligible_at = record.last_crash_at + Pause(record) + kTrialSpacing * turn;
     const TimePoint end = std::max(eligible_at, record.trial_until);
     if (end > now) until = std::max(until.value_or(end), end);
     on_trial.push_back(&record);
@@ -91,9 +108,20 @@
   return std::nullopt;
 }
 
+bool CrashSuspects::RunnersAreSound(const Record& record) const {
+  return Answers(record.service) - record.answers_before_first >= kMinOtherAnswers;
+}
+
 bool CrashSuspects::Suspected(const Record& record) const {
-  return record.crashes >= kMaxCrashes &&
-         Answers(record.service) - record.answers_before_first >= kMinOtherAnswers;
+  if (record.whole_request) return record.crashed_runners >= kMaxCrashes;
+  return record.crashes >= kMaxCrashes && RunnersAreSound(record);
+}
+
+Duration CrashSuspects::Pause(const Record& record) const {
+  const int64_t failed_trials =
+      record.whole_request ? record.failed_trials : record.crashes - kMaxCrashes;
+  const auto index = static_cast<size_t>(failed_trials + (RunnersAreSound(record) ? 1 : 0));
+  return kPauses[std::min(index, kPauses.size() - 1)];
 }
 
 std::optional<TimePoint> CrashSuspects::RefusedUntil(const std::vector<std::string>& traits,
@@ -104,8 +132,7 @@
     if (found == records_.end()) continue;
     const Record& record = found->second;
     if (!Suspected(record)) continue;
-    const Duration pause = record.crashes == kMaxCrashes ? kTrialPause : kLongPause;
-    const TimePoint end = record.last_crash_at + pause;
+    const TimePoint end = record.last_crash_at + Pause(record);
     if (end > now) until = std::max(until.value_or(end), end);
   }
   return until;
@@ -118,7 +145,9 @@
 
 int64_t CrashSuspects::Crashes(const std::string& trait) const {
   const auto found = records_.find(trait);
-  return found == records_.end() ? 0 : found->second.crashes;
+  if (found == records_.end()) return 0;
+  const Record& record = found->second;
+  return record.whole_request ? record.crashed_runners : record.crashes;
 }
 
 int64_t CrashSuspects::OtherAnswers(const std::string& trait) const {
@@ -134,7 +163,7 @@
 
 void CrashSuspects::EvictRecords(TimePoint now) {
   std::erase_if(records_, [now](const auto& entry) {
-    return now - entry.second.last_crash_at >= kLongPause;
+    return now - entry.second.last_crash_at >= kPauses.back();
   });
   while (records_.size() > kMaxRecords) {
     records_.erase(
--- a/src/gateway/crash_attribution.cc
+++ b/src/gateway/crash_attribution.cc
@@ -23,8 +23,8 @@
 void CrashAttribution::OnRunnerLost(const ForwardedRequest& request, const std::string& runner) {
   const RunnerState* state = view_.runner_registry().Find(runner);
   if (state == nullptr) return;
-  CrashReport report{request.service, request.traits, request.sent_at, SteadyNow()};
-  pending_.push_back({std::move(report), runner, state->record.started_ms});
+  CrashReport report{request.service, runner, request.traits, request.sent_at, SteadyNow()};
+  pending_.push_back({std::move(report), state->record.started_ms});
 }
 
 void CrashAttribution::OnAnswer(const ForwardedRequest& request, TimePoint began_at) {
@@ -35,7 +35,7 @@
 
 void CrashAttribution::ConfirmCrashes(TimePoint now) {
   std::erase_if(pending_, [&](const Pending& pending) {
-    const RunnerState* state = view_.runner_registry().Find(pending.runner);
+    const RunnerState* state = view_.runner_registry().Find(pending.report.runner);
     const bool crashed = state == nullptr || state->record.started_ms != pending.started_ms ||
                          state->report_failed || state->Avoided(now);
     const CrashReport& report = pending.report;
@@ -43,14 +43,14 @@
       const bool expired = now - report.lost_at > kConfirmTimeout;
       if (expired) {
         LogInfo("crash_not_confirmed",
-                {{"runner", pending.runner},
+                {{"runner", pending.report.runner},
                  {"traits", absl::StrJoin(report.traits, ",")},
                  {"lost_age_ms", absl::StrCat(ToMillis(now - report.lost_at))}});
       }
       return expired;
     }
-    const CrashMessage message{report.service, pending.runner, report.traits, now - report.sent_at,
-                               now - report.lost_at};
+    const CrashMessage message{report.service, pending.report.runner, report.traits,
+                               now - report.sent_at, now - report.lost_at};
     OnCrash(message);
     view_.BroadcastToGateways(message);
     return true;
@@ -63,8 +63,9 @@
 
 void CrashAttribution::OnCrash(const CrashMessage& message) {
   const TimePoint now = SteadyNow();
-  suspects_.OnCrash(
-      {message.service, message.traits, now - message.sent_age, now - message.lost_age}, now);
+  suspects_.OnCrash({message.service, message.runner, message.traits, now - message.sent_age,
+                     now - message.lost_age},
+                    now);
   for (const std::string& trait : message.traits) {
     const std::optional<TimePoint> until = suspects_.RefusedUntil({trait}, now);
     LogInfo("request_suspect", {{"trait", trait},
--- a/src/gateway/crash_attribution.h
+++ b/src/gateway/crash_attribution.h
@@ -42,7 +42,6 @@
   /// A request that lost its runner, for which a crash is not confirmed yet.
   struct Pending {
     CrashReport report;
-    std::string runner;
     int64_t started_ms = 0;  ///< Start time of the lost runner; a different one proves a crash.
   };
 
--- a/test/correctness/crash_suspects.cc
+++ b/test/correctness/crash_suspects.cc
@@ -14,8 +14,9 @@
 }
 
 /// Loses a request that was sent 300 ms before.
-void Lose(CrashSuspects& suspects, const std::vector<std::string>& traits, TimePoint lost_at) {
-  suspects.OnCrash({"llm", traits, lost_at - Millis(300), lost_at}, lost_at);
+void Lose(CrashSuspects& suspects, const std::vector<std::string>& traits, TimePoint lost_at,
+          const std::string& runner = "r0") {
+  suspects.OnCrash({"llm", runner, traits, lost_at - Millis(300), lost_at}, lost_at);
 }
 
 void AnswerOthers(CrashSuspects& suspects, TimePoint at) {
@@ -157,7 +158,8 @@
       for (size_t i = 0; i < fleet.size() && reports.size() < kRunners; ++i) {
         const TimePoint sent_at = back_at + Millis(60) * static_cast<int64_t>(i);
         if (fleet[i].Admit(deadly, gateways[i], gateways, sent_at)) continue;
-        reports.push_back({"llm", deadly, sent_at, sent_at + Millis(50)});
+        const std::string runner = "r" + std::to_string(reports.size());
+        reports.push_back({"llm", runner, deadly, sent_at, sent_at + Millis(50)});
         later_crashes += round > 0;
       }
       for (CrashSuspects& suspects : fleet) {
@@ -173,6 +175,24 @@
   }
 }
 
+// Guards against a sound request that is refused because several copies of it were lost with one
+// runner, or because it was not answered before a pause ended.
+TEST(CrashSuspects, EqualRequestsAreNotRefusedForOneRunner) {
+  CrashSuspects suspects;
+  const std::vector<std::string> request = RequestTraits("popular", "", {});
+  for (int i = 0; i < 5; ++i) Lose(suspects, request, kStart + Millis(i));
+  CHECK_FALSE(suspects.RefusedUntil(request, kStart).has_value());
+  Lose(suspects, request, kStart, "r1");
+  CHECK_FALSE(suspects.RefusedUntil(request, kStart).has_value());
+  Lose(suspects, request, kStart, "r2");
+  CHECK(suspects.RefusedUntil(request, kStart).has_value());
+  const TimePoint later = kStart + Seconds(3);
+  CHECK_FALSE(suspects.Admit(request, "g0", {"g0"}, later).has_value());
+  CHECK(suspects.Admit(request, "g0", {"g0"}, later).has_value());
+  suspects.OnAnswer("llm", request, later);
+  CHECK_FALSE(suspects.Admit(request, "g0", {"g0"}, later).has_value());
+}
+
 // Guards against an answer that began before the crash and clears the part that caused it.
 TEST(CrashSuspects, AnEarlierAnswerClearsNothing) {
   CrashSuspects suspects;
