Check a runner that lost a request, so that a crash is confirmed at once

What callers saw: requests that crash runners reached more of them before any crash was counted. Cause: the crash of a runner without a sidecar was confirmed by a refused connection of some later request, or when its record was removed 3.6 s later. Runners that return in that time are crashed again. All copies that one crash loses cause one check. Why it works: a process that has ended refuses connections; a lost answer of a live runner does not.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -63,6 +63,9 @@
 
 /// Retry-After when runners refused the request or accepted no connection.
 constexpr Duration kRejectedRetryAfter = Millis(300);
+/// Time after which a runner that lost a request is checked. A process that ends closes its
+/// connections and its port at nearly the same time.
+constexpr Duration kRunnerCheckDelay = Millis(50);
 /// A runner that crashes on a request does so when it begins to answer. A request that has been
 /// answered for this long is not the cause of a crash.
 constexpr Duration kAnswerBegun = Millis(200);
@@ -87,7 +90,8 @@
 };
 
 Forwarder::Forwarder(ComponentRegistry& components, FleetView& view, PartWatch& parts)
-    : view_(view),
+    : io_(components.io()),
+      view_(view),
       parts_(parts),
       metrics_(components.Find<Metrics>("metrics")),
       channels_(components.io()),
@@ -487,10 +491,36 @@
            {"reason", channel.failure()}});
   if (time_up) return AttemptResult::kDeadlineExceeded;
   const bool answering = request.first_byte_received && now - request.first_byte_at >= kAnswerBegun;
-  if (!silent && !loading && !answering) crash_attribution_.OnRunnerLost(request, runner);
+  if (!silent && !loading && !answering) {
+    crash_attribution_.OnRunnerLost(request, runner);
+    Spawn(io_, "check_runner", [this, runner]() { return CheckRunner(runner); });
+  }
   return request.exchange.streaming() ? AttemptResult::kCut : AttemptResult::kUnknown;
 }
 
+// Without this, a crash of a runner without a sidecar shows only when the next request is sent
+// there.
+Awaitable<void> Forwarder::CheckRunner(std::string runner) {
+  if (!checked_runners_.insert(runner).second) co_return;
+  co_await SleepFor(kRunnerCheckDelay);
+  checked_runners_.erase(runner);
+  const RunnerState* state = view_.runner_registry().Find(runner);
+  if (state == nullptr || state->Avoided(SteadyNow())) co_return;
+  const Endpoint endpoint{state->record.address, state->record.port};
+  if (channels_.HasOpen(endpoint)) co_return;
+  const Duration cold_time = view_.ColdTime(state->record.service);
+  RunnerChannelPool::Acquired acquired =
+      co_await channels_.Acquire(endpoint, /*repeatable=*/true, kConnectTimeout);
+  if (acquired.channel != nullptr) {
+    channels_.Release(endpoint, std::move(acquired.channel));
+    co_return;
+  }
+  view_.runner_registry().OnAttemptOutcome(runner, AttemptOutcome::kUnreachable, cold_time,
+                                           SteadyNow());
+  LogInfo("runner_unreachable",
+          {{"request", ""}, {"runner", runner}, {"reason", acquired.failure}});
+}
+
 Refusal Forwarder::MakeRefusal(const ForwardedRequest& request, const Placement& placement) {
   if (request.runs > 0) return MakeFailure(request);
   Refusal refusal;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -49,6 +49,8 @@
   /// Records that the runner's response did not arrive or is incomplete.
   AttemptResult RecordBrokenAttempt(ForwardedRequest& request, RunnerChannel& channel,
                                     const std::string& runner);
+  /// Finds out whether a runner that lost a request still accepts connections.
+  Awaitable<void> CheckRunner(std::string runner);
   std::string EncodeRunnerRequest(ForwardedRequest& request, const RunnerState& runner);
   bool MayRetry(ForwardedRequest& request, AttemptResult result);
   Awaitable<void> SendRefusal(ForwardedRequest& request, Refusal refusal);
@@ -62,6 +64,7 @@
   /// Returns a pseudo-random number in [0, 1).
   double NextRandom();
 
+  boost::asio::io_context& io_;
   FleetView& view_;
   PartWatch& parts_;
   Metrics& metrics_;
@@ -69,6 +72,7 @@
   CrashAttribution crash_attribution_;
   AdmissionController admission_;
   std::set<ForwardedRequest*> requests_;
+  std::set<std::string> checked_runners_;  ///< Runners that `CheckRunner` is checking.
   std::map<std::string, RetryAfterEstimator> retry_after_estimators_;  ///< By service.
   std::map<std::string, TokenDemand> token_demands_;                   ///< By service.
   uint64_t random_state_;
--- a/src/gateway/runner_channel.cc
+++ b/src/gateway/runner_channel.cc
@@ -186,6 +186,13 @@
   idle_[runner].push_back({std::move(channel), SteadyNow()});
 }
 
+bool RunnerChannelPool::HasOpen(const Endpoint& runner) const {
+  const auto found = idle_.find(runner);
+  return found != idle_.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [](const IdleChannel& idle) { return idle.channel->Reusable(); });
+}
+
 void RunnerChannelPool::CloseIdleSince(const Endpoint& runner, TimePoint time) {
   idle_[runner].remove_if([time](const IdleChannel& idle) { return idle.since < time; });
 }
--- a/src/gateway/runner_channel.h
+++ b/src/gateway/runner_channel.h
@@ -78,6 +78,8 @@
   Awaitable<Acquired> Acquire(Endpoint runner, bool repeatable, Duration timeout);
   /// Returns the connection to the pool if it is reusable.
   void Release(const Endpoint& runner, std::unique_ptr<RunnerChannel> channel);
+  /// Whether an idle connection to the runner is open at both ends.
+  bool HasOpen(const Endpoint& runner) const;
   /// Closes the connections to the runner that have been idle since before `time`.
   void CloseIdleSince(const Endpoint& runner, TimePoint time);
   /// Closes connections that reached their idle timeout.
