Decode and log the limit that a runner names

Cause: the logs cannot tell whether a gateway was told of a runner's limit of requests. Change: the field is decoded in platform/ and kept by runner; runner_limit is logged when the limit changes, and a gauge counts the limited runners. Nothing is decided by it yet. A value that is no finite, non-negative number is no limit; a rejection without the field ends none.

--- a/src/core/runner_registry.h
+++ b/src/core/runner_registry.h
@@ -10,6 +10,7 @@
 
 #include "core/clock.h"
 #include "core/cold_share.h"
+#include "core/request_limits.h"
 #include "core/runner_record.h"
 
 namespace fuchsiaweir {
@@ -86,6 +87,8 @@
                         TimePoint now);
 
   RunnerState* Find(const std::string& id);
+  /// Limits that the runners have named. They survive the removal of a runner's record.
+  RequestLimits& request_limits() { return request_limits_; }
   std::map<std::string, RunnerState>& runners() { return runners_; }
   const std::map<std::string, RunnerState>& runners() const { return runners_; }
 
@@ -94,6 +97,7 @@
   void MarkReplaced(const std::string& address, uint16_t port);
 
   std::map<std::string, RunnerState> runners_;
+  RequestLimits request_limits_;
 };
 
 }  // namespace fuchsiaweir
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -363,6 +363,7 @@
   if (!received) co_return RecordBrokenAttempt(request, channel, runner);
   const platform::RunnerAnswer& answer = runner_header.answer;
   const bool success = answer.status / 100 == 2;
+  RecordRequestLimit(runner, answer);
   if (!answer.not_run && (!answer.has_receipt || answer.encoded)) {
     channel.Close();
     co_return RecordBrokenAttempt(request, channel, runner);
@@ -456,6 +457,19 @@
   }
 }
 
+void Forwarder::RecordRequestLimit(const std::string& runner,
+                                   const platform::RunnerAnswer& answer) {
+  // Another runner at the address sends this status. A rejection without the field ends no limit.
+  if (answer.status == kMisdirectedRequest || (!answer.not_run && !answer.has_receipt)) return;
+  if (!answer.request_limit && answer.not_run) return;
+  const RequestLimit limit{answer.request_limit, SteadyNow()};
+  if (!view_.runner_registry().request_limits().Update(runner, limit)) return;
+  LogInfo("runner_limit",
+          {{"runner", runner},
+           {"per_second", limit.per_second ? absl::StrCat(*limit.per_second) : "none"},
+           {"source", "answer"}});
+}
+
 Forwarder::AttemptResult Forwarder::RecordBrokenAttempt(ForwardedRequest& request,
                                                         RunnerChannel& channel,
                                                         const std::string& runner) {
@@ -578,6 +592,8 @@
   channels_.CloseExpired(now);
   metrics_.Gauge("fuchsiaweir_requests_in_flight", "Requests that have not been answered.")
       .Set(static_cast<double>(requests_.size()));
+  metrics_.Gauge("fuchsiaweir_limited_runners", "Runners that have named a limit of requests.")
+      .Set(static_cast<double>(view_.runner_registry().request_limits().size()));
   metrics_.Gauge("fuchsiaweir_runner_connections_opened", "Connections opened to runners.")
       .Set(static_cast<double>(channels_.opened()));
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -46,6 +46,8 @@
   /// Copies the events of a runner's stream to the caller.
   Awaitable<AttemptResult> RelayStream(ForwardedRequest& request, RunnerChannel& channel,
                                        const RunnerHeader& header, const std::string& runner);
+  /// Records what the runner's response says of the requests that it takes.
+  void RecordRequestLimit(const std::string& runner, const platform::RunnerAnswer& answer);
   /// Records that the runner's response did not arrive or is incomplete.
   AttemptResult RecordBrokenAttempt(ForwardedRequest& request, RunnerChannel& channel,
                                     const std::string& runner);
