--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -2,8 +2,10 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdlib>
+#include <deque>
 #include <fstream>
 #include <sstream>
 
@@ -174,6 +176,20 @@
   return Send("GET", runners_.at(static_cast<size_t>(runner)), "/stats").status == 200;
 }
 
+int64_t Fleet::MostArrivals(int runner, TimePoint since, Duration window) {
+  std::deque<int64_t> recent;
+  size_t most = 0;
+  const json::object stats = Stats(runner);
+  for (const json::value& item : stats.at("arrivals_ms").as_array()) {
+    const int64_t at_ms = item.to_number<int64_t>();
+    if (at_ms < ToMillis(since.time_since_epoch())) continue;
+    while (!recent.empty() && at_ms - recent.front() >= ToMillis(window)) recent.pop_front();
+    recent.push_back(at_ms);
+    most = std::max(most, recent.size());
+  }
+  return static_cast<int64_t>(most);
+}
+
 json::object Fleet::Stats(int runner) {
   return Send("GET", runners_.at(static_cast<size_t>(runner)), "/stats").json();
 }
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -46,6 +46,10 @@
   /// Returns the number of runs that a runner has started.
   int64_t Runs(int runner) { return Stats(runner).at("runs").to_number<int64_t>(); }
 
+  /// Returns the largest number of requests that arrived at a runner within `window`, from
+  /// `since` (steady clock) on.
+  int64_t MostArrivals(int runner, TimePoint since, Duration window);
+
   void Signal(const std::string& name, int signal) { processes_.Signal(name, signal); }
   void Restart(const std::string& name) { processes_.Restart(name); }
   int Wait(const std::string& name) { return processes_.Wait(name); }
--- a/test/standin/fleet_runner.cc
+++ b/test/standin/fleet_runner.cc
@@ -27,6 +27,7 @@
 constexpr Duration kTimeToCrash = Millis(50);
 constexpr Duration kSilentPollInterval = Millis(50);
 constexpr Duration kWeightLoadDuration = Millis(300);
+constexpr size_t kMaxArrivals = 5'000;
 
 class FleetRunner {
  public:
@@ -44,6 +45,7 @@
       body = json::serialize(json::object{{"runs", runs_},
                                           {"cancelled", cancelled_},
                                           {"version", version_},
+                                          {"arrivals_ms", arrivals_ms_},
                                           {"headers", last_headers_}});
     } else if (path == platform::kReportPath) {
       body = Report();
@@ -97,10 +99,15 @@
     if (!HasFault("no_receipt")) {
       headers.emplace_back(platform::kReceiptHeader, "stamp-" + instance_);
     }
+    if (HasFault("limit")) {
+      headers.emplace_back(platform::kRequestLimitHeader, faults_.at("limit").as_string().c_str());
+    }
     return headers;
   }
 
   Awaitable<void> Serve(HttpExchange& exchange) {
+    arrivals_ms_.push_back(ToMillis(SteadyNow().time_since_epoch()));
+    if (arrivals_ms_.size() > kMaxArrivals) arrivals_ms_.erase(arrivals_ms_.begin());
     clients_.OnRequest(exchange);
     while (clients_.IsSilent(exchange)) co_await SleepFor(kSilentPollInterval);
     const HttpRequest& request = exchange.request();
@@ -200,6 +207,7 @@
   json::object faults_;
   ClientPorts clients_;
   json::object last_headers_;
+  json::array arrivals_ms_;
   int64_t runs_ = 0;
   int64_t active_ = 0;
   int64_t cancelled_ = 0;
--- a/test/standin/fleet_runner.h
+++ b/test/standin/fleet_runner.h
@@ -6,15 +6,16 @@
 namespace fuchsiaweir::standin {
 
 /// Stand-in for a runner on the users' platform. A POST with the body "events=N" gets a stream of N
-/// events at intervals of 20 ms; every other request gets its own body. GET /stats returns counters
-/// and the header fields of the last request that ran, GET /report the load. POST /order starts a
-/// weight load that takes 300 ms.
+/// events at intervals of 20 ms; every other request gets its own body. GET /stats returns
+/// counters, the header fields of the last request that ran and when requests arrived (steady
+/// clock, ms), GET /report the load. POST /order starts a weight load that takes 300 ms.
 ///
 /// POST /fault replaces the set of faults: "full" (refuse requests as not run), "cut_after" (close
 /// the connection after this number of events), "lose" (close it without a response), "silent"
 /// (never respond), "fail" (respond with status 500), "extra" (send a second response after each),
 /// "no_receipt" (omit the proof that the response comes from the runner),
 /// "unframed" (send a stream with neither a length nor chunks, of this number of events),
+/// "limit" (name this limit of requests per second in each response),
 /// "silence_open_connections" (never respond on connections that are open now), "crash_part" and
 /// "crash_text" (exit on a request whose list of prompt parts, or whose body, contains this text).
 void RunFleetRunner(int port, const std::string& instance);
