Let the division of requests between gateways serve other limits than cold runners'

Cause: limits that runners name are divided as the rate of cold runners is. Change: cold_share becomes request_share, with the number of requests and the window as arguments. The window of cold runners moves to placement. No behaviour changes.

--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -46,6 +46,10 @@
 // Delay from a placement until the report of the runner's host includes the request.
 constexpr Duration kPlacementReportDelay = Millis(60);
 
+// A cold runner counts arrivals within 1 s; the additional 100 ms cover variations of the network
+// delay.
+constexpr Duration kColdWindow = Millis(1100);
+
 constexpr Duration kLoadingRetryAfter = Millis(400);
 constexpr Duration kColdRetryAfter = Millis(700);
 constexpr Duration kFullRetryAfter = Millis(300);
@@ -161,10 +165,11 @@
   if (state.Cold(now) && query.cold_requests_per_second > 0) {
     // Without the list of gateways, this gateway's share of the rate is unknown.
     const bool gateways_known = query.gateways != nullptr && !query.gateways->empty();
-    const int64_t share = gateways_known ? ColdShare(query.cold_requests_per_second,
-                                                     state.record.id, query.self, *query.gateways)
-                                         : 0;
-    if (!state.cold_requests.HasCapacity(share, now)) {
+    const int64_t share = gateways_known
+                              ? RequestShare(static_cast<int64_t>(query.cold_requests_per_second),
+                                             state.record.id, query.self, *query.gateways)
+                              : 0;
+    if (!state.cold_requests.HasCapacity(share, kColdWindow, now)) {
       RecordRefusal(placement, PlacementRefusal::kCold,
                     std::min(kColdRetryAfter, state.cold_until - now));
       return false;
--- a/src/core/runner_registry.h
+++ b/src/core/runner_registry.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "core/clock.h"
-#include "core/cold_share.h"
 #include "core/request_limits.h"
+#include "core/request_share.h"
 #include "core/runner_record.h"
 
 namespace fuchsiaweir {
@@ -45,7 +45,7 @@
   TimePoint failure_rate_at;
   TimePoint avoid_until;  ///< End of the avoidance after unanswered requests.
   TimePoint cold_until;
-  ColdRequestWindow cold_requests;
+  RequestWindow cold_requests;
   std::optional<TimePoint> missing_since;  ///< Set while the runner is retained but not listed.
 
   bool replaced = false;  ///< A runner that started later has the address.
