Keep the limits that runners name, divided between the gateways

What callers saw: nothing yet; a runner in need that named a limit of 3.4 requests a second got 44 to 48 in 4 s from gateways that it had told. Change: the registered gateways divide a limit like the rate of cold runners, over one to two seconds, so that their sum holds without communication, also while some stand still or do not hear the others. A gateway that is told of a limit tells the others, and one of them reminds the others each second. A limit is kept by runner beyond its record, and ends with an answer that names none, a restart, or after 10 minutes; after 30 s without news one request finds out. Placement passes over a runner whose share is used, and a request that no runner takes is refused with the time until the window has room. Why it works: no gateway ever sends beyond its share, and shares of all registered gateways sum up to the limit.

--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -55,8 +55,8 @@
 constexpr Duration kFullRetryAfter = Millis(300);
 constexpr Duration kUnreachableRetryAfter = Millis(600);
 
-constexpr std::array<std::string_view, 7> kRefusalNames = {
-    "none", "no_runner", "closed", "loading", "cold", "full", "unreachable"};
+constexpr std::array<std::string_view, 8> kRefusalNames = {
+    "none", "no_runner", "closed", "loading", "cold", "full", "unreachable", "limited"};
 
 struct Candidate {
   const std::string* id = nullptr;
@@ -127,8 +127,8 @@
 }
 
 // Returns whether the runner may get the request now; otherwise records the refusal.
-bool IsEligible(const PlacementQuery& query, RunnerState& state, double unreported_per_s,
-                Placement& placement, TimePoint now) {
+bool IsEligible(const PlacementQuery& query, RunnerState& state, RequestLimits& request_limits,
+                double unreported_per_s, Placement& placement, TimePoint now) {
   if (query.closed_data_centres != nullptr &&
       query.closed_data_centres->count(state.record.data_centre) > 0) {
     RecordRefusal(placement, PlacementRefusal::kClosed, kUnreachableRetryAfter);
@@ -162,13 +162,19 @@
     RecordRefusal(placement, PlacementRefusal::kFull, kFullRetryAfter);
     return false;
   }
+  // Without the list of gateways, this gateway's shares are unknown.
+  const std::vector<std::string> unknown;
+  const std::vector<std::string>& gateways = query.gateways == nullptr ? unknown : *query.gateways;
+  const Duration limited_for = request_limits.WaitTime(state.record.id, query.self, gateways, now);
+  if (limited_for > Duration{0}) {
+    RecordRefusal(placement, PlacementRefusal::kLimited, limited_for);
+    return false;
+  }
   if (state.Cold(now) && query.cold_requests_per_second > 0) {
-    // Without the list of gateways, this gateway's share of the rate is unknown.
-    const bool gateways_known = query.gateways != nullptr && !query.gateways->empty();
-    const int64_t share = gateways_known
-                              ? RequestShare(static_cast<int64_t>(query.cold_requests_per_second),
-                                             state.record.id, query.self, *query.gateways)
-                              : 0;
+    const int64_t share = gateways.empty()
+                              ? 0
+                              : RequestShare(static_cast<int64_t>(query.cold_requests_per_second),
+                                             state.record.id, query.self, gateways);
     if (!state.cold_requests.HasCapacity(share, kColdWindow, now)) {
       RecordRefusal(placement, PlacementRefusal::kCold,
                     std::min(kColdRetryAfter, state.cold_until - now));
@@ -232,7 +238,10 @@
       placement.home = id;
     }
     if (query.tried != nullptr && query.tried->count(id) > 0) continue;
-    if (!IsEligible(query, state, unreported_per_s, placement, now)) continue;
+    if (!IsEligible(query, state, runner_registry.request_limits(), unreported_per_s, placement,
+                    now)) {
+      continue;
+    }
     Candidate candidate{&id, &state, LoadScore(query, state, now), affinity, false};
     candidate.failing = state.FailureRate(now) > kMaxFailureRate;
     if (state.record.weights_version < query.preferred_weights_version) {
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -36,7 +36,16 @@
 };
 
 /// Why no runner accepts a request.
-enum class PlacementRefusal { kNone, kNoRunner, kClosed, kLoading, kCold, kFull, kUnreachable };
+enum class PlacementRefusal {
+  kNone,
+  kNoRunner,
+  kClosed,
+  kLoading,
+  kCold,
+  kFull,
+  kUnreachable,
+  kLimited
+};
 
 /// Returns the refusal's name in logs and metrics.
 std::string_view Name(PlacementRefusal refusal);
--- a/src/core/request_share.cc
+++ b/src/core/request_share.cc
@@ -22,4 +22,12 @@
   return static_cast<int64_t>(sent_.size()) < share;
 }
 
+Duration RequestWindow::WaitTime(int64_t share, Duration length, TimePoint now) {
+  if (HasCapacity(share, length, now)) return Duration{0};
+  if (share <= 0) return length;
+  // The window may hold more than the share, if this became smaller.
+  const size_t excess = sent_.size() - static_cast<size_t>(share);
+  return sent_[excess] + length - now;
+}
+
 }  // namespace fuchsiaweir
--- a/src/core/request_share.h
+++ b/src/core/request_share.h
@@ -25,6 +25,8 @@
   /// Returns whether fewer than `share` requests were sent within `length` before `now`. Forgets
   /// older ones.
   bool HasCapacity(int64_t share, Duration length, TimePoint now);
+  /// Returns the time until `HasCapacity` holds; without a share, the length of the window.
+  Duration WaitTime(int64_t share, Duration length, TimePoint now);
   void OnSent(TimePoint now) { sent_.push_back(now); }
 
  private:
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -76,6 +76,13 @@
 
 std::string Ms(Duration duration) { return absl::StrCat(ToMillis(duration)); }
 
+void LogRequestLimit(const std::string& runner, std::optional<double> per_second,
+                     const std::string& source) {
+  LogInfo("runner_limit", {{"runner", runner},
+                           {"per_second", per_second ? absl::StrCat(*per_second) : "none"},
+                           {"source", source}});
+}
+
 }  // namespace
 
 enum class Forwarder::AttemptResult {
@@ -462,12 +469,22 @@
   // Another runner at the address sends this status. A rejection without the field ends no limit.
   if (answer.status == kMisdirectedRequest || (!answer.not_run && !answer.has_receipt)) return;
   if (!answer.request_limit && answer.not_run) return;
-  const RequestLimit limit{answer.request_limit, SteadyNow()};
-  if (!view_.runner_registry().request_limits().Update(runner, limit)) return;
-  LogInfo("runner_limit",
-          {{"runner", runner},
-           {"per_second", limit.per_second ? absl::StrCat(*limit.per_second) : "none"},
-           {"source", "answer"}});
+  const TimePoint now = SteadyNow();
+  RequestLimits& limits = view_.runner_registry().request_limits();
+  const bool changed = limits.Update(runner, {answer.request_limit, now});
+  const bool reminder_due = limits.ReminderDue(runner, now);
+  if (changed) LogRequestLimit(runner, answer.request_limit, "answer");
+  if (changed || reminder_due) {
+    view_.BroadcastToGateways(LimitMessage{runner, answer.request_limit});
+  }
+}
+
+void Forwarder::OnRequestLimit(const LimitMessage& message) {
+  const TimePoint now = SteadyNow();
+  RequestLimits& limits = view_.runner_registry().request_limits();
+  const bool changed = limits.Update(message.runner, {message.per_second, now});
+  limits.OnReminder(message.runner, now);
+  if (changed) LogRequestLimit(message.runner, message.per_second, "gateway");
 }
 
 Forwarder::AttemptResult Forwarder::RecordBrokenAttempt(ForwardedRequest& request,
@@ -538,9 +555,10 @@
 Refusal Forwarder::MakeRefusal(const ForwardedRequest& request, const Placement& placement) {
   if (request.runs > 0) return MakeFailure(request);
   Refusal refusal;
-  refusal.code = placement.refusal == PlacementRefusal::kCold   ? ErrorCode::kCold
-                 : placement.refusal == PlacementRefusal::kFull ? ErrorCode::kOverloaded
-                                                                : ErrorCode::kNoTarget;
+  refusal.code = placement.refusal == PlacementRefusal::kCold      ? ErrorCode::kCold
+                 : placement.refusal == PlacementRefusal::kFull    ? ErrorCode::kOverloaded
+                 : placement.refusal == PlacementRefusal::kLimited ? ErrorCode::kOverloaded
+                                                                   : ErrorCode::kNoTarget;
   refusal.reason = "no runner takes the request: " + std::string(Name(placement.refusal));
   refusal.retry_after = placement.retry_after;
   if (placement.refusal == PlacementRefusal::kFull) {
@@ -592,6 +610,7 @@
   channels_.CloseExpired(now);
   metrics_.Gauge("fuchsiaweir_requests_in_flight", "Requests that have not been answered.")
       .Set(static_cast<double>(requests_.size()));
+  view_.runner_registry().request_limits().Expire(now);
   metrics_.Gauge("fuchsiaweir_limited_runners", "Runners that have named a limit of requests.")
       .Set(static_cast<double>(view_.runner_registry().request_limits().size()));
   metrics_.Gauge("fuchsiaweir_runner_connections_opened", "Connections opened to runners.")
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -30,6 +30,8 @@
   Awaitable<void> Handle(HttpExchange& exchange);
   /// Receives the other gateways' reports of crashes.
   CrashAttribution& crash_attribution() { return crash_attribution_; }
+  /// Receives the other gateways' reports of runners' limits.
+  void OnRequestLimit(const LimitMessage& message);
   /// Number of requests that have not been answered.
   size_t in_flight() const { return requests_.size(); }
 
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -209,6 +209,8 @@
                                               cold_time, SteadyNow());
     } else if (const auto* crash = std::get_if<CrashMessage>(&message)) {
       if (forwarder_ != nullptr) forwarder_->crash_attribution().OnCrash(*crash);
+    } else if (const auto* limit = std::get_if<LimitMessage>(&message)) {
+      if (forwarder_ != nullptr) forwarder_->OnRequestLimit(*limit);
     } else if (const auto* cleared = std::get_if<ClearMessage>(&message)) {
       if (forwarder_ != nullptr) forwarder_->crash_attribution().OnCleared(*cleared);
     }
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -73,6 +73,12 @@
   return {{"type", "cleared"}, {"traits", EncodeList(message.traits)}};
 }
 
+json::object Encode(const LimitMessage& message) {
+  json::object object{{"type", "limit"}, {"runner", message.runner}};
+  if (message.per_second) object["per_second"] = *message.per_second;
+  return object;
+}
+
 EngineReport DecodeReport(const json::object& object) {
   EngineReport report;
   report.running = object.at("running").to_number<int64_t>();
@@ -121,6 +127,14 @@
     return message;
   }
   if (type == "cleared") return ClearMessage{DecodeList(object.at("traits"))};
+  if (type == "limit") {
+    LimitMessage message;
+    message.runner = std::string(object.at("runner").as_string());
+    if (const json::value* per_second = object.if_contains("per_second")) {
+      message.per_second = per_second->to_number<double>();
+    }
+    return message;
+  }
   if (type != "crashed") throw std::invalid_argument("unknown type of peer message");
   CrashMessage message;
   message.service = std::string(object.at("service").as_string());
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -58,14 +58,21 @@
   std::vector<std::string> traits;
 };
 
-using PeerMessage = std::variant<HelloMessage, LoadMessage, CrashMessage, ClearMessage>;
+/// A gateway's report of what a runner said of the requests that it takes.
+struct LimitMessage {
+  std::string runner;
+  std::optional<double> per_second;  ///< From all gateways together; nothing: no limit.
+};
+
+using PeerMessage =
+    std::variant<HelloMessage, LoadMessage, CrashMessage, ClearMessage, LimitMessage>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 /// Returns nothing for a malformed datagram.
 std::optional<PeerMessage> DecodePeerMessage(std::string_view datagram);
 
-/// UDP messages between gateways and sidecars. Messages may be lost: hellos and load reports are
-/// sent periodically, a crash report only once to each gateway.
+/// UDP messages between gateways and sidecars. Messages may be lost: hellos, load reports and
+/// limits are sent periodically, a crash report only once to each gateway.
 class PeerLink : public Component {
  public:
   using Receiver = std::function<void(const PeerMessage& message)>;
--- a/test/process/request_limits.cc
+++ b/test/process/request_limits.cc
@@ -146,6 +146,16 @@
   CHECK(served > 0);
 }
 
+// Guards against a gateway that learns of a limit only by exceeding it.
+TEST(RequestLimits, GatewaysTellEachOtherOfALimit) {
+  fleet.Start();
+  SleepMillis(1'500);  // The gateways have listed each other.
+  Limit(0);
+  Limit(1);
+  LONGS_EQUAL(200, fleet.Call("/safe/", "x").status);
+  CHECK(Eventually([&]() { return fleet.AllGatewaysLogged("runner_limit"); }, kLearningTime));
+}
+
 // Guards against a limit that outlives its need.
 TEST(RequestLimits, ARunnerWithoutNeedGetsAllItsRequestsAgain) {
   StartFleet();
