Log and tell a limit's value once a second

Cause: a runner may name another value in each answer; each of them was logged and told to all gateways. Change: only the begin and the end of a limit are told at once, a new value with the next reminder.

--- a/src/core/request_limits.cc
+++ b/src/core/request_limits.cc
@@ -46,13 +46,12 @@
     return limit.per_second.has_value();
   }
   if (limit.as_of < known->second.limit.as_of) return false;
-  const bool changed = known->second.limit.per_second != limit.per_second;
   if (limit.per_second) {
     known->second.limit = limit;
-  } else {
-    limits_.erase(known);
+    return false;
   }
-  return changed;
+  limits_.erase(known);
+  return true;
 }
 
 bool RequestLimits::ReminderDue(const std::string& runner, TimePoint now) {
--- a/src/core/request_limits.h
+++ b/src/core/request_limits.h
@@ -28,8 +28,8 @@
 /// also holds while some do not hear the others. They tell each other what runners say.
 class RequestLimits {
  public:
-  /// Records what a runner said. Returns whether that differs from what was known; a statement
-  /// from before the known one is ignored.
+  /// Records what a runner said. Returns whether a limit begins or ends with it; a statement from
+  /// before the known one is ignored.
   bool Update(const std::string& runner, const RequestLimit& limit);
   /// Returns whether this gateway should tell the others of the limit again. It should not if one
   /// of them has told it just before.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -473,8 +473,9 @@
   RequestLimits& limits = view_.runner_registry().request_limits();
   const bool changed = limits.Update(runner, {answer.request_limit, now});
   const bool reminder_due = limits.ReminderDue(runner, now);
-  if (changed) LogRequestLimit(runner, answer.request_limit, "answer");
+  // The value may differ in each answer, so a new one waits for the next reminder.
   if (changed || reminder_due) {
+    LogRequestLimit(runner, answer.request_limit, "answer");
     view_.BroadcastToGateways(LimitMessage{runner, answer.request_limit});
   }
 }
