Load weights in turn while the sidecars of a service do not hear each other

What callers saw: 503 "loading" from a service with two runners, when weights were named just after its processes had started. Cause: a runner without a report was taken for one that serves. Two sidecars that had not listed each other both found the other in service and loaded at once. Change: a runner whose host hears less than half of the others waits 3 s for their reports; without them the runners load 2 s apart, in the common order, until the rollout is overdue. A runner that does not answer its sidecar is heard as such: sidecars are told of it too. A service of which most runners are heard loads as before.

--- a/src/core/load_rollout.cc
+++ b/src/core/load_rollout.cc
@@ -13,13 +13,19 @@
 // in service. More concurrent loads slow each other down.
 constexpr int64_t kRunnersPerConcurrentLoad = 5;
 constexpr int64_t kMinConcurrentLoads = 2;
+// Time in which processes that have just started list each other and exchange reports.
+constexpr Duration kReportTimeout = Seconds(3);
+// Time between the loads of two runners that do not hear each other; a load takes less.
+constexpr Duration kBlindLoadSpacing = Seconds(2);
+
+/// Whether the rollout has to finish soon, at the cost of capacity.
+bool Overdue(const LoadRollout& rollout) { return rollout.elapsed > rollout.window * 4 / 3; }
 
 int64_t MaxConcurrentLoads(const LoadRollout& rollout) {
   const int64_t count = static_cast<int64_t>(rollout.runners.size());
   const int64_t min_loads = std::max<int64_t>(1, std::min(kMinConcurrentLoads, count / 2));
   const int64_t max_loads = std::max(min_loads, count / kRunnersPerConcurrentLoad);
-  // A rollout past its window has to finish soon, at the cost of capacity.
-  if (rollout.elapsed > rollout.window * 4 / 3) return count;
+  if (Overdue(rollout)) return count;
   return rollout.elapsed > rollout.window ? max_loads * 2 : max_loads;
 }
 
@@ -40,7 +46,27 @@
   return ahead < 2 * MaxConcurrentLoads(*this);
 }
 
+bool LoadRollout::MissesReports(const std::string& runner) const {
+  const std::string salt = absl::StrCat(version);
+  const uint64_t own_score = RendezvousScore(salt, runner);
+  int64_t others = 0;
+  int64_t heard = 0;
+  int64_t unheard_before = 0;
+  for (const RolloutRunner& other : runners) {
+    if (other.id == runner) continue;
+    ++others;
+    if (other.heard) {
+      ++heard;
+    } else if (RendezvousScore(salt, other.id) > own_score) {
+      ++unheard_before;
+    }
+  }
+  if (2 * heard >= others || Overdue(*this)) return false;
+  return watched < kReportTimeout + kBlindLoadSpacing * unheard_before;
+}
+
 bool LoadRollout::MayStartLoading(const std::string& runner) const {
+  if (MissesReports(runner)) return false;
   const std::string salt = absl::StrCat(version);
   const uint64_t own_score = RendezvousScore(salt, runner);
   int64_t ahead = 0;
--- a/src/core/load_rollout.h
+++ b/src/core/load_rollout.h
@@ -15,6 +15,8 @@
   std::string id;
   int64_t weights_version = 0;
   WeightLoadPhase phase = WeightLoadPhase::kServing;
+  /// Whether the phase is from a recent report, or the runner is known not to answer.
+  bool heard = true;
 };
 
 /// Decides when a runner of a service loads new weights. All processes compute the same order of
@@ -25,15 +27,23 @@
 /// would serve nothing for seconds. It therefore first accepts only runs that can be continued on
 /// another runner (WeightLoadPhase::kFinishing), and is unavailable just for the load itself. The
 /// number of concurrent loads is limited; the limit is raised only once `elapsed` exceeds `window`.
+///
+/// Processes that have just started do not hear each other. While less than half of the other
+/// runners are heard, a runner waits, and then the runners load one after the other by time.
 struct LoadRollout {
   std::vector<RolloutRunner> runners;
   int64_t version = 0;
   Duration elapsed{0};  ///< Time since the weights were named.
   Duration window{0};   ///< Target duration of the whole rollout.
+  Duration watched{0};  ///< Time since this process learned of the weights.
 
   /// Whether the runner may stop accepting runs that cannot be continued on another runner.
   bool MayStartFinishing(const std::string& runner) const;
   bool MayStartLoading(const std::string& runner) const;
+
+ private:
+  /// Whether the runner waits for the reports of others, or for its turn without them.
+  bool MissesReports(const std::string& runner) const;
 };
 
 }  // namespace fuchsiaweir
--- a/src/gateway/weight_orders.cc
+++ b/src/gateway/weight_orders.cc
@@ -90,7 +90,7 @@
       if (missed == kMaxMissedReports) {
         LogWarning("runner_silent", {{"runner", view_.settings().runner}});
       }
-      view_.BroadcastToGateways(LoadMessage{view_.settings().runner_endpoint(), std::nullopt});
+      SendReport(LoadMessage{view_.settings().runner_endpoint(), std::nullopt});
     }
     co_await SleepFor(kReportPeriod);
   }
@@ -105,9 +105,15 @@
     if (state.record.draining || state.replaced) continue;
     const WeightLoadPhase phase =
         state.ReportFresh(now) ? state.report->phase : WeightLoadPhase::kServing;
-    rollout.runners.push_back({id, state.record.weights_version, phase});
+    const bool heard = state.ReportFresh(now) || state.report_failed;
+    rollout.runners.push_back({id, state.record.weights_version, phase, heard});
   }
   rollout.version = history.newest();
+  if (watched_version_ != rollout.version) {
+    watched_version_ = rollout.version;
+    watched_since_ = now;
+  }
+  rollout.watched = now - watched_since_;
   // For a runner that missed several versions the time counts from the first of them.
   rollout.elapsed = history.VersionLag(runner->record.weights_version, now);
   rollout.window = Micros(
--- a/src/gateway/weight_orders.h
+++ b/src/gateway/weight_orders.h
@@ -41,6 +41,8 @@
   /// Phase that is reported to the gateways if it is later than the one in the runner's report.
   WeightLoadPhase announced_phase_ = WeightLoadPhase::kServing;
   TimePoint finishing_since_;
+  int64_t watched_version_ = 0;  ///< Newest weights version that this process knows.
+  TimePoint watched_since_;
   bool stopping_ = false;
 };
 
--- a/test/correctness/load_rollout.cc
+++ b/test/correctness/load_rollout.cc
@@ -94,6 +94,44 @@
   });
 }
 
+// Guards against runners of a small service that load at the same time because their processes have
+// just started and do not hear each other, and against a rollout that never ends then.
+TEST(LoadRollout, RunnersThatDoNotHearEachOtherLoadInTurn) {
+  CheckProperty("few load at a time, and all in time", [] {
+    const int count = *rc::gen::inRange(2, 4);
+    std::vector<Duration> starts;
+    for (int self = 0; self < count; ++self) {
+      LoadRollout seen;
+      for (int i = 0; i < count; ++i) {
+        seen.runners.push_back({"runner-" + std::to_string(i), 1, WeightLoadPhase::kServing});
+        seen.runners.back().heard = i == self;
+      }
+      seen.version = 2;
+      seen.window = kWindow;
+      while (!seen.MayStartLoading("runner-" + std::to_string(self))) {
+        seen.elapsed += kStep;
+        seen.watched += kStep;
+        RC_ASSERT(seen.elapsed <= kWindow * 4 / 3 + kStep);
+      }
+      starts.push_back(seen.elapsed);
+    }
+    std::sort(starts.begin(), starts.end());
+    for (size_t i = 1; i < starts.size(); ++i) RC_ASSERT(starts[i] - starts[i - 1] >= kLoadTime);
+  });
+}
+
+// Guards against a rollout that waits for reports although most runners are heard.
+TEST(LoadRollout, AMissingReportDelaysNoRolloutOfManyRunners) {
+  LoadRollout seen;
+  for (int i = 0; i < 12; ++i) {
+    seen.runners.push_back({"runner-" + std::to_string(i), 1, WeightLoadPhase::kServing});
+    seen.runners.back().heard = i < 8;
+  }
+  seen.version = 2;
+  seen.window = kWindow;
+  CHECK(seen.MayStartLoading("runner-0"));
+}
+
 // Guards against a runner that waits for runners which already have the weights, or for ever.
 TEST(LoadRollout, TheLastRunnerLoadsAtOnce) {
   std::vector<ModelRunner> runners = Runners(12);
