Take test ports from outside the range of outgoing connections

Cause: FreePort asked the system for a port, which comes from the range of outgoing connections. Change: a random port below that range, which both TCP and UDP can bind.

--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -20,6 +20,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <set>
 #include <stdexcept>
 #include <thread>
@@ -64,23 +65,34 @@
 /// Number of peers in each daemon's settings, enough to start while the platform is unavailable.
 constexpr size_t kPeersPerDaemon = 2;
 
+/// Ports that the system does not give to outgoing connections. Such a connection of another
+/// process would take a port between its choice and its use.
+constexpr int kMinPort = 12'000;
+constexpr int kMaxPort = 32'000;
+
+bool CanBind(int port, int type) {
+  const int descriptor = socket(AF_INET, type, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  const bool bound = bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+  close(descriptor);
+  return bound;
+}
+
 constexpr Duration kConditionPollInterval = Millis(20);
 
 }  // namespace
 
 int FreePort() {
+  static std::mt19937 random(std::random_device{}());
   static std::set<int> returned;
+  std::uniform_int_distribution<int> ports(kMinPort, kMaxPort);
   while (true) {
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    socklen_t size = sizeof(address);
-    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-    close(descriptor);
-    const int port = ntohs(address.sin_port);
-    if (returned.insert(port).second) return port;
+    const int port = ports(random);
+    const bool free = CanBind(port, SOCK_STREAM) && CanBind(port, SOCK_DGRAM);
+    if (free && returned.insert(port).second) return port;
   }
 }
 
