--- a/src/core/request_limits.cc
+++ b/src/core/request_limits.cc
@@ -11,6 +11,8 @@
 constexpr double kMinWindowSeconds = 1;
 /// A larger limit has no effect.
 constexpr double kMaxPerSecond = 1e6;
+/// A runner with a smaller limit takes nothing.
+constexpr double kMinPerSecond = 1e-3;
 /// Added to the window to cover variations of the network delay.
 constexpr Duration kDelayMargin = Millis(100);
 /// A limit of which neither an answer nor another gateway has told for this long may have ended:
@@ -28,7 +30,7 @@
 
 /// Returns the limit as a whole number of requests: one for each gateway, if the window permits.
 Allowance MakeAllowance(double per_second, size_t gateways) {
-  if (per_second <= 0) return {0, Micros(static_cast<int64_t>(kMaxWindowSeconds * 1e6))};
+  if (per_second < kMinPerSecond) return {0, Micros(static_cast<int64_t>(kMaxWindowSeconds * 1e6))};
   const double rate = std::min(per_second, kMaxPerSecond);
   const auto least = static_cast<int64_t>(rate * kMinWindowSeconds);
   const auto most = static_cast<int64_t>(rate * kMaxWindowSeconds);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -76,7 +76,7 @@
   CrashAttribution crash_attribution_;
   AdmissionController admission_;
   std::set<ForwardedRequest*> requests_;
-  std::set<std::string> checked_runners_;  ///< Runners that `CheckRunner` is checking.
+  std::set<std::string> checked_runners_;  ///< Runners that `CheckRunner` is about to check.
   std::map<std::string, RetryAfterEstimator> retry_after_estimators_;  ///< By service.
   std::map<std::string, TokenDemand> token_demands_;                   ///< By service.
   uint64_t random_state_;
--- a/test/correctness/request_limits.cc
+++ b/test/correctness/request_limits.cc
@@ -70,6 +70,22 @@
   CHECK(limits.WaitTime("runner", "gateway0", {}, kStart) > Duration{0});
 }
 
+// Guards against limits that are too large or too small to be divided.
+TEST(RunnerRequestLimits, ExtremeLimitsAreKept) {
+  const auto gateways = Names(3);
+  for (const double none : {0.0, 1e-300}) {
+    RequestLimits limits;
+    limits.Update("runner", {none, kStart});
+    CHECK(limits.WaitTime("runner", "gateway0", gateways, kStart) > Duration{0});
+  }
+  RequestLimits limits;
+  limits.Update("runner", {1e300, kStart});
+  for (int i = 0; i < 10'000; ++i) {
+    CHECK(limits.WaitTime("runner", "gateway0", gateways, kStart) == Duration{0});
+    limits.OnSent("runner", kStart);
+  }
+}
+
 // Guards against a limit that is lifted by an older statement, or never lifted.
 TEST(RunnerRequestLimits, TheNewestStatementHolds) {
   RequestLimits limits;
