Split limit reports and runner checks from the forwarder

Change: LimitReports records and exchanges limits, RunnerCheck checks runners that lost a request; platform/ decodes whether another runner has the address, which three places read from the status. No behaviour changes.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -18,9 +18,6 @@
 namespace fuchsiaweir {
 namespace {
 
-/// Shorter than the 1 s after which TCP retransmits a lost SYN, because another runner can respond
-/// sooner.
-constexpr Duration kConnectTimeout = Millis(250);
 /// Share of the objective that a request may wait for a runner before it is refused.
 constexpr double kPlacementWaitShare = 0.125;
 constexpr Duration kPlacementPollInterval = Millis(10);
@@ -52,8 +49,6 @@
 constexpr double kFirstByteTimeoutFactor = 1.5;
 constexpr double kBusyFirstByteTimeoutFactor = 4;
 
-/// HTTP status of a runner that is not the one that the request names, or has other weights.
-constexpr int kMisdirectedRequest = 421;
 /// Retry-After times are extended by a random share up to this one, so that refused callers do not
 /// return together.
 constexpr double kRetryAfterJitter = 0.6;
@@ -63,9 +58,6 @@
 
 /// Retry-After when runners refused the request or accepted no connection.
 constexpr Duration kRejectedRetryAfter = Millis(300);
-/// Time after which a runner that lost a request is checked. A process that ends closes its
-/// connections and its port at nearly the same time.
-constexpr Duration kRunnerCheckDelay = Millis(50);
 /// A runner that crashes on a request does so when it begins to answer. A request that has been
 /// answered for this long is not the cause of a crash.
 constexpr Duration kAnswerBegun = Millis(200);
@@ -76,13 +68,6 @@
 
 std::string Ms(Duration duration) { return absl::StrCat(ToMillis(duration)); }
 
-void LogRequestLimit(const std::string& runner, std::optional<double> per_second,
-                     const std::string& source) {
-  LogInfo("runner_limit", {{"runner", runner},
-                           {"per_second", per_second ? absl::StrCat(*per_second) : "none"},
-                           {"source", source}});
-}
-
 }  // namespace
 
 enum class Forwarder::AttemptResult {
@@ -97,12 +82,13 @@
 };
 
 Forwarder::Forwarder(ComponentRegistry& components, FleetView& view, PartWatch& parts)
-    : io_(components.io()),
-      view_(view),
+    : view_(view),
       parts_(parts),
       metrics_(components.Find<Metrics>("metrics")),
       channels_(components.io()),
+      runner_check_(components.io(), view, channels_),
       crash_attribution_(view, metrics_),
+      limit_reports_(view),
       admission_(view, crash_attribution_, metrics_),
       random_state_(RendezvousHash(view.settings().name) ^ static_cast<uint64_t>(UnixMillis())) {
   components.Find<TimerService>("timer").Subscribe("forwarder", kTickPeriod,
@@ -301,7 +287,7 @@
   const Endpoint endpoint{chosen->record.address, chosen->record.port};
   const Duration cold_time = view_.ColdTime(request.service);
   RunnerChannelPool::Acquired acquired =
-      co_await channels_.Acquire(endpoint, request.repeatable(), kConnectTimeout);
+      co_await channels_.Acquire(endpoint, request.repeatable(), kRunnerConnectTimeout);
   const TimePoint now = SteadyNow();
   if (acquired.channel == nullptr) {
     view_.runner_registry().OnAttemptOutcome(placement.runner, AttemptOutcome::kUnreachable,
@@ -370,7 +356,7 @@
   if (!received) co_return RecordBrokenAttempt(request, channel, runner);
   const platform::RunnerAnswer& answer = runner_header.answer;
   const bool success = answer.status / 100 == 2;
-  RecordRequestLimit(runner, answer);
+  limit_reports_.OnAnswer(runner, answer);
   if (!answer.not_run && (!answer.has_receipt || answer.encoded)) {
     channel.Close();
     co_return RecordBrokenAttempt(request, channel, runner);
@@ -384,10 +370,10 @@
   while (read == RunnerChannel::Read::kData) read = co_await channel.ReadBody(body);
   if (answer.not_run) {
     --request.runs;
-    const bool moved = answer.status == kMisdirectedRequest;
-    runner_registry.OnAttemptOutcome(runner, moved ? AttemptOutcome::kMoved : AttemptOutcome::kFull,
+    runner_registry.OnAttemptOutcome(runner,
+                                     answer.moved ? AttemptOutcome::kMoved : AttemptOutcome::kFull,
                                      cold_time, SteadyNow());
-    request.attempt_log.push_back(absl::StrCat(runner, ":", moved ? "moved" : "full"));
+    request.attempt_log.push_back(absl::StrCat(runner, ":", answer.moved ? "moved" : "full"));
     co_return AttemptResult::kNotRun;
   }
   if (read == RunnerChannel::Read::kBroken) co_return RecordBrokenAttempt(request, channel, runner);
@@ -464,30 +450,6 @@
   }
 }
 
-void Forwarder::RecordRequestLimit(const std::string& runner,
-                                   const platform::RunnerAnswer& answer) {
-  // Another runner at the address sends this status. A rejection without the field ends no limit.
-  if (answer.status == kMisdirectedRequest || (!answer.not_run && !answer.has_receipt)) return;
-  if (!answer.request_limit && answer.not_run) return;
-  const TimePoint now = SteadyNow();
-  RequestLimits& limits = view_.runner_registry().request_limits();
-  const bool changed = limits.Update(runner, {answer.request_limit, now});
-  const bool reminder_due = limits.ReminderDue(runner, now);
-  // The value may differ in each answer, so a new one waits for the next reminder.
-  if (changed || reminder_due) {
-    LogRequestLimit(runner, answer.request_limit, "answer");
-    view_.BroadcastToGateways(LimitMessage{runner, answer.request_limit});
-  }
-}
-
-void Forwarder::OnRequestLimit(const LimitMessage& message) {
-  const TimePoint now = SteadyNow();
-  RequestLimits& limits = view_.runner_registry().request_limits();
-  const bool changed = limits.Update(message.runner, {message.per_second, now});
-  limits.OnReminder(message.runner, now);
-  if (changed) LogRequestLimit(message.runner, message.per_second, "gateway");
-}
-
 Forwarder::AttemptResult Forwarder::RecordBrokenAttempt(ForwardedRequest& request,
                                                         RunnerChannel& channel,
                                                         const std::string& runner) {
@@ -525,34 +487,11 @@
   const bool answering = request.first_byte_received && now - request.first_byte_at >= kAnswerBegun;
   if (!silent && !loading && !answering) {
     crash_attribution_.OnRunnerLost(request, runner);
-    Spawn(io_, "check_runner", [this, runner]() { return CheckRunner(runner); });
+    runner_check_.Start(runner);
   }
   return request.exchange.streaming() ? AttemptResult::kCut : AttemptResult::kUnknown;
 }
 
-// Without this, a crash of a runner without a sidecar shows only when the next request is sent
-// there.
-Awaitable<void> Forwarder::CheckRunner(std::string runner) {
-  if (!checked_runners_.insert(runner).second) co_return;
-  co_await SleepFor(kRunnerCheckDelay);
-  checked_runners_.erase(runner);
-  const RunnerState* state = view_.runner_registry().Find(runner);
-  if (state == nullptr || state->Avoided(SteadyNow())) co_return;
-  const Endpoint endpoint{state->record.address, state->record.port};
-  if (channels_.HasOpen(endpoint)) co_return;
-  const Duration cold_time = view_.ColdTime(state->record.service);
-  RunnerChannelPool::Acquired acquired =
-      co_await channels_.Acquire(endpoint, /*repeatable=*/true, kConnectTimeout);
-  if (acquired.channel != nullptr) {
-    channels_.Release(endpoint, std::move(acquired.channel));
-    co_return;
-  }
-  view_.runner_registry().OnAttemptOutcome(runner, AttemptOutcome::kUnreachable, cold_time,
-                                           SteadyNow());
-  LogInfo("runner_unreachable",
-          {{"request", ""}, {"runner", runner}, {"reason", acquired.failure}});
-}
-
 Refusal Forwarder::MakeRefusal(const ForwardedRequest& request, const Placement& placement) {
   if (request.runs > 0) return MakeFailure(request);
   Refusal refusal;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -15,8 +15,10 @@
 #include "gateway/crash_attribution.h"
 #include "gateway/fleet_view.h"
 #include "gateway/forwarded_request.h"
+#include "gateway/limit_reports.h"
 #include "gateway/part_watch.h"
 #include "gateway/runner_channel.h"
+#include "gateway/runner_check.h"
 #include "net/http_server.h"
 
 namespace fuchsiaweir {
@@ -31,7 +33,7 @@
   /// Receives the other gateways' reports of crashes.
   CrashAttribution& crash_attribution() { return crash_attribution_; }
   /// Receives the other gateways' reports of runners' limits.
-  void OnRequestLimit(const LimitMessage& message);
+  LimitReports& limit_reports() { return limit_reports_; }
   /// Number of requests that have not been answered.
   size_t in_flight() const { return requests_.size(); }
 
@@ -48,13 +50,9 @@
   /// Copies the events of a runner's stream to the caller.
   Awaitable<AttemptResult> RelayStream(ForwardedRequest& request, RunnerChannel& channel,
                                        const RunnerHeader& header, const std::string& runner);
-  /// Records what the runner's response says of the requests that it takes.
-  void RecordRequestLimit(const std::string& runner, const platform::RunnerAnswer& answer);
   /// Records that the runner's response did not arrive or is incomplete.
   AttemptResult RecordBrokenAttempt(ForwardedRequest& request, RunnerChannel& channel,
                                     const std::string& runner);
-  /// Finds out whether a runner that lost a request still accepts connections.
-  Awaitable<void> CheckRunner(std::string runner);
   std::string EncodeRunnerRequest(ForwardedRequest& request, const RunnerState& runner);
   bool MayRetry(ForwardedRequest& request, AttemptResult result);
   Awaitable<void> SendRefusal(ForwardedRequest& request, Refusal refusal);
@@ -68,15 +66,15 @@
   /// Returns a pseudo-random number in [0, 1).
   double NextRandom();
 
-  boost::asio::io_context& io_;
   FleetView& view_;
   PartWatch& parts_;
   Metrics& metrics_;
   RunnerChannelPool channels_;
+  RunnerCheck runner_check_;
   CrashAttribution crash_attribution_;
+  LimitReports limit_reports_;
   AdmissionController admission_;
   std::set<ForwardedRequest*> requests_;
-  std::set<std::string> checked_runners_;  ///< Runners that `CheckRunner` is about to check.
   std::map<std::string, RetryAfterEstimator> retry_after_estimators_;  ///< By service.
   std::map<std::string, TokenDemand> token_demands_;                   ///< By service.
   uint64_t random_state_;
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -210,7 +210,7 @@
     } else if (const auto* crash = std::get_if<CrashMessage>(&message)) {
       if (forwarder_ != nullptr) forwarder_->crash_attribution().OnCrash(*crash);
     } else if (const auto* limit = std::get_if<LimitMessage>(&message)) {
-      if (forwarder_ != nullptr) forwarder_->OnRequestLimit(*limit);
+      if (forwarder_ != nullptr) forwarder_->limit_reports().OnMessage(*limit);
     } else if (const auto* cleared = std::get_if<ClearMessage>(&message)) {
       if (forwarder_ != nullptr) forwarder_->crash_attribution().OnCleared(*cleared);
     }
--- a/src/gateway/runner_channel.h
+++ b/src/gateway/runner_channel.h
@@ -16,6 +16,10 @@
 
 namespace fuchsiaweir {
 
+/// Timeout of a new connection to a runner. Shorter than the 1 s after which TCP retransmits a lost
+/// SYN, because another runner can respond sooner.
+constexpr Duration kRunnerConnectTimeout = Millis(250);
+
 /// Header of a runner's response.
 struct RunnerHeader {
   platform::RunnerAnswer answer;
