Simulate fleets that get equal deadly requests, with and without lost reports

Cause: the fix of equal requests was tested with one pattern of crashes and without lost messages. Change: a simulation of 2 to 11 gateways and 2 to 6 runners that are down for 1 to 5 s, with crashes that are confirmed after 60 to 400 ms, as two properties: all reports arrive, or 5 to 19 in 100 are lost.

--- a/test/correctness/crash_suspects.cc
+++ b/test/correctness/crash_suspects.cc
@@ -2,6 +2,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+#include <optional>
+#include <random>
+
 #include "property.h"
 
 namespace fuchsiaweir {
@@ -24,6 +28,142 @@
     suspects.OnAnswer("llm", RequestTraits("other", "model", {"common", "x"}), at);
 }
 
+/// Gateways and runners of a service that gets equal deadly requests.
+struct FleetParameters {
+  int gateways = 0;
+  int runners = 0;
+  Duration down_time{0};     ///< From a crash until the runner is back.
+  int requests_percent = 0;  ///< Probability of a deadly request in each step.
+  int answers_percent = 0;   ///< Probability of an answer to another request, per gateway.
+  Duration confirm_time{0};  ///< From a crash until it is reported.
+  int lost_percent = 0;      ///< Share of the reports that a gateway does not get.
+  unsigned seed = 0;
+};
+
+FleetParameters DrawFleet(int lost_percent) {
+  FleetParameters parameters;
+  parameters.gateways = *rc::gen::inRange(2, 12);
+  parameters.runners = *rc::gen::inRange(2, 7);
+  parameters.down_time = Millis(*rc::gen::inRange(1'000, 5'000));
+  parameters.requests_percent = *rc::gen::inRange(1, 20);
+  parameters.answers_percent = *rc::gen::inRange(0, 3);
+  parameters.confirm_time = Millis(*rc::gen::inRange(60, 400));
+  parameters.lost_percent = lost_percent;
+  parameters.seed = static_cast<unsigned>(*rc::gen::inRange(0, 1'000'000));
+  return parameters;
+}
+
+/// Simulates the gateways' decisions. A runner crashes shortly after it gets a deadly request, and
+/// the gateway that lost the request sends it once more if it may.
+class DeadlyFleet {
+ public:
+  explicit DeadlyFleet(const FleetParameters& parameters)
+      : parameters_(parameters),
+        random_(parameters.seed),
+        gateways_(static_cast<size_t>(parameters.gateways)),
+        runners_(static_cast<size_t>(parameters.runners)) {
+    for (size_t i = 0; i < gateways_.size(); ++i) names_.push_back("g" + std::to_string(i));
+  }
+
+  /// Returns the number of sends later than 3 s after the third crash.
+  int CountLaterSends() {
+    for (TimePoint now = kStart; now < kStart + Seconds(40); now += Millis(10)) {
+      CrashRunners(now);
+      ReportCrashes(now);
+      AnswerSoundRequests(now);
+      const size_t gateway = Draw(gateways_.size());
+      if (Happens(parameters_.requests_percent) &&
+          !gateways_[gateway].Admit(deadly_, names_[gateway], names_, now)) {
+        Send(gateway, /*retries=*/1, now);
+      }
+    }
+    return later_sends_;
+  }
+
+ private:
+  struct Runner {
+    TimePoint up_at = kStart;
+    std::optional<TimePoint> crash_at;
+  };
+  struct Attempt {
+    size_t gateway = 0;
+    size_t runner = 0;
+    int retries = 0;
+    CrashReport report;
+    bool lost = false;
+    bool reported = false;
+  };
+
+  size_t Draw(size_t count) { return random_() % count; }
+  bool Happens(int percent) { return Draw(100) < static_cast<size_t>(percent); }
+
+  void Send(size_t gateway, int retries, TimePoint now) {
+    const size_t first = Draw(runners_.size());
+    for (size_t i = 0; i < runners_.size(); ++i) {
+      const size_t index = (first + i) % runners_.size();
+      Runner& runner = runners_[index];
+      if (now < runner.up_at) continue;
+      if (!runner.crash_at) runner.crash_at = now + Millis(50);
+      const std::string name = "r" + std::to_string(index);
+      attempts_.push_back({gateway, index, retries, {"llm", name, deadly_, now, now}});
+      later_sends_ += third_crash_at_ && now > *third_crash_at_ + Seconds(3);
+      return;
+    }
+  }
+
+  void CrashRunners(TimePoint now) {
+    for (size_t index = 0; index < runners_.size(); ++index) {
+      Runner& runner = runners_[index];
+      if (!runner.crash_at || now < *runner.crash_at) continue;
+      runner = {now + parameters_.down_time, std::nullopt};
+      if (++crashes_ == 3) third_crash_at_ = now;
+      // A retry appends an attempt.
+      for (size_t i = 0; i < attempts_.size(); ++i) {
+        if (attempts_[i].runner != index || attempts_[i].lost) continue;
+        attempts_[i].lost = true;
+        attempts_[i].report.lost_at = now;
+        const size_t gateway = attempts_[i].gateway;
+        if (attempts_[i].retries > 0 && gateways_[gateway].MayRetry(deadly_)) {
+          Send(gateway, attempts_[i].retries - 1, now);
+        }
+      }
+    }
+  }
+
+  void ReportCrashes(TimePoint now) {
+    for (Attempt& attempt : attempts_) {
+      const bool due = attempt.lost && !attempt.reported &&
+                       now >= attempt.report.lost_at + parameters_.confirm_time;
+      if (!due) continue;
+      attempt.reported = true;
+      for (size_t i = 0; i < gateways_.size(); ++i) {
+        if (i != attempt.gateway && Happens(parameters_.lost_percent)) continue;
+        gateways_[i].OnCrash(attempt.report, now);
+      }
+    }
+  }
+
+  void AnswerSoundRequests(TimePoint now) {
+    const bool any_up = std::any_of(runners_.begin(), runners_.end(),
+                                    [&](const Runner& runner) { return now >= runner.up_at; });
+    for (CrashSuspects& gateway : gateways_) {
+      if (!any_up || !Happens(parameters_.answers_percent)) continue;
+      gateway.OnAnswer("llm", RequestTraits("sound", "", {}), now);
+    }
+  }
+
+  const FleetParameters parameters_;
+  const std::vector<std::string> deadly_ = RequestTraits("deadly", "", {});
+  std::mt19937 random_;
+  std::vector<std::string> names_;
+  std::vector<CrashSuspects> gateways_;
+  std::vector<Runner> runners_;
+  std::vector<Attempt> attempts_;
+  int crashes_ = 0;
+  std::optional<TimePoint> third_crash_at_;
+  int later_sends_ = 0;
+};
+
 }  // namespace
 
 TEST_GROUP(CrashSuspects){};
@@ -175,6 +315,22 @@
   }
 }
 
+// Guards against equal requests that reach more runners than the operators allow, in fleets of any
+// size and with crashes that are confirmed late.
+TEST(CrashSuspects, FewEqualRequestsReachRunnersAfterTheThirdCrash) {
+  CheckProperty("at most three sends later than 3 s after the third crash", [] {
+    RC_ASSERT(DeadlyFleet(DrawFleet(/*lost_percent=*/0)).CountLaterSends() <= 3);
+  });
+}
+
+// Guards against gateways that go on sending because a crash report to them was lost.
+TEST(CrashSuspects, FewEqualRequestsReachRunnersIfReportsAreLost) {
+  CheckProperty("at most three sends later than 3 s after the third crash", [] {
+    const int lost_percent = *rc::gen::inRange(5, 20);
+    RC_ASSERT(DeadlyFleet(DrawFleet(lost_percent)).CountLaterSends() <= 3);
+  });
+}
+
 // Guards against a sound request that is refused because several copies of it were lost with one
 // runner, or because it was not answered before a pause ended.
 TEST(CrashSuspects, EqualRequestsAreNotRefusedForOneRunner) {
