Send crash reports three times

Cause: a crash was reported once to each gateway. Reports of one runner within 0.5 s are of one crash; a cleared trait keeps the time of the answer, so that repeated reports of earlier crashes do not count again, and the message that clears tells how old the answer is. request_suspect is logged only for traits for which the crash counts. The tests lose requests at different runners where they lost them at one before: two losses of the same runner within 0.5 s are one crash now; their checks are the same.

--- a/src/core/crash_suspects.cc
+++ b/src/core/crash_suspects.cc
@@ -24,6 +24,9 @@
 /// Answers to other requests since the first crash. Without them the runners themselves may be the
 /// cause, and refusing a trait would help nobody.
 constexpr int64_t kMinOtherAnswers = 5;
+/// Reports of a runner within this time are of one crash: several copies of a request may be lost
+/// in it, and the times in repeated reports vary. A restart takes longer.
+constexpr Duration kSameCrash = Millis(500);
 constexpr size_t kMaxRecords = 10'000;
 constexpr absl::string_view kRequestPrefix = "request:";
 
@@ -38,54 +41,57 @@
   return traits;
 }
 
-void CrashSuspects::OnCrash(const CrashReport& report, TimePoint now) {
+std::vector<std::string> CrashSuspects::OnCrash(const CrashReport& report, TimePoint now) {
+  std::vector<std::string> counted;
   for (const std::string& trait : report.traits) {
-    const auto [entry, created] = records_.try_emplace(trait);
-    Record& record = entry->second;
-    if (created) {
+    Record& record = records_[trait];
+    if (record.crashed_runners == 0) {
       record.service = report.service;
       record.whole_request = absl::StartsWith(trait, kRequestPrefix);
       record.answers_before_first = Answers(report.service);
     }
-    CountCrash(record, report);
+    if (CountCrash(record, report)) counted.push_back(trait);
   }
   EvictRecords(now);
+  return counted;
 }
 
-void CrashSuspects::CountCrash(Record& record, const CrashReport& report) {
+bool CrashSuspects::CountCrash(Record& record, const CrashReport& report) {
+  if (report.lost_at <= record.cleared_at) return false;
+  const auto [lost_at, first] = record.lost_at.try_emplace(report.runner, report.lost_at);
+  if (!first && report.sent_at < lost_at->second + kSameCrash) return false;
+  lost_at->second = report.lost_at;
   const bool sent_after_last = record.crashes == 0 || report.sent_at >= record.last_crash_at;
-  if (record.whole_request) {
-    // Several copies may be lost in one crash.
-    const auto [lost_at, first] = record.lost_at.try_emplace(report.runner, report.lost_at);
-    if (!first && report.sent_at < lost_at->second) return;
-    if (sent_after_last && Suspected(record)) ++record.failed_trials;
-    ++record.crashed_runners;
-    lost_at->second = report.lost_at;
-  } else if (!sent_after_last) {
-    return;
-  }
+  if (record.whole_request && sent_after_last && Suspected(record)) ++record.failed_trials;
+  ++record.crashed_runners;
   if (sent_after_last) ++record.crashes;
+  if (!sent_after_last && !record.whole_request) return false;
   record.last_crash_at = std::max(record.last_crash_at, report.lost_at);
+  return true;
 }
 
 std::vector<std::string> CrashSuspects::OnAnswer(const std::string& service,
                                                  const std::vector<std::string>& traits,
                                                  TimePoint began_at) {
   ++answers_[service];
+  return Clear(traits, began_at);
+}
+
+std::vector<std::string> CrashSuspects::Clear(const std::vector<std::string>& traits,
+                                              TimePoint answered_at) {
   std::vector<std::string> cleared;
   for (const std::string& trait : traits) {
-    const auto record = records_.find(trait);
-    if (record == records_.end() || began_at <= record->second.last_crash_at) continue;
-    records_.erase(record);
-    cleared.push_back(trait);
+    const auto found = records_.find(trait);
+    if (found == records_.end() || answered_at <= found->second.last_crash_at) continue;
+    if (found->second.crashed_runners > 0) cleared.push_back(trait);
+    // The record stays, since reports of earlier crashes may still come.
+    found->second = {};
+    found->second.cleared_at = answered_at;
+    found->second.last_crash_at = answered_at;
   }
   return cleared;
 }
 
-void CrashSuspects::Clear(const std::vector<std::string>& traits) {
-  for (const std::string& trait : traits) records_.erase(trait);
-}
-
 std::optional<TimePoint> CrashSuspects::Admit(const std::vector<std::string>& traits,
                                               const std::string& self,
                                               const std::vector<std::string>& gateways,
@@ -143,6 +149,11 @@
                       [this](const std::string& trait) { return Crashes(trait) >= kMaxCrashes; });
 }
 
+int64_t CrashSuspects::size() const {
+  return std::count_if(records_.begin(), records_.end(),
+                       [](const auto& entry) { return entry.second.crashed_runners > 0; });
+}
+
 int64_t CrashSuspects::Crashes(const std::string& trait) const {
   const auto found = records_.find(trait);
   if (found == records_.end()) return 0;
--- a/src/core/crash_suspects.h
+++ b/src/core/crash_suspects.h
@@ -12,6 +12,9 @@
 
 namespace fuchsiaweir {
 
+/// How often a gateway sends each crash report to the others, since messages may be lost.
+inline constexpr int kCrashReportSends = 3;
+
 /// A request that was lost in the crash of its runner before its answer began.
 struct CrashReport {
   std::string service;  ///< Service of the runner.
@@ -42,13 +45,16 @@
 /// trial comes sooner then, since there is less evidence.
 class CrashSuspects {
  public:
-  void OnCrash(const CrashReport& report, TimePoint now);
+  /// Processes a crash report, which may come several times. Returns the traits for which it
+  /// counts.
+  std::vector<std::string> OnCrash(const CrashReport& report, TimePoint now);
   /// Records that an answer began at `began_at` and went on, which clears its request's traits.
   /// Returns the cleared traits.
   std::vector<std::string> OnAnswer(const std::string& service,
                                     const std::vector<std::string>& traits, TimePoint began_at);
-  /// Clears traits that were cleared by another process.
-  void Clear(const std::vector<std::string>& traits);
+  /// Clears traits of a request whose answer began at `answered_at`, at this or another gateway.
+  /// Returns those that had stood in a crash.
+  std::vector<std::string> Clear(const std::vector<std::string>& traits, TimePoint answered_at);
 
   /// Decides whether the gateway `self` takes a request with these traits. Returns until when it is
   /// refused, or nothing. After each pause, one request with the trait is taken on trial: the
@@ -66,7 +72,8 @@
   int64_t Crashes(const std::string& trait) const;
   /// Number of answers to other requests of the trait's service since its first crash.
   int64_t OtherAnswers(const std::string& trait) const;
-  size_t size() const { return records_.size(); }
+  /// Number of traits that stood in a crash and were not cleared since.
+  int64_t size() const;
 
  private:
   struct Record {
@@ -74,14 +81,16 @@
     bool whole_request = false;  ///< The trait is a request, not a part of its prompt.
     int64_t crashes = 0;         ///< Crashes of requests that were sent after the crash before.
     int64_t crashed_runners = 0;
-    std::map<std::string, TimePoint> lost_at;  ///< Last crash of each of these runners.
+    std::map<std::string, TimePoint> lost_at;  ///< Last reported crash of each runner.
     int64_t failed_trials = 0;                 ///< Crashes of a request that was already suspected.
     TimePoint last_crash_at;                   ///< Time of the last counted crash.
+    TimePoint cleared_at;                      ///< Earlier crashes do not count.
     TimePoint trial_until;                     ///< Until then no other request is taken on trial.
     int64_t answers_before_first = 0;          ///< Answers of the service until the first crash.
   };
 
-  void CountCrash(Record& record, const CrashReport& report);
+  /// Returns whether the crash counts.
+  bool CountCrash(Record& record, const CrashReport& report);
   /// Whether other requests were answered since the first crash, so that the runners are sound.
   bool RunnersAreSound(const Record& record) const;
   bool Suspected(const Record& record) const;
--- a/src/gateway/crash_attribution.cc
+++ b/src/gateway/crash_attribution.cc
@@ -30,7 +30,9 @@
 void CrashAttribution::OnAnswer(const ForwardedRequest& request, TimePoint began_at) {
   const std::vector<std::string> cleared =
       suspects_.OnAnswer(request.service, request.traits, began_at);
-  if (!cleared.empty()) view_.BroadcastToGateways(ClearMessage{cleared});
+  if (!cleared.empty()) {
+    view_.BroadcastToGateways(ClearMessage{cleared, SteadyNow() - began_at});
+  }
 }
 
 void CrashAttribution::ConfirmCrashes(TimePoint now) {
@@ -49,12 +51,16 @@
       }
       return expired;
     }
-    const CrashMessage message{report.service, pending.report.runner, report.traits,
-                               now - report.sent_at, now - report.lost_at};
-    OnCrash(message);
-    view_.BroadcastToGateways(message);
+    RecordCrash(report, now);
+    confirmed_.push_back({report, kCrashReportSends});
     return true;
   });
+  std::erase_if(confirmed_, [&](Confirmed& confirmed) {
+    const CrashReport& report = confirmed.report;
+    view_.BroadcastToGateways(CrashMessage{report.service, report.runner, report.traits,
+                                           now - report.sent_at, now - report.lost_at});
+    return --confirmed.sends_left == 0;
+  });
   metrics_
       .Gauge("fuchsiaweir_crash_suspects",
              "Requests and parts of prompts that stood in a crash and were not answered since.")
@@ -63,16 +69,19 @@
 
 void CrashAttribution::OnCrash(const CrashMessage& message) {
   const TimePoint now = SteadyNow();
-  suspects_.OnCrash({message.service, message.runner, message.traits, now - message.sent_age,
-                     now - message.lost_age},
-                    now);
-  for (const std::string& trait : message.traits) {
+  RecordCrash({message.service, message.runner, message.traits, now - message.sent_age,
+               now - message.lost_age},
+              now);
+}
+
+void CrashAttribution::RecordCrash(const CrashReport& report, TimePoint now) {
+  for (const std::string& trait : suspects_.OnCrash(report, now)) {
     const std::optional<TimePoint> until = suspects_.RefusedUntil({trait}, now);
     LogInfo("request_suspect", {{"trait", trait},
-                                {"runner", message.runner},
+                                {"runner", report.runner},
                                 {"crashes", absl::StrCat(suspects_.Crashes(trait))},
-                                {"sent_age_ms", absl::StrCat(ToMillis(message.sent_age))},
-                                {"lost_age_ms", absl::StrCat(ToMillis(message.lost_age))},
+                                {"sent_age_ms", absl::StrCat(ToMillis(now - report.sent_at))},
+                                {"lost_age_ms", absl::StrCat(ToMillis(now - report.lost_at))},
                                 {"other_answers", absl::StrCat(suspects_.OtherAnswers(trait))},
                                 {"refused_ms", absl::StrCat(until ? ToMillis(*until - now) : 0)}});
   }
--- a/src/gateway/crash_attribution.h
+++ b/src/gateway/crash_attribution.h
@@ -31,12 +31,15 @@
   void OnRunnerLost(const ForwardedRequest& request, const std::string& runner);
   /// Records that the request's answer began and went on.
   void OnAnswer(const ForwardedRequest& request, TimePoint began_at);
-  /// Reports the lost runners that have turned out to have crashed to all gateways.
+  /// Reports the lost runners that have turned out to have crashed to all gateways, in this and the
+  /// next calls.
   void ConfirmCrashes(TimePoint now);
   /// Processes a crash report of this or another gateway.
   void OnCrash(const CrashMessage& message);
   /// Processes another gateway's report of answered requests.
-  void OnCleared(const ClearMessage& message) { suspects_.Clear(message.traits); }
+  void OnCleared(const ClearMessage& message) {
+    suspects_.Clear(message.traits, SteadyNow() - message.age);
+  }
 
  private:
   /// A request that lost its runner, for which a crash is not confirmed yet.
@@ -45,10 +48,20 @@
     int64_t started_ms = 0;  ///< Start time of the lost runner; a different one proves a crash.
   };
 
+  /// Counts and logs a crash.
+  void RecordCrash(const CrashReport& report, TimePoint now);
+
+  /// A confirmed crash that the other gateways are told of.
+  struct Confirmed {
+    CrashReport report;
+    int sends_left = 0;
+  };
+
   FleetView& view_;
   Metrics& metrics_;
   CrashSuspects suspects_;
   std::vector<Pending> pending_;
+  std::vector<Confirmed> confirmed_;
 };
 
 }  // namespace fuchsiaweir
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -70,7 +70,9 @@
 }
 
 json::object Encode(const ClearMessage& message) {
-  return {{"type", "cleared"}, {"traits", EncodeList(message.traits)}};
+  return {{"type", "cleared"},
+          {"traits", EncodeList(message.traits)},
+          {"age_ms", ToMillis(message.age)}};
 }
 
 json::object Encode(const LimitMessage& message) {
@@ -126,7 +128,14 @@
     }
     return message;
   }
-  if (type == "cleared") return ClearMessage{DecodeList(object.at("traits"))};
+  if (type == "cleared") {
+    ClearMessage message{DecodeList(object.at("traits")), Duration{0}};
+    // Processes of an earlier version do not send this field.
+    if (const json::value* age = object.if_contains("age_ms")) {
+      message.age = Millis(age->to_number<int64_t>());
+    }
+    return message;
+  }
   if (type == "limit") {
     LimitMessage message;
     message.runner = std::string(object.at("runner").as_string());
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -56,6 +56,7 @@
 /// A gateway's report that requests with these traits were answered after the last crash.
 struct ClearMessage {
   std::vector<std::string> traits;
+  Duration age{0};  ///< Time since the answer began.
 };
 
 /// A gateway's report of what a runner said of the requests that it takes.
@@ -72,7 +73,7 @@
 std::optional<PeerMessage> DecodePeerMessage(std::string_view datagram);
 
 /// UDP messages between gateways and sidecars. Messages may be lost: hellos, load reports and
-/// limits are sent periodically, a crash report only once to each gateway.
+/// limits are sent periodically, a crash report a few times to each gateway.
 class PeerLink : public Component {
  public:
   using Receiver = std::function<void(const PeerMessage& message)>;
