Tell the other gateways of a request on trial

Cause: after a pause the gateways may take a request on trial in turn, 2 s apart. Where requests are rare, several are eligible, and two took one before the first crash was reported: 4 later sends. Change: a gateway that sends a request on trial tells the others, which take none for 5 s. It is told when the request is sent, not when it is taken, as there may be no runner. request_on_trial is logged.

--- a/src/core/crash_suspects.cc
+++ b/src/core/crash_suspects.cc
@@ -114,6 +114,22 @@
   return std::nullopt;
 }
 
+std::vector<std::string> CrashSuspects::Suspected(const std::vector<std::string>& traits) const {
+  std::vector<std::string> suspected;
+  for (const std::string& trait : traits) {
+    const auto found = records_.find(trait);
+    if (found != records_.end() && Suspected(found->second)) suspected.push_back(trait);
+  }
+  return suspected;
+}
+
+void CrashSuspects::OnTrial(const std::vector<std::string>& traits, TimePoint now) {
+  for (const std::string& trait : traits) {
+    const auto found = records_.find(trait);
+    if (found != records_.end()) found->second.trial_until = now + kTrialDuration;
+  }
+}
+
 bool CrashSuspects::RunnersAreSound(const Record& record) const {
   return Answers(record.service) - record.answers_before_first >= kMinOtherAnswers;
 }
--- a/src/core/crash_suspects.h
+++ b/src/core/crash_suspects.h
@@ -62,6 +62,10 @@
   /// gateways at once crashes about one runner.
   std::optional<TimePoint> Admit(const std::vector<std::string>& traits, const std::string& self,
                                  const std::vector<std::string>& gateways, TimePoint now);
+  /// Returns which of the traits are suspected, so that a request with them is on trial.
+  std::vector<std::string> Suspected(const std::vector<std::string>& traits) const;
+  /// Records that another gateway has sent a request with these traits on trial.
+  void OnTrial(const std::vector<std::string>& traits, TimePoint now);
   /// Returns the end of the longest pause of one of these traits, or nothing if none is paused.
   std::optional<TimePoint> RefusedUntil(const std::vector<std::string>& traits,
                                         TimePoint now) const;
--- a/src/gateway/crash_attribution.cc
+++ b/src/gateway/crash_attribution.cc
@@ -20,6 +20,14 @@
   return *until - now;
 }
 
+void CrashAttribution::OnSent(const ForwardedRequest& request) {
+  const std::vector<std::string> traits = suspects_.Suspected(request.traits);
+  if (traits.empty()) return;
+  LogInfo("request_on_trial",
+          {{"request", request.caller.id}, {"traits", absl::StrJoin(traits, ",")}});
+  view_.BroadcastToGateways(TrialMessage{traits});
+}
+
 void CrashAttribution::OnRunnerLost(const ForwardedRequest& request, const std::string& runner) {
   const RunnerState* state = view_.runner_registry().Find(runner);
   if (state == nullptr) return;
--- a/src/gateway/crash_attribution.h
+++ b/src/gateway/crash_attribution.h
@@ -19,6 +19,10 @@
 
   /// Decides whether the request may be sent. Returns for how long it is refused, or nothing.
   std::optional<Duration> Admit(const ForwardedRequest& request, TimePoint now);
+  /// Tells the other gateways if the request that is being sent is on trial.
+  void OnSent(const ForwardedRequest& request);
+  /// Processes another gateway's report of a request on trial.
+  void OnTrial(const TrialMessage& message) { suspects_.OnTrial(message.traits, SteadyNow()); }
   /// Whether the request is refused since it was sent.
   bool Refused(const ForwardedRequest& request, TimePoint now) const {
     return suspects_.RefusedUntil(request.traits, now).has_value();
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -330,6 +330,7 @@
   request.first_byte_received = false;
   request.answer_recorded = false;
   request.channel->ExpireAfter(request.deadline - now);
+  crash_attribution_.OnSent(request);
   const AttemptResult result =
       co_await ExchangeMessages(request, *request.channel, placement.runner, std::move(header));
   request.channel = nullptr;
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -209,6 +209,8 @@
                                               cold_time, SteadyNow());
     } else if (const auto* crash = std::get_if<CrashMessage>(&message)) {
       if (forwarder_ != nullptr) forwarder_->crash_attribution().OnCrash(*crash);
+    } else if (const auto* trial = std::get_if<TrialMessage>(&message)) {
+      if (forwarder_ != nullptr) forwarder_->crash_attribution().OnTrial(*trial);
     } else if (const auto* limit = std::get_if<LimitMessage>(&message)) {
       if (forwarder_ != nullptr) forwarder_->limit_reports().OnMessage(*limit);
     } else if (const auto* cleared = std::get_if<ClearMessage>(&message)) {
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -75,6 +75,10 @@
           {"age_ms", ToMillis(message.age)}};
 }
 
+json::object Encode(const TrialMessage& message) {
+  return {{"type", "trial"}, {"traits", EncodeList(message.traits)}};
+}
+
 json::object Encode(const LimitMessage& message) {
   json::object object{{"type", "limit"}, {"runner", message.runner}};
   if (message.per_second) object["per_second"] = *message.per_second;
@@ -136,6 +140,7 @@
     }
     return message;
   }
+  if (type == "trial") return TrialMessage{DecodeList(object.at("traits"))};
   if (type == "limit") {
     LimitMessage message;
     message.runner = std::string(object.at("runner").as_string());
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -59,6 +59,12 @@
   Duration age{0};  ///< Time since the answer began.
 };
 
+/// A gateway's report that it has sent a request with these traits to find out whether they still
+/// crash runners.
+struct TrialMessage {
+  std::vector<std::string> traits;
+};
+
 /// A gateway's report of what a runner said of the requests that it takes.
 struct LimitMessage {
   std::string runner;
@@ -66,7 +72,7 @@
 };
 
 using PeerMessage =
-    std::variant<HelloMessage, LoadMessage, CrashMessage, ClearMessage, LimitMessage>;
+    std::variant<HelloMessage, LoadMessage, CrashMessage, ClearMessage, TrialMessage, LimitMessage>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 /// Returns nothing for a malformed datagram.
--- a/test/correctness/crash_suspects.cc
+++ b/test/correctness/crash_suspects.cc
@@ -106,6 +106,11 @@
       if (!runner.crash_at) runner.crash_at = now + Millis(50);
       const std::string name = "r" + std::to_string(index);
       attempts_.push_back({gateway, index, retries, {"llm", name, deadly_, now, now}});
+      const std::vector<std::string> on_trial = gateways_[gateway].Suspected(deadly_);
+      for (size_t other = 0; other < gateways_.size(); ++other) {
+        if (other == gateway || Happens(parameters_.lost_percent)) continue;
+        gateways_[other].OnTrial(on_trial, now);
+      }
       later_sends_ += third_crash_at_ && now > *third_crash_at_ + Seconds(3);
       return;
     }
