Heed runners that say they leave or want no requests

Cause: `Server-Leaving` and a runner's `Retry-After` were read nowhere.

Change: one table, `RunnerNotices`, keeps what a runner has said of the requests that it takes: the limits that were in `RequestLimits`, pauses and departures. It survives the removal of the runner's record and ends with the start of the runner that spoke. Placement, the check after a connection was opened, retries, runner checks and idle connections heed it. While a runner is paused the others of its service get only what they hold, so that one pause does not cause the next; a caller that nobody takes is refused at once with the end of the first pause.

--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
+#include <optional>
 
 #include "core/rendezvous.h"
 
@@ -55,8 +57,13 @@
 constexpr Duration kFullRetryAfter = Millis(300);
 constexpr Duration kUnreachableRetryAfter = Millis(600);
 
-constexpr std::array<std::string_view, 8> kRefusalNames = {
-    "none", "no_runner", "closed", "loading", "cold", "full", "unreachable", "limited"};
+// Requests that a runner without load reports holds beyond its slots, as a share of them, while
+// other runners of its service are paused.
+constexpr double kBearableQueueShare = 0.5;
+
+constexpr std::array<std::string_view, 10> kRefusalNames = {
+    "none", "no_runner",   "closed",  "loading", "cold",
+    "full", "unreachable", "limited", "paused",  "leaving"};
 
 struct Candidate {
   const std::string* id = nullptr;
@@ -118,6 +125,8 @@
   for (const auto& [id, state] : runner_registry.runners()) {
     const bool accepts = state.record.service == query.service && state.ReportFresh(now) &&
                          !state.Avoided(now) && !state.replaced && !state.record.draining &&
+                         !runner_registry.notices().Leaving(id) &&
+                         runner_registry.notices().PauseLeft(id, now) == Duration{0} &&
                          FitsMemory(query, state, 0, now);
     engines += accepts ? 1 : 0;
   }
@@ -126,15 +135,53 @@
   return query.demand.tokens_per_s * others / static_cast<double>(engines);
 }
 
+// Returns the time until the first pause of the service's runners ends; nothing if none is paused.
+std::optional<Duration> FirstPauseEnd(const PlacementQuery& query,
+                                      const RunnerRegistry& runner_registry, TimePoint now) {
+  std::optional<Duration> first;
+  for (const auto& [id, state] : runner_registry.runners()) {
+    const RunnerNotices& notices = runner_registry.notices();
+    if (state.record.service != query.service || state.record.draining) continue;
+    if (state.replaced || notices.Leaving(id)) continue;
+    const Duration left = notices.PauseLeft(id, now);
+    if (left > Duration{0} && (!first || left < *first)) first = left;
+  }
+  return first;
+}
+
+// Load pattern: one runner after the other asks for a pause, and the requests of those that pause
+// would push the next one into its pause. While any is paused, the others get only as many requests
+// as they hold; the rest is refused until a pause ends.
+bool BearsMore(const PlacementQuery& query, const RunnerState& state, TimePoint now) {
+  const auto slots = static_cast<double>(std::max<int64_t>(1, state.record.slots));
+  if (state.ReportFresh(now)) return state.Load(now, 1) < slots;
+  const double gateways = query.gateways == nullptr
+                              ? 1
+                              : static_cast<double>(std::max<size_t>(1, query.gateways->size()));
+  const double share = std::floor(slots * (1 + kBearableQueueShare) / gateways);
+  return static_cast<double>(state.in_flight) < std::max(1.0, share);
+}
+
+// Inputs of a placement that are the same for all runners.
+struct SharedInputs {
+  double unreported_per_s = 0;  // Tokens that other gateways send to each engine.
+  std::optional<Duration> first_pause_end;
+};
+
 // Returns whether the runner may get the request now; otherwise records the refusal.
-bool IsEligible(const PlacementQuery& query, RunnerState& state, RequestLimits& request_limits,
-                double unreported_per_s, Placement& placement, TimePoint now) {
+bool IsEligible(const PlacementQuery& query, RunnerState& state, RunnerNotices& notices,
+                const SharedInputs& shared, Placement& placement, TimePoint now) {
   if (query.closed_data_centres != nullptr &&
       query.closed_data_centres->count(state.record.data_centre) > 0) {
     RecordRefusal(placement, PlacementRefusal::kClosed, kUnreachableRetryAfter);
     return false;
   }
-  if (state.record.draining || state.replaced) return false;
+  if (state.record.draining || state.replaced || notices.Leaving(state.record.id)) return false;
+  const Duration paused_for = notices.PauseLeft(state.record.id, now);
+  if (paused_for > Duration{0}) {
+    RecordRefusal(placement, PlacementRefusal::kPaused, paused_for);
+    return false;
+  }
   if (state.record.weights_version < query.min_weights_version) {
     RecordRefusal(placement, PlacementRefusal::kLoading, kLoadingRetryAfter);
     return false;
@@ -158,14 +205,18 @@
                   std::max(kUnreachableRetryAfter / 2, state.avoid_until - now));
     return false;
   }
-  if (query.tokens > 0 && !FitsMemory(query, state, unreported_per_s, now)) {
+  if (query.tokens > 0 && !FitsMemory(query, state, shared.unreported_per_s, now)) {
     RecordRefusal(placement, PlacementRefusal::kFull, kFullRetryAfter);
     return false;
   }
+  if (shared.first_pause_end && !BearsMore(query, state, now)) {
+    RecordRefusal(placement, PlacementRefusal::kFull, *shared.first_pause_end);
+    return false;
+  }
   // Without the list of gateways, this gateway's shares are unknown.
   const std::vector<std::string> unknown;
   const std::vector<std::string>& gateways = query.gateways == nullptr ? unknown : *query.gateways;
-  const Duration limited_for = request_limits.WaitTime(state.record.id, query.self, gateways, now);
+  const Duration limited_for = notices.WaitTime(state.record.id, query.self, gateways, now);
   if (limited_for > Duration{0}) {
     RecordRefusal(placement, PlacementRefusal::kLimited, limited_for);
     return false;
@@ -227,21 +278,31 @@
   std::vector<Candidate> candidates;
   double total = 0;
   uint64_t home_affinity = 0;
-  const double unreported_per_s =
-      query.tokens > 0 ? UnreportedTokensPerSecond(query, runner_registry, now) : 0;
+  RunnerNotices& notices = runner_registry.notices();
+  bool some_leave = false;
+  SharedInputs shared;
+  if (query.tokens > 0) {
+    shared.unreported_per_s = UnreportedTokensPerSecond(query, runner_registry, now);
+  }
+  shared.first_pause_end = FirstPauseEnd(query, runner_registry, now);
   for (auto& [id, state] : runner_registry.runners()) {
     if (state.record.service != query.service) continue;
     const uint64_t affinity = RendezvousMix(query.prefix_hash, RendezvousHash(id));
-    if (query.prefix_hash != 0 && !state.record.draining && !state.replaced &&
-        affinity >= home_affinity) {
+    const bool leaving = state.record.draining || state.replaced || notices.Leaving(id);
+    some_leave = some_leave || leaving;
+    if (query.prefix_hash != 0 && !leaving && affinity >= home_affinity) {
       home_affinity = affinity;
       placement.home = id;
     }
-    if (query.tried != nullptr && query.tried->count(id) > 0) continue;
-    if (!IsEligible(query, state, runner_registry.request_limits(), unreported_per_s, placement,
-                    now)) {
+    if (query.tried != nullptr && query.tried->count(id) > 0) {
+      // A runner that has refused this request may be the one whose pause ends first.
+      const Duration paused_for = notices.PauseLeft(id, now);
+      if (paused_for > Duration{0}) {
+        RecordRefusal(placement, PlacementRefusal::kPaused, paused_for);
+      }
       continue;
     }
+    if (!IsEligible(query, state, notices, shared, placement, now)) continue;
     Candidate candidate{&id, &state, LoadScore(query, state, now), affinity, false};
     candidate.failing = state.FailureRate(now) > kMaxFailureRate;
     if (state.record.weights_version < query.preferred_weights_version) {
@@ -252,7 +313,9 @@
   }
   if (candidates.empty()) {
     if (placement.refusal == PlacementRefusal::kNone) {
-      RecordRefusal(placement, PlacementRefusal::kNoRunner, kUnreachableRetryAfter);
+      RecordRefusal(placement,
+                    some_leave ? PlacementRefusal::kLeaving : PlacementRefusal::kNoRunner,
+                    kUnreachableRetryAfter);
     }
     return placement;
   }
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -44,7 +44,9 @@
   kCold,
   kFull,
   kUnreachable,
-  kLimited
+  kLimited,
+  kPaused,   ///< The runners have asked for no requests for a time.
+  kLeaving,  ///< The runners have said that they leave.
 };
 
 /// Returns the refusal's name in logs and metrics.
--- a/src/core/runner_registry.cc
+++ b/src/core/runner_registry.cc
@@ -59,7 +59,8 @@
   // A record from before the runner's last start does not describe its current state.
   const bool current = record.started_ms >= state.started_ms;
   const bool newer = current && (created || restarted || record.sequence > state.record.sequence);
-  if (restarted) request_limits_.Forget(record.id);
+  if (restarted) notices_.OnRestart(record.id, record.started_ms);
+  if (created) notices_.OnListed(record.id, record.started_ms);
   if (created || restarted) {
     const int64_t in_flight = state.in_flight;
     const TimePoint cold_until = state.cold_until;
@@ -135,7 +136,7 @@
     state.tokens_since_report = 0;
     state.record.weights_version = std::max(state.record.weights_version, report->weights_version);
     if (restarted) {
-      request_limits_.Forget(id);
+      notices_.OnRestart(id, report->started_ms);
       state.started_ms = report->started_ms;
       state.cold_until = std::max(state.cold_until, now + cold_time);
       state.avoid_until = now;
@@ -150,7 +151,7 @@
   ++state->sent_since_report;
   state->tokens_since_report += tokens;
   if (state->Cold(now)) state->cold_requests.OnSent(now);
-  request_limits_.OnSent(id, now);
+  notices_.OnSent(id, now);
 }
 
 void RunnerRegistry::OnRequestEnd(const std::string& id) {
--- a/src/core/runner_registry.h
+++ b/src/core/runner_registry.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "core/clock.h"
-#include "core/request_limits.h"
 #include "core/request_share.h"
+#include "core/runner_notices.h"
 #include "core/runner_record.h"
 
 namespace fuchsiaweir {
@@ -87,8 +87,9 @@
                         TimePoint now);
 
   RunnerState* Find(const std::string& id);
-  /// Limits that the runners have named. They survive the removal of a runner's record.
-  RequestLimits& request_limits() { return request_limits_; }
+  /// What the runners have said of the requests that they take.
+  RunnerNotices& notices() { return notices_; }
+  const RunnerNotices& notices() const { return notices_; }
   std::map<std::string, RunnerState>& runners() { return runners_; }
   const std::map<std::string, RunnerState>& runners() const { return runners_; }
 
@@ -97,7 +98,7 @@
   void MarkReplaced(const std::string& address, uint16_t port);
 
   std::map<std::string, RunnerState> runners_;
-  RequestLimits request_limits_;
+  RunnerNotices notices_;
 };
 
 }  // namespace fuchsiaweir
--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -546,14 +546,17 @@
                {{"kind", kind}})
         .Set(static_cast<double>(ToMillis(SuspendAwareNow() - state.as_of)));
   }
-  std::map<std::string, double> states{
-      {"avoided", 0}, {"cold", 0}, {"leaving", 0}, {"missing", 0}, {"in_use", 0}};
+  std::map<std::string, double> states{{"avoided", 0}, {"cold", 0},   {"leaving", 0},
+                                       {"missing", 0}, {"paused", 0}, {"in_use", 0}};
+  const RunnerNotices& notices = runner_registry_.notices();
   for (const auto& [id, state] : runner_registry_.runners()) {
-    const char* name = state.record.draining || state.replaced ? "leaving"
-                       : state.missing_since                   ? "missing"
-                       : state.Avoided(now)                    ? "avoided"
-                       : state.Cold(now)                       ? "cold"
-                                                               : "in_use";
+    const bool leaving = state.record.draining || state.replaced || notices.Leaving(id);
+    const char* name = leaving                                    ? "leaving"
+                       : state.missing_since                      ? "missing"
+                       : state.Avoided(now)                       ? "avoided"
+                       : notices.PauseLeft(id, now) > Duration{0} ? "paused"
+                       : state.Cold(now)                          ? "cold"
+                                                                  : "in_use";
     ++states[name];
   }
   for (const auto& [name, count] : states) {
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -28,6 +28,8 @@
   RunState run_state = RunState::kNotRun;
   std::string reason;
   Duration retry_after{0};
+  /// The request cannot be served earlier, so the time is not shortened to what callers wait.
+  bool earliest = false;
 };
 
 /// State of a caller's request: the decisions about it and its attempts.
@@ -54,6 +56,7 @@
 
   RunnerChannel* channel = nullptr;  ///< Channel of the attempt in progress, or null.
   std::string runner;
+  int64_t runner_started_ms = 0;  ///< Start of the runner, Unix time; 0: not known.
   TimePoint sent_at;
   bool first_byte_received = false;  ///< By the attempt in progress; streams only.
   TimePoint first_byte_at;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <limits>
 #include <utility>
 
 #include "core/error_code.h"
@@ -88,7 +89,7 @@
       channels_(components.io()),
       runner_check_(components.io(), view, channels_),
       crash_attribution_(view, metrics_),
-      limit_reports_(view),
+      notice_reports_(view, metrics_),
       admission_(view, crash_attribution_, metrics_),
       random_state_(RendezvousHash(view.settings().name) ^ static_cast<uint64_t>(UnixMillis())) {
   components.Find<TimerService>("timer").Subscribe("forwarder", kTickPeriod,
@@ -144,10 +145,12 @@
     }
     if (request.failure_status != 0 && result == AttemptResult::kOwnFailure) break;
     if (request.runs == 0) {
-      Placement none;
-      none.refusal = result == AttemptResult::kNotRun ? PlacementRefusal::kFull
-                                                      : PlacementRefusal::kUnreachable;
-      none.retry_after = kRejectedRetryAfter;
+      Placement none = TryPlacement(request, SteadyNow());
+      if (none.refusal != PlacementRefusal::kPaused) {
+        none.refusal = result == AttemptResult::kNotRun ? PlacementRefusal::kFull
+                                                        : PlacementRefusal::kUnreachable;
+        none.retry_after = kRejectedRetryAfter;
+      }
       Refusal refusal = MakeRefusal(request, none);
       co_return co_await SendRefusal(request, std::move(refusal));
     }
@@ -237,6 +240,11 @@
     const bool timed_out = now - started_at + kPlacementPollInterval > limit ||
                            now + kPlacementPollInterval > request.deadline;
     if (timed_out || placement.retry_after > limit * kMaxExpectedWaitFactor) co_return placement;
+    // The end of a pause is known, unlike that of an overload.
+    if (placement.refusal == PlacementRefusal::kPaused &&
+        now + placement.retry_after > started_at + limit) {
+      co_return placement;
+    }
     co_await SleepFor(kPlacementPollInterval);
   }
 }
@@ -305,8 +313,7 @@
     co_return AttemptResult::kCallerGone;
   }
   if (now >= request.deadline) co_return AttemptResult::kDeadlineExceeded;
-  if (chosen == nullptr || chosen->record.draining ||
-      view_.evacuated().count(chosen->record.data_centre) > 0) {
+  if (chosen == nullptr || !TakesRequests(*chosen, now)) {
     channels_.Release(endpoint, std::move(acquired.channel));
     co_return AttemptResult::kNotSent;
   }
@@ -324,6 +331,7 @@
                            {"reused", acquired.reused ? "yes" : "no"}});
   request.channel = acquired.channel.get();
   request.runner = placement.runner;
+  request.runner_started_ms = chosen->started_ms;
   request.sent_at = now;
   request.abandoned = false;
   request.withdrawn = false;
@@ -340,10 +348,21 @@
   if (acquired.reused && silent && !request.first_byte_received) {
     channels_.CloseIdleSince(endpoint, request.sent_at);
   }
+  if (view_.runner_registry().notices().Leaving(placement.runner)) {
+    channels_.CloseIdleSince(endpoint, SteadyNow());
+    co_return result;
+  }
   channels_.Release(endpoint, std::move(acquired.channel));
   co_return result;
 }
 
+bool Forwarder::TakesRequests(const RunnerState& runner, TimePoint now) const {
+  const RunnerNotices& notices = view_.runner_registry().notices();
+  return !runner.record.draining && !notices.Leaving(runner.record.id) &&
+         notices.PauseLeft(runner.record.id, now) == Duration{0} &&
+         view_.evacuated().count(runner.record.data_centre) == 0;
+}
+
 Awaitable<Forwarder::AttemptResult> Forwarder::ExchangeMessages(ForwardedRequest& request,
                                                                 RunnerChannel& channel,
                                                                 const std::string& runner,
@@ -357,7 +376,7 @@
   if (!received) co_return RecordBrokenAttempt(request, channel, runner);
   const platform::RunnerAnswer& answer = runner_header.answer;
   const bool success = answer.status / 100 == 2;
-  limit_reports_.OnAnswer(runner, answer);
+  notice_reports_.OnAnswer(runner, request.runner_started_ms, answer);
   if (!answer.not_run && (!answer.has_receipt || answer.encoded)) {
     channel.Close();
     co_return RecordBrokenAttempt(request, channel, runner);
@@ -499,9 +518,11 @@
   refusal.code = placement.refusal == PlacementRefusal::kCold      ? ErrorCode::kCold
                  : placement.refusal == PlacementRefusal::kFull    ? ErrorCode::kOverloaded
                  : placement.refusal == PlacementRefusal::kLimited ? ErrorCode::kOverloaded
+                 : placement.refusal == PlacementRefusal::kPaused  ? ErrorCode::kOverloaded
                                                                    : ErrorCode::kNoTarget;
   refusal.reason = "no runner takes the request: " + std::string(Name(placement.refusal));
   refusal.retry_after = placement.retry_after;
+  refusal.earliest = placement.refusal == PlacementRefusal::kPaused;
   if (placement.refusal == PlacementRefusal::kFull) {
     const Duration estimate = retry_after_estimators_[request.service].OnRefused(SteadyNow());
     refusal.retry_after = std::max(refusal.retry_after, estimate);
@@ -521,7 +542,9 @@
       request.caller.time_left.value_or(kDefaultTimeLeft) - (SteadyNow() - request.arrived_at);
   if (refusal.retry_after > Duration{0}) {
     const double spread = 1 + kRetryAfterJitter * NextRandom();
-    const double max_us = static_cast<double>(time_left.count()) * kMaxRetryAfterShare;
+    const double max_us = refusal.earliest
+                              ? std::numeric_limits<double>::max()
+                              : static_cast<double>(time_left.count()) * kMaxRetryAfterShare;
     refusal.retry_after = Micros(static_cast<int64_t>(
         std::min(static_cast<double>(refusal.retry_after.count()) * spread, max_us)));
   }
@@ -551,9 +574,9 @@
   channels_.CloseExpired(now);
   metrics_.Gauge("fuchsiaweir_requests_in_flight", "Requests that have not been answered.")
       .Set(static_cast<double>(requests_.size()));
-  view_.runner_registry().request_limits().Expire(now);
+  view_.runner_registry().notices().Expire(now);
   metrics_.Gauge("fuchsiaweir_limited_runners", "Runners that have named a limit of requests.")
-      .Set(static_cast<double>(view_.runner_registry().request_limits().size()));
+      .Set(static_cast<double>(view_.runner_registry().notices().limited()));
   metrics_.Gauge("fuchsiaweir_runner_connections_opened", "Connections opened to runners.")
       .Set(static_cast<double>(channels_.opened()));
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -15,7 +15,7 @@
 #include "gateway/crash_attribution.h"
 #include "gateway/fleet_view.h"
 #include "gateway/forwarded_request.h"
-#include "gateway/limit_reports.h"
+#include "gateway/notice_reports.h"
 #include "gateway/part_watch.h"
 #include "gateway/runner_channel.h"
 #include "gateway/runner_check.h"
@@ -32,8 +32,8 @@
   Awaitable<void> Handle(HttpExchange& exchange);
   /// Receives the other gateways' reports of crashes.
   CrashAttribution& crash_attribution() { return crash_attribution_; }
-  /// Receives the other gateways' reports of runners' limits.
-  LimitReports& limit_reports() { return limit_reports_; }
+  /// Receives the other gateways' reports of what runners said.
+  NoticeReports& notice_reports() { return notice_reports_; }
   /// Number of requests that have not been answered.
   size_t in_flight() const { return requests_.size(); }
 
@@ -43,6 +43,8 @@
   Awaitable<void> ProcessRequest(ForwardedRequest& request);
   Awaitable<Placement> WaitForPlacement(ForwardedRequest& request);
   Placement TryPlacement(ForwardedRequest& request, TimePoint now);
+  /// Whether the runner may get a request that was placed there; it may have asked for none since.
+  bool TakesRequests(const RunnerState& runner, TimePoint now) const;
   /// Sends the request to the runner once.
   Awaitable<AttemptResult> RunAttempt(ForwardedRequest& request, const Placement& placement);
   Awaitable<AttemptResult> ExchangeMessages(ForwardedRequest& request, RunnerChannel& channel,
@@ -72,7 +74,7 @@
   RunnerChannelPool channels_;
   RunnerCheck runner_check_;
   CrashAttribution crash_attribution_;
-  LimitReports limit_reports_;
+  NoticeReports notice_reports_;
   AdmissionController admission_;
   std::set<ForwardedRequest*> requests_;
   std::map<std::string, RetryAfterEstimator> retry_after_estimators_;  ///< By service.
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -212,7 +212,7 @@
     } else if (const auto* trial = std::get_if<TrialMessage>(&message)) {
       if (forwarder_ != nullptr) forwarder_->crash_attribution().OnTrial(*trial);
     } else if (const auto* limit = std::get_if<LimitMessage>(&message)) {
-      if (forwarder_ != nullptr) forwarder_->limit_reports().OnMessage(*limit);
+      if (forwarder_ != nullptr) forwarder_->notice_reports().OnMessage(*limit);
     } else if (const auto* cleared = std::get_if<ClearMessage>(&message)) {
       if (forwarder_ != nullptr) forwarder_->crash_attribution().OnCleared(*cleared);
     }
--- a/src/gateway/runner_check.cc
+++ b/src/gateway/runner_check.cc
@@ -20,6 +20,7 @@
   pending_.erase(runner);
   const RunnerState* state = view_.runner_registry().Find(runner);
   if (state == nullptr || state->Avoided(SteadyNow())) co_return;
+  if (view_.runner_registry().notices().Leaving(runner)) co_return;
   const Endpoint endpoint{state->record.address, state->record.port};
   if (channels_.HasOpen(endpoint)) co_return;
   const Duration cold_time = view_.ColdTime(state->record.service);
--- a/test/standin/fleet_runner.cc
+++ b/test/standin/fleet_runner.cc
@@ -102,6 +102,7 @@
     if (HasFault("limit")) {
       headers.emplace_back(platform::kRequestLimitHeader, faults_.at("limit").as_string().c_str());
     }
+    if (HasFault("leaving")) headers.emplace_back(platform::kLeavingHeader, "1");
     return headers;
   }
 
@@ -119,8 +120,12 @@
       response.status = kMisdirectedRequest;
       co_return static_cast<void>(co_await exchange.Respond(std::move(response)));
     }
-    if (HasFault("full") || loading_) {
+    if (HasFault("full") || HasFault("pause") || loading_) {
       response.status = 503;
+      if (HasFault("pause")) {
+        response.headers.emplace_back(platform::kRetryAfterHeader,
+                                      faults_.at("pause").as_string().c_str());
+      }
       response.headers.emplace_back(platform::kNotRunHeader, "1");
       co_return static_cast<void>(co_await exchange.Respond(std::move(response)));
     }
--- a/test/standin/fleet_runner.h
+++ b/test/standin/fleet_runner.h
@@ -15,7 +15,8 @@
 /// (never respond), "fail" (respond with status 500), "extra" (send a second response after each),
 /// "no_receipt" (omit the proof that the response comes from the runner),
 /// "unframed" (send a stream with neither a length nor chunks, of this number of events),
-/// "limit" (name this limit of requests per second in each response),
+/// "limit" (name this limit of requests per second in each response), "leaving" (say in each
+/// response that the runner leaves), "pause" (refuse requests as not run for this Retry-After),
 /// "silence_open_connections" (never respond on connections that are open now), "crash_part" and
 /// "crash_text" (exit on a request whose list of prompt parts, or whose body, contains this text).
 void RunFleetRunner(int port, const std::string& instance);
