Read each entry and number of other writers through one checked boundary

Cause: a list or watch was parsed as one JSON text, so one entry nested more than 32 deep, with invalid UTF-8 or a number without a representation made all of it unreadable and every process stopped following the list. Doubles out of range were cast to integers, which is undefined and differs between machines. A malformed relay response of kept parts ended its task.

Change: `platform/store_page` parses a page whole if possible, else entry by entry (`platform/json_pieces`, constant stack). What cannot be parsed is marked alone, logged once for each revision, counted, and read again when it changes. A peer without a port no longer counts as a gateway.

--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -349,7 +349,8 @@
   }
   KindState& state = found->second;
   const int64_t since = target.QueryInteger("since", 0);
-  const Duration wait = std::min(Millis(target.QueryInteger("wait_ms", 0)), kMaxRelayWait);
+  const Duration wait =
+      Millis(std::clamp<int64_t>(target.QueryInteger("wait_ms", 0), 0, ToMillis(kMaxRelayWait)));
   if (!state.log.HasChangesSince(since)) {
     boost::asio::steady_timer timer(io_);
     timer.expires_after(wait);
@@ -418,8 +419,13 @@
 void FleetView::ApplyRunner(const StoredObject& object) {
   const TimePoint now = SteadyNow();
   std::optional<RunnerRecord> record;
-  if (!object.removed) record = platform::DecodeRunner(object.name, object.content);
+  if (!object.removed) {
+    platform::FieldError error;
+    record = platform::DecodeRunner(object.name, object.content, error);
+    if (!record) RecordUnreadable(object, error);
+  }
   const RunnerState* known = runner_registry_.Find(object.name);
+  if (object.removed) unreadable_revisions_.erase(object.name);
   if (!record) {
     if (known == nullptr) return;
     const bool hold = health_.runner_outage();
@@ -430,6 +436,7 @@
     runner_registry_.Remove(object.name, hold, now);
     return;
   }
+  unreadable_revisions_.erase(object.name);
   if (known == nullptr || known->record.draining != record->draining ||
       known->record.started_ms != record->started_ms || record->cold_left > Duration{0}) {
     LogInfo("runner_listed", {{"runner", record->id},
@@ -443,6 +450,20 @@
   runner_registry_.Upsert(*record, now);
 }
 
+void FleetView::RecordUnreadable(const StoredObject& object, const platform::FieldError& error) {
+  // Each listing brings the entry again.
+  if (std::exchange(unreadable_revisions_[object.name], object.revision) == object.revision) return;
+  LogWarning("runner_entry_unreadable", {{"runner", object.name},
+                                         {"revision", absl::StrCat(object.revision)},
+                                         {"field", error.field},
+                                         {"value", error.value},
+                                         {"reason", object.unreadable}});
+  metrics_
+      .Counter("fuchsiaweir_unreadable_entries_total",
+               "Entries of the list of runners that could not be read.", {})
+      .Increment();
+}
+
 void FleetView::ApplyEvacuation(const StoredObject& object) {
   const bool changed =
       object.removed ? evacuated_.erase(object.name) > 0 : evacuated_.insert(object.name).second;
@@ -487,6 +508,9 @@
     const json::value* address = spec.if_contains("address");
     const json::value* role = spec.if_contains("role");
     if (address == nullptr || !address->is_string() || role == nullptr) return;
+    if (ParseEndpoint(std::string(address->as_string())).port == 0) {
+      return LogWarning("peer_address_malformed", {{"peer", object.name}});
+    }
     Peer& peer = peers_[object.name];
     peer.endpoint = ParseEndpoint(std::string(address->as_string()));
     peer.gateway = role->is_string() && role->as_string() == "gateway";
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -22,6 +22,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/metrics.h"
+#include "platform/field_access.h"
 #include "platform/object_store.h"
 
 namespace fuchsiaweir {
@@ -124,6 +125,8 @@
 
   void ApplyConfig(const platform::StoredObject& object);
   void ApplyRunner(const platform::StoredObject& object);
+  /// Logs and counts a runner's entry that cannot be read, once for each of its revisions.
+  void RecordUnreadable(const platform::StoredObject& object, const platform::FieldError& error);
   void ApplyEvacuation(const platform::StoredObject& object);
   void ApplyWeights(const platform::StoredObject& object);
   void ApplyPeer(const platform::StoredObject& object);
@@ -161,6 +164,7 @@
   std::vector<std::function<void(const RouteTable&)>> table_listeners_;
   RunnerRegistry runner_registry_;
   bool runners_listed_ = false;
+  std::map<std::string, int64_t> unreadable_revisions_;  ///< By runner.
   std::set<std::string> evacuated_;
   std::map<std::string, WeightsHistory> weights_;
   std::map<std::string, Peer> peers_;
--- a/src/gateway/object_log.cc
+++ b/src/gateway/object_log.cc
@@ -3,8 +3,12 @@
 #include <boost/json.hpp>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <utility>
 
+#include "platform/field_access.h"
+#include "platform/json_pieces.h"
+
 namespace fuchsiaweir {
 namespace {
 
@@ -15,6 +19,29 @@
 /// this covers some seconds of a large fleet. A process that is further behind gets all objects.
 constexpr size_t kMaxHistory = 2'000;
 
+/// Decodes an object of a relay's response. Its content may come from another writer.
+std::optional<StoredObject> DecodeObject(std::string_view text) {
+  const platform::JsonMembers members = platform::SplitMembers(text);
+  json::object fields;
+  std::string error;
+  for (const char* name : {"name", "revision", "removed"}) {
+    fields[name] = platform::ParsePiece(platform::FindMember(members, name), 1, error);
+  }
+  if (!error.empty() || !fields["name"].is_string()) return std::nullopt;
+  StoredObject object;
+  object.name = platform::StringAt(fields, "name");
+  object.revision = platform::IntegerAt(fields, "revision");
+  object.removed = platform::BooleanAt(fields, "removed");
+  platform::DecodeContent(platform::FindMember(members, "content"), object);
+  // Processes of an earlier version do not send this field.
+  const std::string_view reason = platform::FindMember(members, "unreadable");
+  if (object.unreadable.empty() && !reason.empty()) {
+    fields["unreadable"] = platform::ParsePiece(reason, 1, error);
+    object.unreadable = platform::StringAt(fields, "unreadable");
+  }
+  return object;
+}
+
 }  // namespace
 
 std::string EncodeObjectChanges(const ObjectChanges& changes) {
@@ -23,6 +50,7 @@
     objects.push_back(json::object{{"name", object.name},
                                    {"revision", object.revision},
                                    {"removed", object.removed},
+                                   {"unreadable", object.unreadable},
                                    {"content", object.content}});
   }
   return json::serialize(json::object{{"all", changes.full},
@@ -33,26 +61,25 @@
 }
 
 std::optional<ObjectChanges> DecodeObjectChanges(const std::string& body) {
-  try {
-    const json::object object = json::parse(body).as_object();
-    ObjectChanges changes;
-    changes.full = object.at("all").as_bool();
-    changes.revision = object.at("revision").to_number<int64_t>();
-    changes.age = Millis(object.at("age_ms").to_number<int64_t>());
-    changes.outage = object.at("outage").as_bool();
-    for (const json::value& item : object.at("objects").as_array()) {
-      StoredObject stored;
-      stored.name = std::string(item.at("name").as_string());
-      stored.revision = item.at("revision").to_number<int64_t>();
-      stored.removed = item.at("removed").as_bool();
-      stored.content = item.at("content");
-      changes.objects.push_back(std::move(stored));
+  const platform::JsonMembers members = platform::SplitMembers(body);
+  json::object fields;
+  std::string error;
+  for (const char* name : {"all", "revision", "age_ms", "outage"}) {
+    fields[name] = platform::ParsePiece(platform::FindMember(members, name), 1, error);
+  }
+  if (!error.empty()) return std::nullopt;
+  ObjectChanges changes;
+  changes.full = platform::BooleanAt(fields, "all");
+  changes.revision = platform::IntegerAt(fields, "revision");
+  changes.age = platform::MillisAt(fields, "age_ms");
+  changes.outage = platform::BooleanAt(fields, "outage");
+  for (const std::string_view item :
+       platform::SplitElements(platform::FindMember(members, "objects"))) {
+    if (std::optional<StoredObject> object = DecodeObject(item)) {
+      changes.objects.push_back(std::move(*object));
     }
-    return changes;
-  } catch (const std::exception&) {
-    // Not JSON, or a field is missing or has another type; the caller logs it.
-    return std::nullopt;
   }
+  return changes;
 }
 
 std::vector<StoredObject> ObjectLog::Reset(std::vector<StoredObject> objects, int64_t revision) {
--- a/src/gateway/object_log.h
+++ b/src/gateway/object_log.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "core/clock.h"
-#include "platform/object_store.h"
+#include "platform/store_page.h"
 
 namespace fuchsiaweir {
 
--- a/src/gateway/part_watch.cc
+++ b/src/gateway/part_watch.cc
@@ -10,6 +10,7 @@
 #include "core/rendezvous.h"
 #include "core/token_demand.h"
 #include "net/log.h"
+#include "platform/field_access.h"
 #include "platform/runner_api.h"
 
 namespace fuchsiaweir {
@@ -50,14 +51,24 @@
                       {"changes", std::move(rows)}};
 }
 
-CacheChanges Decode(const json::object& object) {
+/// Returns nothing if a field is missing or has another type.
+std::optional<CacheChanges> Decode(const json::object& object) {
+  if (!platform::NumberAt(object, "epoch") || !platform::NumberAt(object, "next")) {
+    return std::nullopt;
+  }
   CacheChanges changes;
-  changes.epoch = object.at("epoch").to_number<int64_t>();
-  changes.next = object.at("next").to_number<int64_t>();
-  for (const json::value& item : object.at("changes").as_array()) {
-    const json::array& row = item.as_array();
-    changes.changes.push_back({row.at(0).as_bool(), std::string(row.at(1).as_string()),
-                               std::string(row.at(2).as_string()), row.at(3).to_number<int64_t>()});
+  changes.epoch = platform::IntegerAt(object, "epoch");
+  changes.next = platform::IntegerAt(object, "next");
+  for (const json::value& item : platform::ArrayAt(object, "changes")) {
+    const json::array* row = item.if_array();
+    if (row == nullptr || row->size() < 4 || !(*row)[0].is_bool() || !(*row)[1].is_string() ||
+        !(*row)[2].is_string()) {
+      return std::nullopt;
+    }
+    const std::optional<int64_t> tokens = platform::ToInteger((*row)[3], platform::kCounts);
+    if (!tokens) return std::nullopt;
+    changes.changes.push_back({(*row)[0].as_bool(), std::string((*row)[1].as_string()),
+                               std::string((*row)[2].as_string()), *tokens});
   }
   return changes;
 }
@@ -229,11 +240,14 @@
   }
   boost::system::error_code failure;
   const json::value value = json::parse(result.response->body, failure);
-  if (failure || !value.is_object()) {
+  std::optional<CacheChanges> changes =
+      failure || !value.is_object() ? std::nullopt : Decode(value.as_object());
+  if (!changes) {
+    LogWarning("parts_malformed", {{"store", store.service}});
     store.contents.MarkUnknown();
     co_return false;
   }
-  ApplyChanges(store, Decode(value.as_object()), value.as_object().at("all").as_bool());
+  ApplyChanges(store, *changes, platform::BooleanAt(value.as_object(), "all"));
   co_return true;
 }
 
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "net/log.h"
+#include "platform/field_access.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -17,6 +18,7 @@
 
 /// Messages fit into one Ethernet frame, since a datagram is lost if any of its fragments is.
 constexpr size_t kMaxDatagramBytes = 1'400;
+constexpr int64_t kMaxAgeMs = 365LL * 86'400'000;
 
 json::object Encode(const HelloMessage& message) {
   json::object object{{"type", "hello"}, {"name", message.name}, {"revision", message.revision}};
@@ -54,6 +56,19 @@
   return json::array(items.begin(), items.end());
 }
 
+/// Throws std::invalid_argument for anything but an integer that JSON represents exactly.
+int64_t DecodeInteger(const json::value& value) {
+  const std::optional<int64_t> number = platform::ToInteger(value, platform::kExactIntegers);
+  if (!number) throw std::invalid_argument("not an integer in range");
+  return *number;
+}
+
+/// Decodes an age or a time in milliseconds. Times before now and long ones are bounded, since sums
+/// of durations must not overflow.
+Duration DecodeAge(const json::value& value) {
+  return Millis(std::clamp<int64_t>(DecodeInteger(value), 0, kMaxAgeMs));
+}
+
 std::vector<std::string> DecodeList(const json::value& value) {
   std::vector<std::string> items;
   for (const json::value& item : value.as_array()) items.emplace_back(item.as_string());
@@ -87,16 +102,16 @@
 
 EngineReport DecodeReport(const json::object& object) {
   EngineReport report;
-  report.running = object.at("running").to_number<int64_t>();
-  report.waiting = object.at("waiting").to_number<int64_t>();
-  report.memory_used = object.at("memory_used").to_number<int64_t>();
-  report.memory_total = object.at("memory_total").to_number<int64_t>();
-  const int64_t phase = object.at("phase").to_number<int64_t>();
+  report.running = DecodeInteger(object.at("running"));
+  report.waiting = DecodeInteger(object.at("waiting"));
+  report.memory_used = DecodeInteger(object.at("memory_used"));
+  report.memory_total = DecodeInteger(object.at("memory_total"));
+  const int64_t phase = DecodeInteger(object.at("phase"));
   report.phase = static_cast<WeightLoadPhase>(std::clamp<int64_t>(phase, 0, 2));
-  report.started_ms = object.at("started_ms").to_number<int64_t>();
-  report.runner_time_ms = object.at("runner_time_ms").to_number<int64_t>();
+  report.started_ms = DecodeInteger(object.at("started_ms"));
+  report.runner_time_ms = DecodeInteger(object.at("runner_time_ms"));
   report.model = std::string(object.at("model").as_string());
-  report.weights_version = object.at("weights_version").to_number<int64_t>();
+  report.weights_version = DecodeInteger(object.at("weights_version"));
   return report;
 }
 
@@ -105,21 +120,20 @@
   if (type == "hello") {
     HelloMessage message;
     message.name = std::string(object.at("name").as_string());
-    message.revision = object.at("revision").to_number<int64_t>();
+    message.revision = DecodeInteger(object.at("revision"));
     if (const json::value* age = object.if_contains("confirmed_age_ms")) {
-      message.confirmed_age = Millis(age->to_number<int64_t>());
+      message.confirmed_age = DecodeAge(*age);
     }
     for (const json::value& item : object.at("weights").as_array()) {
       const json::array& row = item.as_array();
-      message.weights.push_back({std::string(row.at(0).as_string()), row.at(1).to_number<int64_t>(),
-                                 Millis(row.at(2).to_number<int64_t>())});
+      message.weights.push_back(
+          {std::string(row.at(0).as_string()), DecodeInteger(row.at(1)), DecodeAge(row.at(2))});
     }
     // Processes of an earlier version do not send this field.
     if (const json::value* changes = object.if_contains("changes")) {
       for (const json::value& item : changes->as_array()) {
         const json::array& row = item.as_array();
-        message.changes.push_back(
-            {std::string(row.at(0).as_string()), row.at(1).to_number<int64_t>()});
+        message.changes.push_back({std::string(row.at(0).as_string()), DecodeInteger(row.at(1))});
       }
     }
     return message;
@@ -136,7 +150,7 @@
     ClearMessage message{DecodeList(object.at("traits")), Duration{0}};
     // Processes of an earlier version do not send this field.
     if (const json::value* age = object.if_contains("age_ms")) {
-      message.age = Millis(age->to_number<int64_t>());
+      message.age = DecodeAge(*age);
     }
     return message;
   }
@@ -154,8 +168,8 @@
   message.service = std::string(object.at("service").as_string());
   message.runner = std::string(object.at("runner").as_string());
   message.traits = DecodeList(object.at("traits"));
-  message.sent_age = Millis(object.at("sent_age_ms").to_number<int64_t>());
-  message.lost_age = Millis(object.at("lost_age_ms").to_number<int64_t>());
+  message.sent_age = DecodeAge(object.at("sent_age_ms"));
+  message.lost_age = DecodeAge(object.at("lost_age_ms"));
   return message;
 }
 
