Tie 'not run' and every answer to the attempt that asked for it

Cause: a refusal that a faulty runner sends once more was dropped only if its request id differed. If the same request came to the same connection again, the copy was taken for its answer: the caller was told 'not run' for a request that ran. A runner's 408, 429 or 503 without proof that the request has not run was passed on to callers of non-idempotent routes, who take it as that promise. The client of the store and of peers used idle connections that held unread bytes, the second copy of an earlier answer.

Change: a request never goes over a connection on which the runner has refused its id. Such a status without proof becomes 502. Idle connections with unread bytes are closed.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -294,8 +294,9 @@
   if (chosen == nullptr) co_return AttemptResult::kNotSent;
   const Endpoint endpoint{chosen->record.address, chosen->record.port};
   const Duration cold_time = view_.ColdTime(request.service);
-  RunnerChannelPool::Acquired acquired =
-      co_await channels_.Acquire(endpoint, request.repeatable(), kRunnerConnectTimeout);
+  std::string id = request.caller.id;
+  RunnerChannelPool::Acquired acquired = co_await channels_.Acquire(
+      endpoint, std::move(id), request.repeatable(), kRunnerConnectTimeout);
   const TimePoint now = SteadyNow();
   if (acquired.channel == nullptr) {
     view_.runner_registry().OnAttemptOutcome(placement.runner, AttemptOutcome::kUnreachable,
@@ -398,6 +399,12 @@
   }
   if (read == RunnerChannel::Read::kBroken) co_return RecordBrokenAttempt(request, channel, runner);
   request.time_to_first_byte = SteadyNow() - request.arrived_at;
+  // The status would promise the caller what the runner does not: that the request has not run.
+  if (answer.promises_not_run && !request.repeatable()) {
+    runner_registry.OnAttemptOutcome(runner, AttemptOutcome::kOwnFailure, cold_time, SteadyNow());
+    request.attempt_log.push_back(absl::StrCat(runner, ":unproved_status_", answer.status));
+    co_return AttemptResult::kUnknown;
+  }
   if (answer.status >= 500) {
     runner_registry.OnAttemptOutcome(runner, AttemptOutcome::kOwnFailure, cold_time, SteadyNow());
     request.attempt_log.push_back(absl::StrCat(runner, ":status_", answer.status));
--- a/src/gateway/runner_channel.cc
+++ b/src/gateway/runner_channel.cc
@@ -1,14 +1,11 @@
 #include "gateway/runner_channel.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <cerrno>
 #include <optional>
 #include <utility>
 
@@ -40,13 +37,8 @@
 /// A faulty runner may send without end. Responses are small; the limit protects the memory.
 constexpr size_t kMaxHeldBytes = 8'000'000;
 
-/// Whether the peer has closed the connection or sent unexpected bytes.
-bool HasUnexpectedInput(HttpTransport& transport) {
-  char byte = 0;
-  const ssize_t count =
-      recv(transport.tcp().socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-  return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-}
+/// Refusals on one connection after which it is not used again.
+constexpr size_t kMaxRefusals = 256;
 
 }  // namespace
 
@@ -94,7 +86,10 @@
     header.answer =
         platform::DecodeRunnerAnswer(static_cast<int>(parser.get().result_int()), header.fields);
     keep_alive_ = header.answer.keep_alive;
-    if (header.answer.request_id == request_id) co_return true;
+    if (header.answer.request_id == request_id) {
+      if (header.answer.not_run) refused_.insert(request_id);
+      co_return true;
+    }
     std::string dropped;
     Read read = Read::kData;
     while (read == Read::kData) read = co_await ReadBody(dropped);
@@ -136,12 +131,17 @@
   if (impl_->closed || !impl_->complete || !impl_->parser || !impl_->parser->keep_alive()) {
     return false;
   }
-  return !impl_->transport.HasBufferedInput() && !HasUnexpectedInput(impl_->transport);
+  return refused_.size() < kMaxRefusals && !impl_->transport.HasUnexpectedInput();
 }
 
-Awaitable<RunnerChannelPool::Acquired> RunnerChannelPool::Acquire(Endpoint runner, bool repeatable,
+Awaitable<RunnerChannelPool::Acquired> RunnerChannelPool::Acquire(Endpoint runner,
+                                                                  std::string request_id,
+                                                                  bool repeatable,
                                                                   Duration timeout) {
   Acquired acquired;
+  const auto unsuited = [&](const RunnerChannel& channel) {
+    return !channel.Reusable() || channel.HasRefused(request_id);
+  };
   std::list<IdleChannel>& idle_list = idle_[runner];
   const TimePoint now = SteadyNow();
   while (!idle_list.empty()) {
@@ -153,7 +153,7 @@
       idle_list.push_back(std::move(idle));
       break;
     }
-    if (!idle.channel->Reusable()) continue;
+    if (unsuited(*idle.channel)) continue;
     acquired.channel = std::move(idle.channel);
     acquired.reused = true;
     co_return acquired;
--- a/src/gateway/runner_channel.h
+++ b/src/gateway/runner_channel.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "core/clock.h"
@@ -53,6 +54,10 @@
   /// Whether the connection can carry another request: the response is complete, the runner keeps
   /// the connection open, and nothing arrived after the response.
   bool Reusable() const;
+  /// Whether the runner has refused a request with this id on the connection. A faulty runner may
+  /// send the refusal once more, and it would be taken for the answer to the request's next
+  /// attempt.
+  bool HasRefused(const std::string& request_id) const { return refused_.count(request_id) > 0; }
   /// Reason of the last failure.
   const std::string& failure() const { return failure_; }
   /// Idle timeout that the runner announced; zero if none.
@@ -63,6 +68,7 @@
   std::unique_ptr<Impl> impl_;
   std::string failure_;
   Duration keep_alive_{0};
+  std::set<std::string> refused_;  ///< Ids of requests that the runner has refused.
 };
 
 /// Pool of connections to runners.
@@ -79,7 +85,9 @@
   /// Returns an idle connection, or opens one. A request that is not repeatable only reuses a
   /// connection that was in use just before, since a runner may close an idle connection while a
   /// request is being sent.
-  Awaitable<Acquired> Acquire(Endpoint runner, bool repeatable, Duration timeout);
+  /// No connection on which the runner has refused this request id is used.
+  Awaitable<Acquired> Acquire(Endpoint runner, std::string request_id, bool repeatable,
+                              Duration timeout);
   /// Returns the connection to the pool if it is reusable.
   void Release(const Endpoint& runner, std::unique_ptr<RunnerChannel> channel);
   /// Whether an idle connection to the runner is open at both ends.
--- a/src/gateway/runner_check.cc
+++ b/src/gateway/runner_check.cc
@@ -1,5 +1,7 @@
 #include "gateway/runner_check.h"
 
+#include <utility>
+
 #include "net/log.h"
 
 namespace fuchsiaweir {
@@ -24,8 +26,9 @@
   const Endpoint endpoint{state->record.address, state->record.port};
   if (channels_.HasOpen(endpoint)) co_return;
   const Duration cold_time = view_.ColdTime(state->record.service);
-  RunnerChannelPool::Acquired acquired =
-      co_await channels_.Acquire(endpoint, /*repeatable=*/true, kRunnerConnectTimeout);
+  std::string no_request;
+  RunnerChannelPool::Acquired acquired = co_await channels_.Acquire(
+      endpoint, std::move(no_request), /*repeatable=*/true, kRunnerConnectTimeout);
   if (acquired.channel != nullptr) {
     channels_.Release(endpoint, std::move(acquired.channel));
     co_return;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -136,7 +136,8 @@
     if (it->endpoint != endpoint) continue;
     std::unique_ptr<HttpTransport> transport = std::move(it->transport);
     it = idle.erase(it);
-    if (!transport->PeerClosed()) return transport;
+    // Unread bytes are a second copy of an earlier answer.
+    if (!transport->HasUnexpectedInput()) return transport;
   }
   return nullptr;
 }
--- a/src/net/http_transport.cc
+++ b/src/net/http_transport.cc
@@ -92,6 +92,14 @@
   return count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
 }
 
+bool HttpTransport::HasUnexpectedInput() {
+  if (HasBufferedInput() || !tcp().socket().is_open()) return true;
+  char byte = 0;
+  const ssize_t count =
+      recv(tcp().socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void HttpTransport::Close() {
   ErrorCode ignored;
   tcp().socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
--- a/src/net/http_transport.h
+++ b/src/net/http_transport.h
@@ -78,6 +78,8 @@
   void Close();
   /// Whether the buffer holds input that no message has consumed.
   bool HasBufferedInput() const { return buffer_.size() > 0; }
+  /// Whether the peer has closed the connection or sent bytes that no request is waiting for.
+  bool HasUnexpectedInput();
   boost::beast::tcp_stream& tcp();
 
  private:
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -146,6 +146,14 @@
                {platform::kApiKeyHeader, key}});
 }
 
+Reply Fleet::CallWithId(const std::string& path, const std::string& body, const std::string& id) {
+  return Send("POST", caller_port(0), path, body,
+              {{"Host", "fleet.example"},
+               {platform::kRequestIdHeader, id},
+               {platform::kTimeLeftHeader, "3000"},
+               {platform::kApiKeyHeader, "key-1"}});
+}
+
 bool Fleet::Ready(int gateway) {
   const int port = gateways_.at(static_cast<size_t>(gateway)).readiness;
   return Send("GET", port, platform::kReadyPath, "", {}, Seconds(1)).status == 200;
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -37,6 +37,8 @@
   /// "/stream/" or "/single/".
   Reply Call(const std::string& path, const std::string& body, int gateway = 0,
              const std::string& key = "key-1", int deadline_ms = 3'000);
+  /// Sends a request to the first gateway with this id.
+  Reply CallWithId(const std::string& path, const std::string& body, const std::string& id);
   bool Ready(int gateway);
 
   /// Injects a fault into the store or a runner; `json` is the body of the stand-in's /fault route.
--- a/test/process/runner_channel.cc
+++ b/test/process/runner_channel.cc
@@ -39,7 +39,9 @@
     RunnerChannelPool pool(io);
     bool done = false;
     Spawn(io, "attempt", [&]() -> Awaitable<void> {
-      RunnerChannelPool::Acquired acquired = co_await pool.Acquire(runner, true, Seconds(1));
+      std::string id = "id";
+      RunnerChannelPool::Acquired acquired =
+          co_await pool.Acquire(runner, std::move(id), true, Seconds(1));
       acquired.channel->ExpireAfter(Millis(200));
       const std::string body(kBodyBytes, 'x');
       std::string header = "POST / HTTP/1.1\r\n\r\n";
@@ -76,7 +78,9 @@
   RunnerChannel::Read read = RunnerChannel::Read::kData;
   bool done = false;
   Spawn(io, "attempt", [&]() -> Awaitable<void> {
-    RunnerChannelPool::Acquired acquired = co_await pool.Acquire(runner, true, Seconds(1));
+    std::string request_id = "id";
+    RunnerChannelPool::Acquired acquired =
+        co_await pool.Acquire(runner, std::move(request_id), true, Seconds(1));
     acquired.channel->ExpireAfter(Seconds(5));
     std::string request = "GET / HTTP/1.1\r\n\r\n";
     const std::string none;
--- a/test/standin/client_ports.h
+++ b/test/standin/client_ports.h
@@ -17,12 +17,12 @@
   void Silence() { silent_ = seen_; }
   bool IsSilent(HttpExchange& exchange) const { return silent_.count(PortOf(exchange)) > 0; }
 
- private:
   static uint16_t PortOf(HttpExchange& exchange) {
     boost::system::error_code ignored;
     return exchange.transport().tcp().socket().remote_endpoint(ignored).port();
   }
 
+ private:
   std::set<uint16_t> seen_;
   std::set<uint16_t> silent_;
 };
--- a/test/standin/fleet_runner.cc
+++ b/test/standin/fleet_runner.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <cstdlib>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -120,6 +121,7 @@
       response.status = kMisdirectedRequest;
       co_return static_cast<void>(co_await exchange.Respond(std::move(response)));
     }
+    const uint16_t port = ClientPorts::PortOf(exchange);
     if (HasFault("full") || HasFault("pause") || loading_) {
       response.status = 503;
       if (HasFault("pause")) {
@@ -127,8 +129,14 @@
                                       faults_.at("pause").as_string().c_str());
       }
       response.headers.emplace_back(platform::kNotRunHeader, "1");
+      refusals_[port] = response;
       co_return static_cast<void>(co_await exchange.Respond(std::move(response)));
     }
+    if (HasFault("repeat_refusal") && refusals_.count(port) > 0) {
+      HttpExchange repeated(exchange.transport(), exchange.request(), Seconds(1));
+      HttpResponse refusal = refusals_[port];
+      co_await repeated.Respond(std::move(refusal));
+    }
     if (Contains(HeaderValue(request.headers, platform::kPromptPartsHeader), "crash_part") ||
         Contains(request.body, "crash_text")) {
       co_await SleepFor(kTimeToCrash);
@@ -150,6 +158,7 @@
       co_return;
     }
     if (HasFault("fail")) response.status = 500;
+    if (HasFault("status")) response.status = faults_.at("status").to_number<int>();
     int64_t events = 0;
     const std::string& body = exchange.request().body;
     if (!absl::StartsWith(body, kEventsPrefix) ||
@@ -211,6 +220,7 @@
   std::string instance_;
   json::object faults_;
   ClientPorts clients_;
+  std::map<uint16_t, HttpResponse> refusals_;  ///< Last refusal on a connection, by its port.
   json::object last_headers_;
   json::array arrivals_ms_;
   int64_t runs_ = 0;
