Answer requests that arrive while a planned stop closes connections

Cause: a draining server closed its acceptor with connections in the backlog, which the system had opened for the callers, and its idle connections without looking for a request in them. Callers saw a reset for requests that they had just sent. The gateway ended as soon as no request was active, also when one had just been accepted.

Change: a drain first accepts what waits, gives new connections 100 ms for their first request, closes idle connections only if nothing has arrived on them, and ends when none is left. The gateway waits for the drain.

--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -107,10 +107,11 @@
         started_at + Micros(static_cast<int64_t>(settings_.shutdown_s * 1e6)) - kShutdownMargin;
     if (caller_server_ != nullptr) {
       co_await SleepFor(kBalancerDelay);
-      Spawn(io_, "drain", [this]() { return caller_server_->Drain(); });
-      while (SteadyNow() < limit && caller_server_->active_requests() > 0) {
-        co_await SleepFor(kDrainPollInterval);
-      }
+      Spawn(io_, "drain", [this]() -> Awaitable<void> {
+        co_await caller_server_->Drain();
+        drained_ = true;
+      });
+      while (SteadyNow() < limit && !drained_) co_await SleepFor(kDrainPollInterval);
     }
     LogInfo("shutdown_finished",
             {{"in_flight", absl::StrCat(forwarder_ ? forwarder_->in_flight() : 0)}});
@@ -232,6 +233,7 @@
   std::unique_ptr<HttpServer> peer_server_;
   std::unique_ptr<HttpServer> metrics_server_;
   bool stopping_ = false;
+  bool drained_ = false;  ///< All requests of callers have ended.
 };
 
 Awaitable<void> HandleSignals(boost::asio::signal_set& signals, Process& process) {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -26,6 +26,8 @@
 using RequestParser = http::request_parser<http::string_body>;
 
 constexpr Duration kDrainPollInterval = Millis(20);
+/// Time for the first request on a connection that was accepted when the drain began.
+constexpr Duration kDrainFirstBytes = Millis(100);
 constexpr Duration kAcceptRetryDelay = Millis(10);
 // Limits of the input that is discarded after a request was rejected before it was read completely.
 constexpr size_t kMaxLingerBytes = 64'000'000;
@@ -163,6 +165,10 @@
 
   void Listen();
   Awaitable<void> AcceptLoop();
+  /// Starts to serve the connection.
+  void Start(tcp::socket socket);
+  /// Accepts the connections that are waiting, then no more.
+  void CloseAcceptor();
   Awaitable<void> Serve(std::shared_ptr<HttpTransport> transport);
   Awaitable<bool> ServeOne(HttpTransport& transport);
   Awaitable<boost::system::error_code> ReadRequest(HttpTransport& transport, RequestParser& parser);
@@ -199,16 +205,33 @@
       co_await SleepFor(kAcceptRetryDelay);
       continue;
     }
-    if (connections >= options.max_connections) continue;  // The socket's destructor closes it.
-    auto transport = std::make_shared<HttpTransport>(std::move(socket), options.tls);
-    ++connections;
-    Spawn(io, "http_connection", [self = shared_from_this(), transport]() -> Awaitable<void> {
-      co_await self->Serve(transport);
-      --self->connections;
-    });
+    Start(std::move(socket));
   }
 }
 
+void HttpServer::Impl::Start(tcp::socket socket) {
+  if (connections >= options.max_connections) return;  // The socket's destructor closes it.
+  auto transport = std::make_shared<HttpTransport>(std::move(socket), options.tls);
+  ++connections;
+  Spawn(io, "http_connection", [self = shared_from_this(), transport]() -> Awaitable<void> {
+    co_await self->Serve(transport);
+    --self->connections;
+  });
+}
+
+void HttpServer::Impl::CloseAcceptor() {
+  // For callers these connections are open, and their requests may be on the way. Closing the
+  // acceptor would reset them.
+  boost::system::error_code failure;
+  acceptor.non_blocking(true, failure);
+  while (!failure) {
+    tcp::socket socket(io);
+    acceptor.accept(socket, failure);
+    if (!failure) Start(std::move(socket));
+  }
+  acceptor.close(failure);
+}
+
 Awaitable<void> HttpServer::Impl::Serve(std::shared_ptr<HttpTransport> transport) {
   transport->ExpireAfter(options.read_timeout);
   const auto failure = co_await transport->Handshake(asio::ssl::stream_base::server);
@@ -305,10 +328,14 @@
 Awaitable<void> HttpServer::Drain() {
   const std::shared_ptr<Impl> impl = impl_;
   impl->draining = true;
-  boost::system::error_code ignored;
-  impl->acceptor.close(ignored);
-  for (HttpTransport* transport : impl->idle) transport->Close();
-  while (impl->active > 0) co_await SleepFor(kDrainPollInterval);
+  impl->CloseAcceptor();
+  co_await SleepFor(kDrainFirstBytes);
+  // Lets connections whose request has been read leave the set of idle ones.
+  co_await asio::post(impl->io, asio::use_awaitable);
+  for (HttpTransport* transport : impl->idle) {
+    if (!transport->HasUnexpectedInput()) transport->Close();
+  }
+  while (impl->active > 0 || !impl->idle.empty()) co_await SleepFor(kDrainPollInterval);
 }
 
 int64_t HttpServer::active_requests() const { return impl_->active; }
