Let a stream go on while its runner does not answer its sidecar

Cause: once the sidecar had missed three reports, a gateway closed every repeatable attempt at the runner and sent it to another one, also streams whose events were still arriving. A runner that was only slow to report had its running work started again elsewhere.

Change: an attempt whose runner has sent bytes within the last second is not given up for missing reports.

Result: `GatewayPath.AStreamGoesOnWhileItsRunnerDoesNotReport` failed with the binary of (the caller got no complete stream) and passes.

--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -60,6 +60,7 @@
   TimePoint sent_at;
   bool first_byte_received = false;  ///< By the attempt in progress; streams only.
   TimePoint first_byte_at;
+  TimePoint last_byte_at;        ///< By the attempt in progress; streams only.
   bool answer_recorded = false;  ///< The answer's begin was reported to `CrashAttribution`.
   bool withdrawn = false;  ///< The attempt was cancelled because requests like it are refused.
   bool caller_gone = false;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -64,6 +64,8 @@
 constexpr Duration kAnswerBegun = Millis(200);
 /// A faulty runner may send an event without end.
 constexpr size_t kMaxEventBytes = 1'000'000;
+/// Pause in a stream after which a runner that does not answer its sidecar counts as dead.
+constexpr Duration kMaxEventPause = Millis(1000);
 /// A failure this close to the deadline counts as a timeout.
 constexpr Duration kDeadlineTolerance = Millis(5);
 
@@ -430,6 +432,7 @@
   std::string received;
   while (true) {
     const RunnerChannel::Read read = co_await channel.ReadBody(received);
+    if (!received.empty()) request.last_byte_at = SteadyNow();
     splitter.Add(received);
     received.clear();
     std::string events;
@@ -606,7 +609,9 @@
   if (!request.repeatable()) return;
   if (request.runs >= request.route->attempts) return;
   const RunnerState* runner = view_.runner_registry().Find(request.runner);
-  const bool dead = runner != nullptr && runner->report_failed;
+  // A runner that sends is alive, even if it does not answer its sidecar for a while.
+  const bool sends = request.first_byte_received && now - request.last_byte_at < kMaxEventPause;
+  const bool dead = runner != nullptr && runner->report_failed && !sends;
   const bool alive = runner != nullptr && runner->ReportFresh(now);
   const double factor = alive ? kBusyFirstByteTimeoutFactor : kFirstByteTimeoutFactor;
   const Duration timeout =
--- a/test/process/gateway_path.cc
+++ b/test/process/gateway_path.cc
@@ -155,6 +155,23 @@
   }
 }
 
+// Guards against running work that is started again elsewhere because its runner does not answer
+// its sidecar for a while.
+TEST(GatewayPath, AStreamGoesOnWhileItsRunnerDoesNotReport) {
+  Fleet fleet(1, 2, /*sidecars=*/true);
+  fleet.Start();
+  SleepMillis(500);  // The first reports have arrived.
+  Reply reply;
+  std::jthread caller([&]() { reply = fleet.Call("/stream/", "events=140", 0, "key-1", 6'000); });
+  CHECK(Eventually([&]() { return fleet.Runs(0) + fleet.Runs(1) == 1; }));
+  for (const char* runner : {"runner0", "runner1"}) {
+    fleet.InjectFault(runner, R"({"no_report": true})");
+  }
+  caller.join();
+  STRCMP_EQUAL(Events(1, 140).c_str(), reply.body.c_str());
+  LONGS_EQUAL(1, fleet.Runs(0) + fleet.Runs(1));
+}
+
 // Guards against a success response that does not come from a runner: it lacks the runner's
 // receipt.
 TEST(GatewayPath, AnAnswerWithoutAReceiptIsNoSuccess) {
--- a/test/standin/fleet_runner.cc
+++ b/test/standin/fleet_runner.cc
@@ -49,6 +49,7 @@
                                           {"arrivals_ms", arrivals_ms_},
                                           {"headers", last_headers_}});
     } else if (path == platform::kReportPath) {
+      while (HasFault("no_report")) co_await SleepFor(kSilentPollInterval);
       body = Report();
     } else if (path == platform::kOrderPath) {
       co_return co_await HandleOrder(exchange);
