--- a/src/core/request_trace.cc
+++ b/src/core/request_trace.cc
@@ -17,14 +17,15 @@
 // runner's report, and the time that a process continues to serve without the store.
 constexpr int64_t kContextWindowUs = 5'000'000;
 
-// Events that change the state of a process; they are shown even if they name no runner of the
-// request.
+// Events that change the state of a process, or what its runners take; they are shown even if they
+// name no runner of the request.
 constexpr std::string_view kProcessEvents[] = {
     "authority_gained",      "authority_lost",       "store_lost",
     "store_regained",        "store_history_gone",   "desired_state_adopted",
     "data_centre_evacuated", "data_centre_restored", "weights_named",
     "part_store_lost",       "part_store_regained",  "shutdown_started",
-    "settings_loaded",       "settings_refused",     "daemon_started"};
+    "settings_loaded",       "settings_refused",     "daemon_started",
+    "runner_paused",         "runner_leaving"};
 
 std::string ToText(const json::value& value) {
   return value.is_string() ? std::string(value.as_string()) : json::serialize(value);
--- a/test/process/gateway_path.cc
+++ b/test/process/gateway_path.cc
@@ -155,6 +155,35 @@
   }
 }
 
+// Guards against slow streams that are cut although their events keep coming.
+TEST(GatewayPath, ASlowStreamIsWhole) {
+  Fleet fleet(1, 2);
+  fleet.Start();
+  for (const char* runner : {"runner0", "runner1"}) {
+    fleet.InjectFault(runner, R"({"event_interval_ms": 900})");
+  }
+  for (const char* path : {"/single/", "/stream/"}) {
+    const Reply reply = fleet.Call(path, "events=3");
+    STRCMP_EQUAL(Events(1, 3).c_str(), reply.body.c_str());
+  }
+  LONGS_EQUAL(2, fleet.Runs(0) + fleet.Runs(1));
+}
+
+// Guards against stalled streams that never end because a byte comes now and then.
+TEST(GatewayPath, AStreamWithoutProgressEndsAtItsDeadline) {
+  Fleet fleet(1, 2);
+  fleet.Start();
+  for (const char* runner : {"runner0", "runner1"}) {
+    fleet.InjectFault(runner, R"({"trickle": true})");
+  }
+  for (const char* path : {"/single/", "/stream/"}) {
+    const TimePoint start = SteadyNow();
+    const Reply reply = fleet.Call(path, "events=3", 0, "key-1", 1'500);
+    CHECK(reply.status != 200);
+    CHECK(SteadyNow() - start < Millis(2'000));
+  }
+}
+
 // Guards against running work that is started again elsewhere because its runner does not answer
 // its sidecar for a while.
 TEST(GatewayPath, AStreamGoesOnWhileItsRunnerDoesNotReport) {
--- a/test/process/runner_notices.cc
+++ b/test/process/runner_notices.cc
@@ -163,7 +163,10 @@
   Pause(0, "8");
   Pause(1, "5");
   const TimePoint asked_at = SteadyNow();
-  while (SteadyNow() - asked_at < Seconds(1)) Call("/unsafe/");
+  while (SteadyNow() - asked_at < Seconds(1)) {
+    Call("/unsafe/");
+    SleepMillis(kCallIntervalMs);
+  }
   const double end_s = 5 - ToSeconds(SteadyNow() - asked_at);
   const Outcome refused = Call("/unsafe/");
   LONGS_EQUAL(503, refused.status);
@@ -172,7 +175,14 @@
   CHECK(refused.retry_after_s >= end_s);
   const Reply safe = fleet.Call("/safe/", "x");
   LONGS_EQUAL(503, safe.status);
-  CHECK(fleet.Log("gateway0").find("no runner takes the request: paused") != std::string::npos);
+  const std::string log = fleet.directory() + "/gateway0.log";
+  std::string trace;
+  CHECK(Eventually([&]() {
+    return fleet.RunOperatorCommand(
+               {"trace", HeaderValue(safe.headers, "X-Fuchsiaweir-Request-Id"), log}, &trace) == 0;
+  }));
+  CHECK(trace.find("no runner takes the request: paused") != std::string::npos);
+  CHECK(trace.find("runner_paused") != std::string::npos);
 }
 
 // Guards against a value that is no number of seconds and takes a runner out, or ends the process.
--- a/test/standin/fleet_runner.cc
+++ b/test/standin/fleet_runner.cc
@@ -178,6 +178,14 @@
     const std::string resume =
         HeaderValue(exchange.request().headers, platform::kResumeAfterHeader);
     if (!absl::SimpleAtoi(resume, &last_received)) last_received = 0;
+    while (HasFault("trickle")) {
+      std::string byte = "x";
+      if (!co_await exchange.WriteChunk(std::move(byte)) || exchange.peer_closed()) co_return;
+      co_await SleepFor(kSilentPollInterval);
+    }
+    const Duration interval = HasFault("event_interval_ms")
+                                  ? Millis(faults_.at("event_interval_ms").to_number<int64_t>())
+                                  : kEventInterval;
     for (int64_t id = last_received + 1; id <= events; ++id) {
       if (HasFault("cut_after") && id > faults_.at("cut_after").to_number<int64_t>()) {
         exchange.Abort();
@@ -189,7 +197,7 @@
         ++cancelled_;
         co_return;
       }
-      co_await SleepFor(kEventInterval);
+      co_await SleepFor(interval);
     }
     co_await exchange.EndStream();
   }
--- a/test/standin/fleet_runner.h
+++ b/test/standin/fleet_runner.h
@@ -17,10 +17,12 @@
 /// "unframed" (send a stream with neither a length nor chunks, of this number of events),
 /// "limit" (name this limit of requests per second in each response), "leaving" (say in each
 /// response that the runner leaves), "pause" (refuse requests as not run for this Retry-After),
-/// "no_report" (do not answer GET /report), "repeat_refusal" (before a request runs, send the
-/// connection's last refusal once more), "status" (respond with this status after the run),
-/// "silence_open_connections" (never respond on connections that are open now), "crash_part" and
-/// "crash_text" (exit on a request whose list of prompt parts, or whose body, contains this text).
+/// "event_interval_ms" (send events at this interval), "trickle" (send single bytes of an event
+/// that never ends), "no_report" (do not answer GET /report), "repeat_refusal" (before a request
+/// runs, send the connection's last refusal once more), "status" (respond with this status after
+/// the run), "silence_open_connections" (never respond on connections that are open now),
+/// "crash_part" and "crash_text" (exit on a request whose list of prompt parts, or whose body,
+/// contains this text).
 void RunFleetRunner(int port, const std::string& instance);
 
 }  // namespace fuchsiaweir::standin
