Add a failing test of lists that cannot be split into entries

`SplitElements` returns no elements for a malformed array as for an empty one, so a store's page or a relay's response with such an array counts as an empty list, and all runners would be removed.

--- a/test/correctness/odd_input.cc
+++ b/test/correctness/odd_input.cc
@@ -115,6 +115,18 @@
   }
 }
 
+// Guards against a list that is taken for an empty one, which removes all runners, because its
+// array cannot be split into entries. The last member keeps the body from being parsed whole.
+TEST(OddInput, AListThatCannotBeSplitIsNoEmptyList) {
+  for (const char* items : {"[{} {}]", "[{}{}]", "{}", "7"}) {
+    const std::string page = absl::StrCat(R"({"items":)", items, R"(,"current_rev":530,"x":nul})");
+    CHECK_FALSE(platform::DecodeStorePage(page).has_value());
+    const std::string relayed = absl::StrCat(
+        R"({"all":true,"revision":5,"age_ms":3,"outage":false,"objects":)", items, "}");
+    CHECK_FALSE(DecodeObjectChanges(relayed).has_value());
+  }
+}
+
 // Guards against a relay whose response its readers cannot parse, since it wraps an entry that is
 // nested nearly as deep as the parser allows or holds a number without a representation.
 TEST(OddInput, RelaysPassOddEntriesOn) {
