--- a/review/common/deployment.cc
+++ b/review/common/deployment.cc
@@ -199,6 +199,15 @@
   return process.ended;
 }
 
+int64_t Deployment::MemoryMb(const std::string& name) const {
+  std::ifstream status("/proc/" + std::to_string(processes_.at(name).pid) + "/status");
+  const std::string field = "VmRSS:";
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(field)) return std::atoll(line.c_str() + field.size()) / 1000;
+  }
+  return 0;
+}
+
 std::string Deployment::Log(const std::string& name) const {
   std::ifstream file(directory_ + "/" + name + ".log");
   std::stringstream text;
--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -55,6 +55,8 @@
   void Restart(const std::string& name);
   /// Returns how the process ended, or "" while it runs.
   std::string Ended(const std::string& name);
+  /// Resident memory of the process; 0 once it has ended.
+  int64_t MemoryMb(const std::string& name) const;
   std::string Log(const std::string& name) const;
 
  private:
