Let an exception end one operation, and not the process

Cause: an exception that Beast throws inside a composed read does not pass through the coroutine that waits for it. It leaves io_context::run(), and RunGatewayOrSidecar ended the process. Related: an exception in a coroutine that follows a list, sends reports or receives datagrams ended it for good, and one in a timer's callback ended that timer.

Change: RunLoop goes on after an exception; the operation's coroutine is destroyed, so what it has counted is released by destructors. SpawnService starts long-running coroutines again. Timers go on. One object of a page that cannot be applied no longer hides those behind it. The process ends with _Exit after a shutdown: coroutines that are still suspended refer to components that are gone.

--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -1,5 +1,6 @@
 #include "gateway/fleet_view.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -112,9 +113,10 @@
 void FleetView::Start() {
   for (const WatchedKind& kind : kWatchedKinds) {
     if (role_ == PlatformRole::kSidecar && kind.sidecar_watch_delay == Duration{0}) continue;
-    Spawn(io_, absl::StrCat("watch_", kind.name), [this, &kind]() { return WatchKind(kind); });
+    SpawnService(io_, absl::StrCat("watch_", kind.name),
+                 [this, &kind]() { return WatchKind(kind); });
   }
-  Spawn(io_, "register", [this]() {
+  SpawnService(io_, "register", [this]() {
     GatewaySettings settings = settings_;
     return RegisterPeer(store_, std::move(settings), role_);
   });
@@ -235,8 +237,9 @@
 
 Awaitable<void> FleetView::CatchUp(const WatchedKind& kind, Endpoint peer) {
   const TimePoint sent = SuspendAwareNow();
+  KindState& state = kind_states_[kind.name];
+  const absl::Cleanup caught_up = [&state]() { state.catching_up = false; };
   KindRead read = co_await ReadRelay(kind, std::move(peer), Duration{0});
-  kind_states_[kind.name].catching_up = false;
   if (read.result.outcome == StoreOutcome::kDone) ApplyRead(kind, read, sent);
 }
 
@@ -328,7 +331,15 @@
     changes = std::move(read.result.objects);
     state.log.Append(changes, read.result.revision);
   }
-  for (const StoredObject& object : changes) (this->*kind.apply)(object);
+  for (const StoredObject& object : changes) {
+    try {
+      (this->*kind.apply)(object);
+    } catch (const std::exception& e) {
+      // One bad object must not hide those behind it.
+      LogError("object_rejected",
+               {{"kind", kind.name}, {"object", object.name}, {"reason", e.what()}});
+    }
+  }
   if (first_listing_) MarkListed(kind);
   if (changes.empty()) return;
   for (boost::asio::steady_timer* timer : state.relay_timers) timer->cancel();
@@ -355,9 +366,9 @@
     boost::asio::steady_timer timer(io_);
     timer.expires_after(wait);
     state.relay_timers.push_back(&timer);
+    const absl::Cleanup waited = [&]() { std::erase(state.relay_timers, &timer); };
     boost::system::error_code ignored;  // A cancelled wait means that there are changes.
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-    std::erase(state.relay_timers, &timer);
   }
   ObjectChanges changes = state.log.ChangesSince(since);
   changes.age = SuspendAwareNow() - state.as_of;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -1,5 +1,6 @@
 #include "gateway/forwarder.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
@@ -110,12 +111,12 @@
   request.arrived_at = SteadyNow();
   request.caller = platform::DecodeCallerRequest(exchange.request());
   requests_.insert(&request);
+  const absl::Cleanup ended = [this, &request]() { requests_.erase(&request); };
   if (std::optional<Refusal> refusal = admission_.Admit(request)) {
     co_await SendRefusal(request, *refusal);
   } else {
     co_await ProcessRequest(request);
   }
-  requests_.erase(&request);
 }
 
 Awaitable<void> Forwarder::ProcessRequest(ForwardedRequest& request) {
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -1,13 +1,14 @@
 #include "gateway/gateway_daemon.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/strings/str_cat.h>
-#include <malloc.h>
 #include <sys/stat.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <exception>
 #include <iostream>
 #include <memory>
@@ -265,12 +266,14 @@
                                {"peer", ToString(settings->peer_endpoint())},
                                {"store", settings->store}});
     Spawn(io, "signals", [&]() { return HandleSignals(signals, process); });
-    io.run();
+    RunLoop(io);
+    // Coroutines that are still suspended refer to the components, which end before the I/O loop.
+    // They are not destroyed; the system closes their connections.
+    std::_Exit(0);
   } catch (const std::exception& e) {
     LogError("daemon_failed", {{"reason", e.what()}});
-    return 1;
   }
-  return 0;
+  return 1;
 }
 
 }  // namespace fuchsiaweir
--- a/src/gateway/part_watch.cc
+++ b/src/gateway/part_watch.cc
@@ -158,7 +158,7 @@
     store->service = name;
     store->spec = *service.store;
     next[address] = store;
-    Spawn(io_, "follow_store", [this, store]() { return WatchStore(store); });
+    SpawnService(io_, "follow_store", [this, store]() { return WatchStore(store); });
   }
   for (auto& [address, store] : stores_) store->removed = true;
   stores_ = std::move(next);
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -206,7 +206,7 @@
 }
 
 void PeerLink::Start() {
-  Spawn(io_, "peer_link", [this]() { return ReceiveLoop(); });
+  SpawnService(io_, "peer_link", [this]() { return ReceiveLoop(); });
 }
 
 Awaitable<void> PeerLink::Stop() {
--- a/src/gateway/weight_orders.cc
+++ b/src/gateway/weight_orders.cc
@@ -45,8 +45,8 @@
       client_(components.Find<HttpClients>("http_clients").external()) {}
 
 void WeightOrders::Start() {
-  Spawn(io_, "report", [this]() { return ReportLoop(); });
-  Spawn(io_, "orders", [this]() { return OrderLoop(); });
+  SpawnService(io_, "report", [this]() { return ReportLoop(); });
+  SpawnService(io_, "orders", [this]() { return OrderLoop(); });
 }
 
 Awaitable<void> WeightOrders::Stop() {
--- a/src/net/awaitable.cc
+++ b/src/net/awaitable.cc
@@ -12,6 +12,11 @@
 namespace fuchsiaweir {
 
 namespace asio = boost::asio;
+namespace {
+
+constexpr Duration kServiceRestartDelay = Millis(300);
+
+}  // namespace
 
 Awaitable<void> SleepFor(Duration duration) {
   asio::steady_timer timer(co_await asio::this_coro::executor);
@@ -30,4 +35,33 @@
   });
 }
 
+void SpawnService(asio::io_context& io, std::string name, std::function<Awaitable<void>()> body) {
+  Spawn(io, name, [name, body = std::move(body)]() -> Awaitable<void> {
+    bool ended = false;
+    while (!ended) {
+      std::string failure;
+      try {
+        co_await body();
+        ended = true;
+      } catch (const std::exception& e) {
+        failure = e.what();
+      }
+      if (ended) break;
+      LogError("service_failed", {{"task", name}, {"reason", failure}});
+      co_await SleepFor(kServiceRestartDelay);
+    }
+  });
+}
+
+void RunLoop(asio::io_context& io) {
+  while (!io.stopped()) {
+    try {
+      io.run();
+    } catch (const std::exception& e) {
+      // The operation's coroutine is destroyed with the handler, which releases what it holds.
+      LogError("operation_failed", {{"reason", e.what()}});
+    }
+  }
+}
+
 }  // namespace fuchsiaweir
--- a/src/net/daemon.cc
+++ b/src/net/daemon.cc
@@ -116,7 +116,7 @@
   signals.async_wait([&](const boost::system::error_code& failure, int) {
     if (!failure) Spawn(io, "shutdown", [&components]() { return ShutDown(components); });
   });
-  io.run();
+  RunLoop(io);
   return 0;
 }
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,5 +1,6 @@
 #include "net/http_server.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
@@ -214,8 +215,8 @@
   auto transport = std::make_shared<HttpTransport>(std::move(socket), options.tls);
   ++connections;
   Spawn(io, "http_connection", [self = shared_from_this(), transport]() -> Awaitable<void> {
+    const absl::Cleanup closed = [&self]() { --self->connections; };
     co_await self->Serve(transport);
-    --self->connections;
   });
 }
 
@@ -238,13 +239,16 @@
   bool open = !failure;
   while (open) {
     transport->ExpireAfter(options.idle_timeout);
-    idle.insert(transport.get());
-    const auto closed = co_await transport->WaitReadable();
-    idle.erase(transport.get());
+    boost::system::error_code closed;
+    {
+      idle.insert(transport.get());
+      const absl::Cleanup readable = [&]() { idle.erase(transport.get()); };
+      closed = co_await transport->WaitReadable();
+    }
     if (closed) break;
     ++active;
+    const absl::Cleanup served = [this]() { --active; };
     open = co_await ServeOne(*transport);
-    --active;
     open = open && !draining;
   }
   transport->Close();
--- a/src/net/timer_service.cc
+++ b/src/net/timer_service.cc
@@ -1,8 +1,11 @@
 #include "net/timer_service.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <exception>
 #include <utility>
 
+#include "net/log.h"
+
 namespace fuchsiaweir {
 namespace {
 
@@ -41,7 +44,11 @@
   subscription.timer.expires_after(delay);
   subscription.timer.async_wait([this, &subscription](const boost::system::error_code& failure) {
     if (failure || !started_) return;
-    subscription.callback(SteadyNow());
+    try {
+      subscription.callback(SteadyNow());
+    } catch (const std::exception& e) {
+      LogError("timer_failed", {{"timer", subscription.name}, {"reason", e.what()}});
+    }
     Schedule(subscription, subscription.period);
   });
 }
