Bound what a gateway and a sidecar keep of a runner's answer

Cause: Beast's string_body reserves the announced length before any of it has arrived, and the limit of 8 MB was checked only for bytes that had arrived. The read buffer had no bound, so a chunk extension or a trailer without end filled the memory. Each answer had a bound of its own (8 MB), all of them together had none. The same held for the reports that sidecars read, for relayed lists and for the error bodies of streamed calls.

Change: ReceivedBody, the body of all messages that are received, grows with the bytes that arrive. The read buffer has a bound of 256 KiB. MemoryBudget gives all answers of a process a quarter of its host's memory (new setting memory_mb); at the bound the largest incomplete answer is given up, which is the endless one, and a complete one never is. All calls have a limit for the response's body. An answer is written with its header in one call, without a copy of both. Requests to the ports for peers, metrics and readiness take bodies of 4 KB at most.

--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -9,6 +9,7 @@
 
 #include "core/clock.h"
 #include "core/error_code.h"
+#include "core/memory_budget.h"
 #include "core/route_table.h"
 #include "core/run_state.h"
 #include "gateway/runner_channel.h"
@@ -71,6 +72,7 @@
   int failure_status = 0;  ///< Error response of the last runner that sent one; 0: none.
   HttpHeaders failure_headers;
   std::string failure_body;
+  std::unique_ptr<MemoryBudget::Share> failure_memory;  ///< Memory of `failure_body`.
 
   bool repeatable() const { return route->Repeatable(); }
   /// Maximum number of tokens that the request occupies in an engine's memory.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -63,6 +63,10 @@
 /// A runner that crashes on a request does so when it begins to answer. A request that has been
 /// answered for this long is not the cause of a crash.
 constexpr Duration kAnswerBegun = Millis(200);
+/// Share of the host's memory for answers that are held until they are complete. The rest is for
+/// the desired state, requests and connections.
+constexpr int64_t kAnswerMemoryDivisor = 4;
+constexpr int64_t kBytesPerMegabyte = 1'000'000;
 /// A faulty runner may send an event without end.
 constexpr size_t kMaxEventBytes = 1'000'000;
 /// Pause in a stream after which a runner that does not answer its sidecar counts as dead.
@@ -90,6 +94,7 @@
       parts_(parts),
       metrics_(components.Find<Metrics>("metrics")),
       channels_(components.io()),
+      answer_memory_(view.settings().memory_mb * kBytesPerMegabyte / kAnswerMemoryDivisor),
       runner_check_(components.io(), view, channels_),
       crash_attribution_(view, metrics_),
       notice_reports_(view, metrics_),
@@ -367,6 +372,16 @@
          view_.evacuated().count(runner.record.data_centre) == 0;
 }
 
+std::unique_ptr<MemoryBudget::Share> Forwarder::ReserveAnswer(const ForwardedRequest& request,
+                                                              RunnerChannel& channel) {
+  return std::make_unique<MemoryBudget::Share>(answer_memory_, [this, &request, &channel]() {
+    LogWarning("answer_too_large", {{"request", request.caller.id},
+                                    {"runner", request.runner},
+                                    {"held_bytes", absl::StrCat(answer_memory_.used_bytes())}});
+    channel.Close();
+  });
+}
+
 Awaitable<Forwarder::AttemptResult> Forwarder::ExchangeMessages(ForwardedRequest& request,
                                                                 RunnerChannel& channel,
                                                                 const std::string& runner,
@@ -390,8 +405,13 @@
     co_return result;
   }
   std::string body;
+  std::unique_ptr<MemoryBudget::Share> memory = ReserveAnswer(request, channel);
   RunnerChannel::Read read = RunnerChannel::Read::kData;
-  while (read == RunnerChannel::Read::kData) read = co_await channel.ReadBody(body);
+  while (read == RunnerChannel::Read::kData) {
+    read = co_await channel.ReadBody(body);
+    if (!memory->Resize(static_cast<int64_t>(body.capacity()))) read = RunnerChannel::Read::kBroken;
+  }
+  memory->Complete();
   if (answer.not_run) {
     --request.runs;
     runner_registry.OnAttemptOutcome(runner,
@@ -414,6 +434,7 @@
     request.failure_status = answer.status;
     request.failure_headers = platform::CallerHeaders(runner_header.fields);
     request.failure_body = std::move(body);
+    request.failure_memory = std::move(memory);
     co_return AttemptResult::kOwnFailure;
   }
   runner_registry.OnAttemptOutcome(runner, AttemptOutcome::kServed, cold_time, SteadyNow());
@@ -431,8 +452,9 @@
                                                            const std::string& runner) {
   EventSplitter splitter;
   std::string received;
+  const std::unique_ptr<MemoryBudget::Share> memory = ReserveAnswer(request, channel);
   while (true) {
-    const RunnerChannel::Read read = co_await channel.ReadBody(received);
+    RunnerChannel::Read read = co_await channel.ReadBody(received);
     if (!received.empty()) request.last_byte_at = SteadyNow();
     splitter.Add(received);
     received.clear();
@@ -442,6 +464,9 @@
       if (event->id) request.last_event_id = *event->id;
       events += event->bytes;
     }
+    if (!memory->Resize(static_cast<int64_t>(events.capacity() + splitter.PartialBytes()))) {
+      read = RunnerChannel::Read::kBroken;
+    }
     const bool complete = read == RunnerChannel::Read::kEnd && !splitter.HasPartialEvent();
     if (!events.empty() || complete) {
       if (!request.first_byte_received) {
@@ -586,6 +611,10 @@
   metrics_.Gauge("fuchsiaweir_requests_in_flight", "Requests that have not been answered.")
       .Set(static_cast<double>(requests_.size()));
   view_.runner_registry().notices().Expire(now);
+  metrics_.Gauge("fuchsiaweir_answer_bytes_held", "Bytes of answers that are not delivered yet.")
+      .Set(static_cast<double>(answer_memory_.used_bytes()));
+  metrics_.Gauge("fuchsiaweir_answers_evicted", "Answers given up because they filled the memory.")
+      .Set(static_cast<double>(answer_memory_.evictions()));
   metrics_.Gauge("fuchsiaweir_limited_runners", "Runners that have named a limit of requests.")
       .Set(static_cast<double>(view_.runner_registry().notices().limited()));
   metrics_.Gauge("fuchsiaweir_runner_connections_opened", "Connections opened to runners.")
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/memory_budget.h"
 #include "core/placement.h"
 #include "core/retry_after_estimator.h"
 #include "core/token_demand.h"
@@ -47,6 +48,9 @@
   bool TakesRequests(const RunnerState& runner, TimePoint now) const;
   /// Sends the request to the runner once.
   Awaitable<AttemptResult> RunAttempt(ForwardedRequest& request, const Placement& placement);
+  /// Returns a share of the memory for the answer that the attempt receives.
+  std::unique_ptr<MemoryBudget::Share> ReserveAnswer(const ForwardedRequest& request,
+                                                     RunnerChannel& channel);
   Awaitable<AttemptResult> ExchangeMessages(ForwardedRequest& request, RunnerChannel& channel,
                                             const std::string& runner, std::string header);
   /// Copies the events of a runner's stream to the caller.
@@ -72,6 +76,7 @@
   PartWatch& parts_;
   Metrics& metrics_;
   RunnerChannelPool channels_;
+  MemoryBudget answer_memory_;  ///< Answers that are held until they are complete.
   RunnerCheck runner_check_;
   CrashAttribution crash_attribution_;
   NoticeReports notice_reports_;
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -40,6 +40,11 @@
 constexpr Duration kShutdownMargin = Millis(400);
 /// File descriptors reserved for files and for connections to runners, peers and the store.
 constexpr int64_t kReservedDescriptors = 700;
+constexpr int64_t kBytesPerMegabyte = 1'000'000;
+/// Share of the host's memory for responses to peers that are being sent.
+constexpr int64_t kPeerMemoryDivisor = 8;
+/// Requests of peers, of the balancer and for metrics have no body.
+constexpr int64_t kMaxInternalBodyBytes = 4'096;
 constexpr Duration kSettingsPollInterval = Millis(1000);
 constexpr Duration kDrainPollInterval = Millis(20);
 /// Caller connections that are allowed however few descriptors there are.
@@ -135,6 +140,7 @@
       components_.Add<WeightOrders>("weight_orders", components_, *fleet_view_);
     }
     HttpServerOptions options;
+    options.max_body_bytes = kMaxInternalBodyBytes;
     options.listen = settings_.peer_endpoint();
     peer_server_ = std::make_unique<HttpServer>(
         io_, options, [this](HttpExchange& exchange) { return ServePeer(exchange); });
@@ -161,6 +167,7 @@
                                       table.limits.header_timeout, table.limits.idle_timeout);
     });
     HttpServerOptions ready;
+    ready.max_body_bytes = kMaxInternalBodyBytes;
     ready.listen = settings_.readiness_endpoint();
     ready_server_ = std::make_unique<HttpServer>(
         io_, ready, [this](HttpExchange& exchange) { return ServeReady(exchange); });
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -21,6 +21,7 @@
     {"peer_port", &Settings::peer_port, Presence::kRequired, 1, 65'535},
     {"metrics_port", &Settings::metrics_port, Presence::kOptional, 1, 65'535},
     {"max_descriptors", &Settings::max_descriptors, Presence::kOptional, 64},
+    {"memory_mb", &Settings::memory_mb, Presence::kOptional, 16, 1'000'000},
 };
 
 const IniKey<Settings> kPlatformKeys[] = {{"store", &Settings::store, Presence::kRequired}};
--- a/src/gateway/relay_client.cc
+++ b/src/gateway/relay_client.cc
@@ -12,6 +12,9 @@
 /// The timeout of a call is the time that the relay waits for changes plus this margin.
 constexpr Duration kResponseMargin = Millis(500);
 
+/// Above the size of all objects of a kind in a large fleet.
+constexpr int64_t kMaxRelayBytes = 8'000'000;
+
 }  // namespace
 
 Awaitable<std::optional<ObjectChanges>> ReadFromRelay(HttpClient& client, Endpoint relay,
@@ -25,6 +28,7 @@
   CallOptions options;
   options.timeout = wait + kResponseMargin;
   options.connect_timeout = kResponseMargin / 2;
+  options.max_body_bytes = kMaxRelayBytes;
   const std::string address = ToString(relay);
   const TimePoint start = SteadyNow();
   const HttpResult result = co_await client.Call(std::move(relay), std::move(request), options);
--- a/src/gateway/runner_channel.cc
+++ b/src/gateway/runner_channel.cc
@@ -5,11 +5,11 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <optional>
 #include <utility>
 
 #include "net/http_transport.h"
+#include "net/received_body.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -18,7 +18,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
-using Parser = http::response_parser<http::string_body>;
+using Parser = http::response_parser<ReceivedBody>;
 
 /// Late responses to earlier requests that may precede the awaited one.
 constexpr int kMaxLateResponses = 3;
@@ -60,8 +60,7 @@
 
 Awaitable<bool> RunnerChannel::Send(std::string header, const std::string& body) {
   impl_->complete = false;
-  header += body;
-  const auto failure = co_await impl_->transport.WriteAll(header);
+  const auto failure = co_await impl_->transport.WriteAll(header, body);
   if (failure) failure_ = failure.message();
   co_return !failure;
 }
@@ -90,15 +89,24 @@
       if (header.answer.not_run) refused_.insert(request_id);
       co_return true;
     }
-    std::string dropped;
-    Read read = Read::kData;
-    while (read == Read::kData) read = co_await ReadBody(dropped);
-    if (read == Read::kBroken || !parser.keep_alive()) break;
+    if (!co_await DropBody() || !parser.keep_alive()) break;
   }
   failure_ = "answer to another request";
   co_return false;
 }
 
+Awaitable<bool> RunnerChannel::DropBody() {
+  size_t dropped = 0;
+  std::string bytes;
+  Read read = Read::kData;
+  while (read == Read::kData && dropped <= kMaxHeldBytes) {
+    bytes.clear();
+    read = co_await ReadBody(bytes);
+    dropped += bytes.size();
+  }
+  co_return read == Read::kEnd;
+}
+
 Awaitable<RunnerChannel::Read> RunnerChannel::ReadBody(std::string& body) {
   Parser& parser = *impl_->parser;
   while (true) {
--- a/src/gateway/runner_channel.h
+++ b/src/gateway/runner_channel.h
@@ -64,6 +64,9 @@
   Duration keep_alive() const { return keep_alive_; }
 
  private:
+  /// Reads the rest of a response that nothing waits for. Returns false if it does not end.
+  Awaitable<bool> DropBody();
+
   struct Impl;
   std::unique_ptr<Impl> impl_;
   std::string failure_;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -4,12 +4,12 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <list>
 #include <utility>
 #include <vector>
 
 #include "net/http_transport.h"
+#include "net/received_body.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -18,7 +18,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
-using ResponseParser = http::response_parser<http::string_body>;
+using ResponseParser = http::response_parser<ReceivedBody>;
 
 // The home agents of an entry's prompts are spread over all agents, so that an entry needs idle
 // connections to all of them.
@@ -38,7 +38,7 @@
   return message;
 }
 
-HttpResponse ToResponse(http::response<http::string_body>& message) {
+HttpResponse ToResponse(http::response<ReceivedBody>& message) {
   HttpResponse response;
   response.status = static_cast<int>(message.result_int());
   for (const auto& field : message) {
@@ -218,8 +218,7 @@
   const std::string message = Serialize(endpoint, request);
   auto failure = co_await transport->WriteAll(message);
   ResponseParser parser;
-  parser.body_limit(boost::none);
-  if (options.max_body_bytes > 0) parser.body_limit(static_cast<uint64_t>(options.max_body_bytes));
+  parser.body_limit(static_cast<uint64_t>(options.max_body_bytes));
   if (!failure) failure = co_await transport->Read(parser);
   if (failure) {
     result.failure = absl::StrCat("call to ", ToString(endpoint), " failed: ", failure.message());
@@ -254,7 +253,12 @@
   auto failure = co_await state.transport->WriteAll(message);
   if (!failure) failure = co_await state.transport->ReadHeader(state.parser);
   const bool error_status = !failure && state.parser.get().result_int() / 100 != 2;
-  if (error_status) failure = co_await state.transport->Read(state.parser);
+  while (error_status && !failure && !state.parser.is_done()) {
+    failure = co_await state.transport->ReadSome(state.parser);
+    // The parser's own limit would also end the body of a stream.
+    const auto size = static_cast<int64_t>(state.parser.get().body().size());
+    if (!failure && size > options.max_body_bytes) failure = http::error::body_limit;
+  }
   if (failure) {
     result.failure = absl::StrCat("call to ", ToString(endpoint), " failed: ", failure.message());
     co_return result;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -43,7 +43,7 @@
   /// Time limit of the exchange once connected; also caps `connect_timeout`.
   Duration timeout = Seconds(10);
   Duration connect_timeout = Seconds(1);
-  int64_t max_body_bytes = 0;  ///< A call with a larger response body fails; 0: no limit.
+  int64_t max_body_bytes = 16'000'000;  ///< A call with a larger response body fails.
   /// Opens a new connection instead of using a pooled one. If the peer has already closed a pooled
   /// connection, a call on it ends as kSent although the peer never received the request.
   bool fresh_connection = false;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -8,7 +8,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/json.hpp>
 #include <optional>
 #include <set>
@@ -17,6 +16,7 @@
 #include "core/utf8.h"
 #include "net/http_transport.h"
 #include "net/log.h"
+#include "net/received_body.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -24,7 +24,7 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
-using RequestParser = http::request_parser<http::string_body>;
+using RequestParser = http::request_parser<ReceivedBody>;
 
 constexpr Duration kDrainPollInterval = Millis(20);
 /// Time for the first request on a connection that was accepted when the drain began.
@@ -34,7 +34,7 @@
 constexpr size_t kMaxLingerBytes = 64'000'000;
 constexpr Duration kLingerTimeout = Seconds(2);
 
-HttpRequest ToRequest(http::request<http::string_body>&& message) {
+HttpRequest ToRequest(http::request<ReceivedBody>&& message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
@@ -47,7 +47,8 @@
 
 /// Returns the response to a request that could not be read, or nothing if the connection ended.
 std::optional<HttpResponse> ReadFailureResponse(const boost::system::error_code& failure) {
-  if (failure == http::error::header_limit) {
+  // The buffer overflows in a chunk extension or a trailer.
+  if (failure == http::error::header_limit || failure == http::error::buffer_overflow) {
     HttpResponse response = ErrorResponse(
         {ErrorCode::kTooLarge, RunState::kNotRun, "request header is too large", Duration{0}});
     response.status = 431;
@@ -105,9 +106,9 @@
   return text;
 }
 
-Awaitable<bool> HttpExchange::Write(std::string data, State next) {
+Awaitable<bool> HttpExchange::Write(std::string data, State next, std::string_view more) {
   transport_.ExpireAfter(write_timeout_);
-  const auto failure = co_await transport_.WriteAll(data);
+  const auto failure = co_await transport_.WriteAll(data, more);
   state_ = failure ? State::kFailed : next;
   if (failure) keep_alive_ = false;
   co_return !failure;
@@ -117,8 +118,8 @@
   if (state_ != State::kWaiting) co_return false;
   std::string message = Header(response.status, response.headers);
   absl::StrAppend(&message, "Content-Length: ", response.body.size(), "\r\n\r\n");
-  if (request_.method != "HEAD") message += response.body;
-  co_return co_await Write(std::move(message), State::kAnswered);
+  const std::string_view body = request_.method == "HEAD" ? std::string_view() : response.body;
+  co_return co_await Write(std::move(message), State::kAnswered, body);
 }
 
 Awaitable<bool> HttpExchange::BeginStream(int status, HttpHeaders headers) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -57,7 +57,7 @@
  private:
   enum class State { kWaiting, kStreaming, kAnswered, kFailed };
 
-  Awaitable<bool> Write(std::string data, State next);
+  Awaitable<bool> Write(std::string data, State next, std::string_view more = {});
   std::string Header(int status, const HttpHeaders& headers) const;
 
   HttpTransport& transport_;
--- a/src/net/http_transport.cc
+++ b/src/net/http_transport.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <utility>
 
@@ -58,9 +59,11 @@
   co_return failure;
 }
 
-Awaitable<HttpTransport::ErrorCode> HttpTransport::WriteAll(std::string_view data) {
+Awaitable<HttpTransport::ErrorCode> HttpTransport::WriteAll(std::string_view data,
+                                                            std::string_view more) {
   ErrorCode failure;
-  const asio::const_buffer bytes(data.data(), data.size());
+  const std::array<asio::const_buffer, 2> bytes{asio::const_buffer(data.data(), data.size()),
+                                                asio::const_buffer(more.data(), more.size())};
   auto token = asio::redirect_error(asio::use_awaitable, failure);
   if (tls_ != nullptr) {
     co_await asio::async_write(*tls_, bytes, token);
--- a/src/net/http_transport.h
+++ b/src/net/http_transport.h
@@ -24,13 +24,18 @@
  public:
   using ErrorCode = boost::system::error_code;
 
+  /// Bound of the read buffer. A header, a chunk extension or a trailer that does not fit is an
+  /// error; bodies are passed on in pieces and have limits of their own.
+  static constexpr size_t kMaxBufferBytes = 262'144;
+
   HttpTransport(boost::asio::ip::tcp::socket socket, const TlsContext& tls);
 
   void ExpireAfter(Duration timeout) { tcp().expires_after(timeout); }
   Awaitable<ErrorCode> Handshake(boost::asio::ssl::stream_base::handshake_type type);
   /// Waits until the buffer holds input.
   Awaitable<ErrorCode> WaitReadable();
-  Awaitable<ErrorCode> WriteAll(std::string_view data);
+  /// Writes `data`, then `more`, in one system call where the socket takes both.
+  Awaitable<ErrorCode> WriteAll(std::string_view data, std::string_view more = {});
 
   template <typename Parser>
   Awaitable<ErrorCode> ReadHeader(Parser& parser) {
@@ -85,7 +90,7 @@
  private:
   std::unique_ptr<boost::beast::tcp_stream> plain_;
   std::unique_ptr<boost::beast::ssl_stream<boost::beast::tcp_stream>> tls_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{kMaxBufferBytes};
 };
 
 }  // namespace fuchsiaweir
--- /dev/null
+++ b/src/net/received_body.h
@@ -0,0 +1,50 @@
+#ifndef FUCHSIAWEIR_NET_RECEIVED_BODY_H_
+#define FUCHSIAWEIR_NET_RECEIVED_BODY_H_
+
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/optional/optional.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace fuchsiaweir {
+
+/// Body type of messages that are received. It allocates memory for bytes that have arrived, never
+/// for the length that the sender announces: a faulty peer may announce any length.
+struct ReceivedBody {
+  using value_type = std::string;
+
+  static uint64_t size(const value_type& body) { return body.size(); }
+
+  class reader {
+   public:
+    template <bool is_request, typename Fields>
+    reader(boost::beast::http::header<is_request, Fields>&, value_type& body) : body_(body) {}
+
+    void init(const boost::optional<uint64_t>&, boost::system::error_code& failure) {
+      failure = {};
+    }
+
+    template <typename Buffers>
+    size_t put(const Buffers& buffers, boost::system::error_code& failure) {
+      failure = {};
+      size_t count = 0;
+      for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
+        body_.append(static_cast<const char*>(buffer.data()), buffer.size());
+        count += buffer.size();
+      }
+      return count;
+    }
+
+    void finish(boost::system::error_code& failure) { failure = {}; }
+
+   private:
+    value_type& body_;
+  };
+};
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_NET_RECEIVED_BODY_H_
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -166,6 +166,15 @@
   Send("POST", port, "/fault", json);
 }
 
+int64_t Fleet::PeakMemoryMb(const std::string& name) const {
+  std::ifstream file(absl::StrCat("/proc/", processes_.pid(name), "/status"));
+  const std::string field = "VmHWM:";
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with(field)) return std::stoll(line.substr(field.size())) / 1'024;
+  }
+  return 0;
+}
+
 std::string Fleet::Log(const std::string& name) const {
   std::ifstream file(absl::StrCat(directory(), "/", name, ".log"));
   std::stringstream text;
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -59,6 +59,8 @@
   int RunOperatorCommand(const std::vector<std::string>& arguments, std::string* output = nullptr) {
     return processes_.RunOperatorCommand(arguments, output);
   }
+  /// Returns the largest resident memory that the process has had, in MB; 0 if it has ended.
+  int64_t PeakMemoryMb(const std::string& name) const;
   /// Returns what a process has logged so far.
   std::string Log(const std::string& name) const;
   /// Whether the log of each gateway contains the text.
--- a/test/process/runner_channel.cc
+++ b/test/process/runner_channel.cc
@@ -98,4 +98,41 @@
   CHECK(body.size() < kBodyBytes);
 }
 
+// Guards against a gateway that ends because a runner announces a length that no memory holds: the
+// allocation threw an exception outside of the request's own coroutine.
+TEST(RunnerChannels, AnAnnouncedLengthAllocatesNothing) {
+  boost::asio::io_context io(1);
+  tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const Endpoint runner{"127.0.0.1", acceptor.local_endpoint().port()};
+  std::jthread server([&acceptor]() {
+    tcp::socket connection = acceptor.accept();
+    boost::system::error_code end;
+    const std::string begin =
+        absl::StrCat("HTTP/1.1 200 OK\r\n", platform::kRequestIdHeader,
+                     ": id\r\nContent-Length: 900000000000000\r\n\r\nthe first bytes");
+    boost::asio::write(connection, boost::asio::buffer(begin), end);
+  });
+  RunnerChannelPool pool(io);
+  std::string body;
+  RunnerChannel::Read read = RunnerChannel::Read::kData;
+  bool done = false;
+  Spawn(io, "attempt", [&]() -> Awaitable<void> {
+    std::string request_id = "id";
+    RunnerChannelPool::Acquired acquired =
+        co_await pool.Acquire(runner, std::move(request_id), true, Seconds(1));
+    acquired.channel->ExpireAfter(Seconds(5));
+    std::string request = "GET / HTTP/1.1\r\n\r\n";
+    const std::string none;
+    co_await acquired.channel->Send(std::move(request), none);
+    RunnerHeader header;
+    const std::string id = "id";
+    CHECK(co_await acquired.channel->ReadHeader(id, header));
+    while (read == RunnerChannel::Read::kData) read = co_await acquired.channel->ReadBody(body);
+    done = true;
+  });
+  while (!done) io.run_one();
+  CHECK(read == RunnerChannel::Read::kBroken);
+  STRCMP_EQUAL("the first bytes", body.c_str());
+}
+
 }  // namespace fuchsiaweir::testing
--- a/test/standin/fleet_runner.cc
+++ b/test/standin/fleet_runner.cc
@@ -29,6 +29,23 @@
 constexpr Duration kSilentPollInterval = Millis(50);
 constexpr Duration kWeightLoadDuration = Millis(300);
 constexpr size_t kMaxArrivals = 5'000;
+constexpr size_t kFloodPieceBytes = 65'536;
+
+/// The first bytes of a response that does not end; the rest is 'x' repeated, or `unit`.
+struct Flood {
+  const char* name;
+  const char* framing;  ///< Header fields that frame the body, and the blank line, or less.
+  const char* unit = "x";
+};
+
+constexpr Flood kFloods[] = {
+    {"head", "Field: "},
+    {"interim", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+    {"body", "\r\n"},
+    {"chunk_extension", "Transfer-Encoding: chunked\r\n\r\n1;"},
+    {"trailer", "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nField: "},
+    {"event", "Content-Type: text/event-stream\r\n\r\ndata: "},
+    {"length", "Content-Length: 900000000000000\r\n\r\nx"}};
 
 class FleetRunner {
  public:
@@ -50,6 +67,7 @@
                                           {"headers", last_headers_}});
     } else if (path == platform::kReportPath) {
       while (HasFault("no_report")) co_await SleepFor(kSilentPollInterval);
+      if (HasFault("flood_report")) co_return co_await SendFlood(exchange, "flood_report");
       body = Report();
     } else if (path == platform::kOrderPath) {
       co_return co_await HandleOrder(exchange);
@@ -154,6 +172,7 @@
   Awaitable<void> Run(HttpExchange& exchange, HttpResponse response) {
     while (HasFault("silent") && !exchange.peer_closed()) co_await SleepFor(Millis(10));
     if (exchange.peer_closed()) ++cancelled_;
+    if (HasFault("flood")) co_return co_await SendFlood(exchange, "flood");
     if (HasFault("lose") || exchange.peer_closed()) {
       exchange.Abort();
       co_return;
@@ -217,6 +236,28 @@
     exchange.Abort();
   }
 
+  /// Sends what the fault names until the gateway closes the connection.
+  Awaitable<void> SendFlood(HttpExchange& exchange, const char* fault) {
+    for (const Flood& flood : kFloods) {
+      if (faults_.at(fault).as_string() != flood.name) continue;
+      std::string text = "HTTP/1.1 200 OK\r\n";
+      for (const auto& [name, value] : ResponseHeaders(exchange.request())) {
+        absl::StrAppend(&text, name, ": ", value, "\r\n");
+      }
+      const bool interim = std::string_view(flood.name) == "interim";
+      text = interim ? "" : text + flood.framing;
+      const bool once = std::string_view(flood.name) == "length";
+      std::string piece;
+      while (piece.size() < kFloodPieceBytes) piece += flood.unit;
+      bool open = !co_await exchange.transport().WriteAll(text);
+      while (open && !once) {
+        exchange.transport().ExpireAfter(Seconds(10));
+        open = !co_await exchange.transport().WriteAll(piece);
+      }
+    }
+    exchange.Abort();
+  }
+
   /// Sends an unsolicited response on the same connection.
   Awaitable<void> SendExtraResponse(HttpExchange& exchange) {
     HttpExchange second(exchange.transport(), exchange.request(), Seconds(1));
--- a/test/standin/fleet_runner.h
+++ b/test/standin/fleet_runner.h
@@ -21,8 +21,10 @@
 /// that never ends), "no_report" (do not answer GET /report), "repeat_refusal" (before a request
 /// runs, send the connection's last refusal once more), "status" (respond with this status after
 /// the run), "silence_open_connections" (never respond on connections that are open now),
-/// "crash_part" and "crash_text" (exit on a request whose list of prompt parts, or whose body,
-/// contains this text).
+/// "flood" (send without end: "head", "interim", "body", "chunk_extension", "trailer" or "event";
+/// with "length", announce a body that no memory holds and send its first byte),
+/// "flood_report" (answer GET /report with the same), "crash_part" and "crash_text" (exit on a
+/// request whose list of prompt parts, or whose body, contains this text).
 void RunFleetRunner(int port, const std::string& instance);
 
 }  // namespace fuchsiaweir::standin
