Keep only the newest content of each object for relays

Cause: ObjectLog kept each change with its whole content for processes that read through this one, up to 2,000 of them. A desired state takes about 3 MB when parsed, so thirty changes filled a host of 96 MB.

Change: the log keeps the last change of each object, in the order in which they were made, and the names of removed objects up to 256 KiB; a reader that is further behind gets all objects. What others can fill is thereby bounded by the contents of the store, for every kind. A relay's response is serialized in pieces, not copied into one tree first.

--- a/src/gateway/object_log.cc
+++ b/src/gateway/object_log.cc
@@ -15,9 +15,8 @@
 namespace json = boost::json;
 using platform::StoredObject;
 
-/// Changes that are kept for other processes. Runners change their entries about once a second, so
-/// this covers some seconds of a large fleet. A process that is further behind gets all objects.
-constexpr size_t kMaxHistory = 2'000;
+/// Bound of the entries of removed objects. A process that is further behind gets all objects.
+constexpr size_t kMaxRemovedBytes = 262'144;
 
 /// Decodes an object of a relay's response. Its content may come from another writer.
 std::optional<StoredObject> DecodeObject(std::string_view text) {
@@ -45,19 +44,28 @@
 }  // namespace
 
 std::string EncodeObjectChanges(const ObjectChanges& changes) {
-  json::array objects;
+  json::object head{{"all", changes.full},
+                    {"revision", changes.revision},
+                    {"age_ms", ToMillis(changes.age)},
+                    {"outage", changes.outage}};
+  // The contents are large. Each is serialized where it is, not copied into one tree first.
+  std::string text = json::serialize(head);
+  text.pop_back();
+  text += ",\"objects\":[";
   for (const StoredObject& object : changes.objects) {
-    objects.push_back(json::object{{"name", object.name},
-                                   {"revision", object.revision},
-                                   {"removed", object.removed},
-                                   {"unreadable", object.unreadable},
-                                   {"content", object.content}});
+    const json::object fields{{"name", object.name},
+                              {"revision", object.revision},
+                              {"removed", object.removed},
+                              {"unreadable", object.unreadable}};
+    if (text.back() != '[') text += ',';
+    text += json::serialize(fields);
+    text.pop_back();
+    text += ",\"content\":";
+    text += json::serialize(object.content);
+    text += '}';
   }
-  return json::serialize(json::object{{"all", changes.full},
-                                      {"revision", changes.revision},
-                                      {"age_ms", ToMillis(changes.age)},
-                                      {"outage", changes.outage},
-                                      {"objects", std::move(objects)}});
+  text += "]}";
+  return text;
 }
 
 std::optional<ObjectChanges> DecodeObjectChanges(const std::string& body) {
@@ -85,37 +93,53 @@
 std::vector<StoredObject> ObjectLog::Reset(std::vector<StoredObject> objects, int64_t revision) {
   std::set<std::string> names;
   for (const StoredObject& object : objects) names.insert(object.name);
-  std::vector<StoredObject> changes = objects;
-  for (const auto& [name, object] : contents_) {
-    if (names.count(name) > 0) continue;
-    changes.push_back({name, revision, true, nullptr});
+  std::vector<StoredObject> changes = std::move(objects);
+  for (const Entry& entry : entries_) {
+    const StoredObject& object = entry.object;
+    if (object.removed || names.count(object.name) > 0) continue;
+    changes.push_back({object.name, revision, true, nullptr});
   }
-  for (const StoredObject& change : changes) RecordChange(change, revision);
-  contents_.clear();
-  for (StoredObject& object : objects) contents_[object.name] = std::move(object);
-  history_.clear();
+  entries_.clear();
+  by_name_.clear();
+  removed_bytes_ = 0;
   history_begin_ = revision;
   revision_ = revision;
+  for (const StoredObject& change : changes) {
+    RecordChange(change, revision);
+    if (!change.removed) Put(change);
+  }
   return changes;
 }
 
 void ObjectLog::Append(const std::vector<StoredObject>& changes, int64_t revision) {
   revision_ = std::max(revision_, revision);
   for (const StoredObject& change : changes) {
-    if (change.removed) {
-      contents_.erase(change.name);
-    } else {
-      contents_[change.name] = change;
-    }
-    history_.push_back({revision_, change});
+    Put(change);
     RecordChange(change, revision_);
   }
-  while (history_.size() > kMaxHistory) {
-    history_begin_ = history_.front().revision;
-    history_.pop_front();
+  for (auto entry = entries_.begin(); removed_bytes_ > kMaxRemovedBytes;) {
+    const auto oldest = entry++;
+    if (!oldest->object.removed) continue;
+    history_begin_ = oldest->revision;
+    Erase(oldest);
   }
 }
 
+void ObjectLog::Put(const StoredObject& change) {
+  const auto known = by_name_.find(change.name);
+  if (known != by_name_.end()) Erase(known->second);
+  entries_.push_back({revision_, change});
+  by_name_[change.name] = std::prev(entries_.end());
+  if (change.removed) removed_bytes_ += sizeof(Entry) + change.name.size();
+}
+
+void ObjectLog::Erase(Entries::iterator entry) {
+  const StoredObject& object = entry->object;
+  if (object.removed) removed_bytes_ -= sizeof(Entry) + object.name.size();
+  by_name_.erase(object.name);
+  entries_.erase(entry);
+}
+
 void ObjectLog::RecordChange(const StoredObject& change, int64_t revision) {
   // The store does not say at which revision an object was removed.
   changed_revision_ = std::max(changed_revision_, change.removed ? revision : change.revision);
@@ -125,18 +149,15 @@
   ObjectChanges changes;
   changes.revision = std::max(revision, revision_);
   changes.full = revision < history_begin_;
-  if (changes.full) {
-    for (const auto& [name, object] : contents_) changes.objects.push_back(object);
-    return changes;
-  }
-  for (const Entry& entry : history_) {
-    if (entry.revision > revision) changes.objects.push_back(entry.object);
+  for (const Entry& entry : entries_) {
+    const bool wanted = changes.full ? !entry.object.removed : entry.revision > revision;
+    if (wanted) changes.objects.push_back(entry.object);
   }
   return changes;
 }
 
 bool ObjectLog::HasChangesSince(int64_t revision) const {
-  return revision < history_begin_ || (!history_.empty() && history_.back().revision > revision);
+  return revision < history_begin_ || (!entries_.empty() && entries_.back().revision > revision);
 }
 
 }  // namespace fuchsiaweir
--- a/src/gateway/object_log.h
+++ b/src/gateway/object_log.h
@@ -2,7 +2,7 @@
 #define FUCHSIAWEIR_GATEWAY_OBJECT_LOG_H_
 
 #include <cstdint>
-#include <deque>
+#include <list>
 #include <map>
 #include <string>
 #include <vector>
@@ -25,7 +25,9 @@
 /// Returns nothing for a malformed body.
 std::optional<ObjectChanges> DecodeObjectChanges(const std::string& body);
 
-/// Objects of one kind and their recent changes, for this process and those that use it as a relay.
+/// Objects of one kind and when each last changed, for this process and those that use it as a
+/// relay. Replaced contents are not kept: a process that reads the changes gets the newest of each
+/// object.
 class ObjectLog {
  public:
   /// Replaces the contents. Returns the new objects, and those that are gone marked as removed.
@@ -34,7 +36,8 @@
   /// Applies changes up to a revision.
   void Append(const std::vector<platform::StoredObject>& changes, int64_t revision);
 
-  /// Returns the changes since a revision, or all objects if they are not kept that far back.
+  /// Returns the objects that changed since a revision, or all objects if it is not known which
+  /// were removed since then.
   ObjectChanges ChangesSince(int64_t revision) const;
   /// Whether there are changes since a revision.
   bool HasChangesSince(int64_t revision) const;
@@ -44,16 +47,20 @@
   int64_t changed_revision() const { return changed_revision_; }
 
  private:
-  void RecordChange(const platform::StoredObject& change, int64_t revision);
-
   struct Entry {
     int64_t revision = 0;  ///< Revision of the response that contained the change.
     platform::StoredObject object;
   };
+  using Entries = std::list<Entry>;
+
+  void Put(const platform::StoredObject& change);
+  void Erase(Entries::iterator entry);
+  void RecordChange(const platform::StoredObject& change, int64_t revision);
 
-  std::map<std::string, platform::StoredObject> contents_;
-  std::deque<Entry> history_;
-  int64_t history_begin_ = 0;  ///< Revision from which the history is complete.
+  Entries entries_;  ///< The last change of each object, oldest first.
+  std::map<std::string, Entries::iterator> by_name_;
+  size_t removed_bytes_ = 0;   ///< Size of the entries of removed objects.
+  int64_t history_begin_ = 0;  ///< Revision from which all removed objects are known.
   int64_t revision_ = 0;
   int64_t changed_revision_ = 0;
 };
