Let requests keep their route and team, not the whole desired state

Cause: each request kept the desired state under which it arrived until its end. Streams last for seconds; while the operator changes a desired state of 3,000 routes several times a second, dozens of copies of 1 to 2 MB were alive at once.

Change: a request copies its route and its team. Figures of the service are taken from the newest desired state, which also lets a changed cold limit apply to requests that still wait.

--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -30,27 +30,29 @@
 }  // namespace
 
 std::optional<Refusal> AdmissionController::Admit(ForwardedRequest& request) {
-  request.table = view_.table();
-  if (request.table == nullptr) {
+  const std::shared_ptr<const RouteTable> table = view_.table();
+  if (table == nullptr) {
     return Refusal{503, ErrorCode::kPlatformUnavailable, RunState::kNotRun,
                    "no desired state is known yet", kAuthorityRetryAfter};
   }
   const HttpTarget& target = request.exchange.target();
-  request.route = FindRoute(*request.table, request.caller.host, target.path);
-  if (request.route == nullptr) {
+  request.revision = table->revision;
+  const Route* const found = FindRoute(*table, request.caller.host, target.path);
+  if (found == nullptr) {
     return Refusal{404, ErrorCode::kNotFound, RunState::kNotRun, "no route matches", Duration{0}};
   }
-  const Route& route = *request.route;
-  if (!request.table->teams.empty() && !route.anonymous) {
+  const Route& route = request.route.emplace(*found);
+  if (!table->teams.empty() && !route.anonymous) {
     if (!view_.HoldsAuthority()) {
       return Refusal{503, ErrorCode::kPlatformUnavailable, RunState::kNotRun,
                      "API keys cannot be confirmed", kAuthorityRetryAfter};
     }
-    request.team = FindTeam(*request.table, request.caller.api_key);
-    if (request.team == nullptr) {
+    const TeamSpec* const team = FindTeam(*table, request.caller.api_key);
+    if (team == nullptr) {
       return Refusal{401, ErrorCode::kUnauthorized, RunState::kNotRun, "API key is unknown",
                      Duration{0}};
     }
+    request.team = *team;
   }
   const Duration time_left = request.caller.time_left.value_or(kDefaultTimeLeft);
   request.deadline = request.arrived_at +
@@ -60,7 +62,7 @@
   request.prefix_hash = route.sticky ? SharedPrefixHash(request) : 0;
   request.last_event_id = request.caller.resume_after;
   std::vector<std::string> home_regions = route.home_regions;
-  if (request.team != nullptr) {
+  if (request.team) {
     // A region must be a home of both the route and the team.
     const std::vector<std::string>& team_homes = request.team->home_regions;
     if (home_regions.empty()) {
@@ -72,10 +74,10 @@
     }
   }
   request.closed_data_centres = view_.ClosedDataCentres(home_regions);
-  request.traits = RequestTraits(RequestDigest(request.exchange.request().target,
-                                               request.team == nullptr ? "" : request.team->name,
-                                               request.exchange.request().body),
-                                 request.caller.model, request.SharedParts());
+  request.traits = RequestTraits(
+      RequestDigest(request.exchange.request().target, !request.team ? "" : request.team->name,
+                    request.exchange.request().body),
+      request.caller.model, request.SharedParts());
   if (const auto refused_for = crash_attribution_.Admit(request, SteadyNow())) {
     return Refusal{503, ErrorCode::kPoisoned, RunState::kNotRun,
                    "the request, or a part of its prompt, crashed several runners", *refused_for};
--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -150,9 +150,14 @@
 }
 
 Duration FleetView::ColdTime(const std::string& service) const {
-  if (table_ == nullptr) return Duration{0};
-  const auto found = table_->services.find(service);
-  return found == table_->services.end() ? Duration{0} : found->second.cold_time;
+  const ServiceSpec* const spec = Service(service);
+  return spec == nullptr ? Duration{0} : spec->cold_time;
+}
+
+const ServiceSpec* FleetView::Service(const std::string& name) const {
+  if (table_ == nullptr) return nullptr;
+  const auto found = table_->services.find(name);
+  return found == table_->services.end() ? nullptr : &found->second;
 }
 
 /// A read of one kind from the store or from a relay.
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -46,6 +46,9 @@
 
   /// Newest desired state; null until one has been read.
   std::shared_ptr<const RouteTable> table() const { return table_; }
+  /// The service in the newest desired state, or null. The pointer is valid until the next
+  /// suspension of the calling coroutine.
+  const ServiceSpec* Service(const std::string& name) const;
   RunnerRegistry& runner_registry() { return runner_registry_; }
   /// Data centres whose runners get no new requests.
   const std::set<std::string>& evacuated() const { return evacuated_; }
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -21,8 +21,7 @@
 void RecordRequestEnd(Metrics& metrics, const ForwardedRequest& request, const std::string& outcome,
                       int status) {
   const Duration duration = SteadyNow() - request.arrived_at;
-  const std::string kind =
-      request.route == nullptr ? "none" : std::string(Name(request.route->kind));
+  const std::string kind = !request.route ? "none" : std::string(Name(request.route->kind));
   metrics
       .Counter("fuchsiaweir_requests_total", "Requests of callers by kind, outcome and status.",
                {{"kind", kind}, {"outcome", outcome}, {"status", absl::StrCat(status)}})
@@ -35,12 +34,12 @@
   }
   LogInfo("request_ended",
           {{"request", request.caller.id},
-           {"route", request.route == nullptr ? "" : request.route->name},
+           {"route", !request.route ? "" : request.route->name},
            {"outcome", outcome},
            {"status", absl::StrCat(status)},
            {"took_ms", Ms(duration)},
            {"first_ms", Ms(request.time_to_first_byte)},
-           {"objective_ms", Ms(request.route == nullptr ? Duration{0} : request.route->objective)},
+           {"objective_ms", Ms(!request.route ? Duration{0} : request.route->objective)},
            {"last_event", absl::StrCat(request.last_event_id)},
            {"attempts", absl::StrJoin(request.attempt_log, ",")}});
 }
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -39,9 +40,10 @@
 
   HttpExchange& exchange;
   platform::CallerRequest caller;
-  std::shared_ptr<const RouteTable> table;  ///< Desired state when the request arrived.
-  const Route* route = nullptr;
-  const TeamSpec* team = nullptr;
+  int64_t revision = 0;  ///< Of the desired state when the request arrived; 0: none was known.
+  // Copies. A reference to the desired state would keep all of it for as long as the request lasts.
+  std::optional<Route> route;
+  std::optional<TeamSpec> team;
   std::string service;
   std::vector<std::string> traits;  ///< What may crash its runner; see `RequestTraits`.
   uint64_t prefix_hash = 0;
@@ -78,9 +80,7 @@
   /// Maximum number of tokens that the request occupies in an engine's memory.
   int64_t tokens() const { return caller.prompt_tokens + caller.output_tokens; }
   /// The team's priority takes precedence over the route's.
-  int64_t priority() const {
-    return team != nullptr && team->priority ? *team->priority : route->priority;
-  }
+  int64_t priority() const { return team && team->priority ? *team->priority : route->priority; }
   /// Ids of the parts of the prompt that other requests may have in common: all but the last.
   std::vector<std::string> SharedParts() const;
   bool is_stream() const { return route->kind == RouteKind::kStream; }
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -211,9 +211,8 @@
   query.repeatable = request.repeatable();
   query.random = NextRandom();
   query.demand = token_demands_[request.service].Estimate(now);
-  const auto service = request.table->services.find(request.service);
-  if (service != request.table->services.end()) {
-    query.cold_requests_per_second = service->second.cold_requests_per_second;
+  if (const ServiceSpec* service = view_.Service(request.service)) {
+    query.cold_requests_per_second = service->cold_requests_per_second;
   }
   if (const WeightsHistory* weights = view_.weights(request.caller.model)) {
     const double bound_us = static_cast<double>(view_.settings().weights_ms) * 1e3;
@@ -261,22 +260,21 @@
   platform::RunnerRequestFields fields;
   fields.runner_id = runner.record.id;
   fields.time_left = request.deadline - SteadyNow();
-  if (request.team != nullptr) fields.team = request.team->name;
+  if (request.team) fields.team = request.team->name;
   if (request.last_event_id > request.caller.resume_after) {
     fields.resume_after = request.last_event_id;
   }
   if (!request.caller.parts.empty()) {
     fields.urgency = UrgencyOf(request.priority(), request.repeatable());
     fields.weights_version = runner.record.weights_version;
-    const bool isolated = request.team != nullptr && request.team->isolated;
+    const bool isolated = request.team && request.team->isolated;
     fields.cache_salt = CacheSalt(fields.weights_version, isolated ? request.team->name : "");
     if (fields.weights_version > 0) {
       PartPlan plan = PlanParts(request.caller.parts, fields.cache_salt, parts_.Stores(),
                                 runner.record.data_centre);
-      const auto service = request.table->services.find(request.service);
-      parts_.OnPlanned(
-          request.caller.parts, plan, runner.record.data_centre,
-          service == request.table->services.end() ? 0 : service->second.cache_bytes_per_token);
+      const ServiceSpec* const service = view_.Service(request.service);
+      parts_.OnPlanned(request.caller.parts, plan, runner.record.data_centre,
+                       service == nullptr ? 0 : service->cache_bytes_per_token);
       fields.fetch_from = std::move(plan.fetch_from);
       fields.save_to = std::move(plan.save_to);
       const TimePoint now = SteadyNow();
@@ -335,7 +333,7 @@
                            {"report_age_ms", chosen->report ? Ms(now - chosen->reported_at) : "-1"},
                            {"cold", chosen->Cold(now) ? "yes" : "no"},
                            {"weights", absl::StrCat(chosen->record.weights_version)},
-                           {"revision", absl::StrCat(request.table->revision)},
+                           {"revision", absl::StrCat(request.revision)},
                            {"left_ms", Ms(request.deadline - now)},
                            {"reused", acquired.reused ? "yes" : "no"}});
   request.channel = acquired.channel.get();
@@ -592,15 +590,14 @@
                         platform::RefusalHeaders(request.caller.id, refusal.retry_after),
                         boost::json::serialize(body)};
   co_await request.exchange.Respond(std::move(response));
-  LogInfo("request_refused",
-          {{"request", request.caller.id},
-           {"route", request.route == nullptr ? "" : request.route->name},
-           {"status", absl::StrCat(refusal.status)},
-           {"reason", refusal.reason},
-           {"retry_after_ms", Ms(refusal.retry_after)},
-           {"revision", absl::StrCat(request.table ? request.table->revision : 0)},
-           {"authority_age_ms", absl::StrCat(view_.AuthorityAgeMs())},
-           {"attempts", absl::StrJoin(request.attempt_log, ",")}});
+  LogInfo("request_refused", {{"request", request.caller.id},
+                              {"route", !request.route ? "" : request.route->name},
+                              {"status", absl::StrCat(refusal.status)},
+                              {"reason", refusal.reason},
+                              {"retry_after_ms", Ms(refusal.retry_after)},
+                              {"revision", absl::StrCat(request.revision)},
+                              {"authority_age_ms", absl::StrCat(view_.AuthorityAgeMs())},
+                              {"attempts", absl::StrJoin(request.attempt_log, ",")}});
   RecordRequestEnd(metrics_, request, "refused", refusal.status);
 }
 
@@ -622,7 +619,7 @@
 }
 
 void Forwarder::CheckAttempt(ForwardedRequest& request, TimePoint now) {
-  if (request.route == nullptr) return;
+  if (!request.route) return;
   if (!request.caller_gone && request.exchange.peer_closed()) {
     request.caller_gone = true;
     if (request.channel != nullptr) request.channel->Close();
