Read the changes missed during an outage within the memory

Cause: a watch that continues after an outage returns all desired states since, and all of them were parsed before the first was applied. A page above 12 MB was refused, and the same watch was tried again for as long as the store kept its history. Bodies of up to 4 MB were parsed whole, with each content copied once more.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -222,6 +222,7 @@
   if (!failure) failure = co_await transport->Read(parser);
   if (failure) {
     result.failure = absl::StrCat("call to ", ToString(endpoint), " failed: ", failure.message());
+    result.too_large = failure == http::error::body_limit;
     // Whatever silenced this connection, such as a gateway on the path that lost its state, has
     // probably silenced the idle ones too, and each would cost one more timeout.
     if (failure == beast::error::timeout) impl->CloseIdle(endpoint);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -32,8 +32,9 @@
 struct HttpResult {
   CallStage stage = CallStage::kNotConnected;
   std::optional<HttpResponse> response;
-  std::string failure;  ///< Error message if the stage is not kAnswered.
-  bool reused = false;  ///< The connection was a pooled one.
+  std::string failure;     ///< Error message if the stage is not kAnswered.
+  bool reused = false;     ///< The connection was a pooled one.
+  bool too_large = false;  ///< The response's body exceeds the call's limit.
 
   bool ok() const { return response.has_value() && response->status / 100 == 2; }
 };
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -117,10 +117,13 @@
                    {"seq", ++sequence_}});
 }
 
-void Fleet::PutDesiredState(const std::vector<std::string>& keys) {
+void Fleet::PutDesiredState(const std::vector<std::string>& keys, int further_routes) {
   json::array routes{MakeRoute("safe", "safe", 2, false), MakeRoute("unsafe", "unsafe", 1, false),
                      MakeRoute("stream", "stream", 2, true),
                      MakeRoute("single", "stream", 1, false)};
+  for (int i = 0; i < further_routes; ++i) {
+    routes.push_back(MakeRoute(absl::StrCat("further", i).c_str(), "safe", 2, false));
+  }
   json::array key_list(keys.begin(), keys.end());
   revision_ += 3;
   Put(platform::kConfigKind, "main",
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -30,8 +30,9 @@
   /// Writes the store's record of a runner that started at `started_ms`.
   void ListRunner(int runner, const std::string& state = "ready", int cold_ms = 0,
                   int started_ms = 1'000);
-  /// Writes a new version of the desired state, with `keys` as the API keys of team "alpha".
-  void PutDesiredState(const std::vector<std::string>& keys);
+  /// Writes a new version of the desired state, with `keys` as the API keys of team "alpha" and
+  /// this number of further routes.
+  void PutDesiredState(const std::vector<std::string>& keys, int further_routes = 0);
 
   /// Sends a request to a gateway. `path` selects the route by its prefix: "/safe/", "/unsafe/",
   /// "/stream/" or "/single/".
