Bound the responses that a gateway sends to its peers at once

Cause: when the store turns most processes away, they all read the desired state from the few gateways that it serves.

--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -200,6 +200,18 @@
       HttpTarget target = exchange.target();
       response = co_await part_watch_->ServePeer(std::move(target));
     }
+    // Many processes read at once when the store turns them away. Those that are refused here read
+    // from another gateway.
+    const auto bytes = static_cast<int64_t>(response.body.size());
+    const int64_t limit = settings_.memory_mb * kBytesPerMegabyte / kPeerMemoryDivisor;
+    if (peer_bytes_ > 0 && peer_bytes_ + bytes > limit) {
+      LogInfo("peer_refused",
+              {{"held_bytes", absl::StrCat(peer_bytes_)}, {"asked_bytes", absl::StrCat(bytes)}});
+      response = {503, {}, ""};
+    }
+    const auto held = static_cast<int64_t>(response.body.size());
+    peer_bytes_ += held;
+    const absl::Cleanup sent = [this, held]() { peer_bytes_ -= held; };
     co_await exchange.Respond(std::move(response));
   }
 
@@ -240,6 +252,7 @@
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> peer_server_;
   std::unique_ptr<HttpServer> metrics_server_;
+  int64_t peer_bytes_ = 0;  ///< Responses to peers that are being sent.
   bool stopping_ = false;
   bool drained_ = false;  ///< All requests of callers have ended.
 };
