Join only events of the same stream into a caller's stream

Cause: a run that resumes a stream was taken for its continuation for any status 2xx: text with blank lines was split into events, and an empty answer completed the stream. In a stream whose end only the connection shows, the header of a second response was taken for an event. A refusal with a status of 4xx was logged as "caller gone" and no other runner was tried.

Change: a resuming answer needs the status and the content type of the stream's first answer; else the attempt counts as cut and another runner may resume. EventCheck accepts only lines that have the form of event fields, with the same line ends throughout a run, and requires ids in a run that resumes a stream or has had one. Anything else breaks the run, is logged (event_malformed) and ends in a retry or a visible cut.

--- a/src/core/event_splitter.cc
+++ b/src/core/event_splitter.cc
@@ -32,6 +32,7 @@
   if (end == std::string::npos) return std::nullopt;
   StreamEvent event;
   event.bytes = pending_.substr(0, end + separator_size);
+  event.separator_size = separator_size;
   event.id = EventId(absl::string_view(event.bytes).substr(0, end));
   pending_.erase(0, end + separator_size);
   return event;
--- a/src/core/event_splitter.h
+++ b/src/core/event_splitter.h
@@ -12,7 +12,8 @@
 /// One server-sent event.
 struct StreamEvent {
   std::optional<int64_t> id;
-  std::string bytes;  ///< As received, with the blank line that ends the event.
+  std::string bytes;          ///< As received, with the blank line that ends the event.
+  size_t separator_size = 0;  ///< Size of the line ends that follow the last line, in bytes.
 };
 
 /// Splits a stream of server-sent events into complete events, so that a caller never receives the
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -10,7 +10,6 @@
 #include <utility>
 
 #include "core/error_code.h"
-#include "core/event_splitter.h"
 #include "core/rendezvous.h"
 #include "core/unix_time.h"
 #include "core/urgency.h"
@@ -69,6 +68,8 @@
 constexpr int64_t kBytesPerMegabyte = 1'000'000;
 /// A faulty runner may send an event without end.
 constexpr size_t kMaxEventBytes = 1'000'000;
+constexpr size_t kMaxLoggedEventBytes = 200;
+constexpr char kContentType[] = "Content-Type";
 /// Pause in a stream after which a runner that does not answer its sidecar counts as dead.
 constexpr Duration kMaxEventPause = Millis(1000);
 /// A failure this close to the deadline counts as a timeout.
@@ -398,6 +399,12 @@
     channel.Close();
     co_return RecordBrokenAttempt(request, channel, runner);
   }
+  if (request.exchange.streaming() && !answer.not_run && !ContinuesStream(request, runner_header)) {
+    channel.Close();
+    runner_registry.OnAttemptOutcome(runner, AttemptOutcome::kOwnFailure, cold_time, SteadyNow());
+    request.attempt_log.push_back(absl::StrCat(runner, ":not_resumed_", answer.status));
+    co_return AttemptResult::kCut;
+  }
   if (success && request.is_stream()) {
     const AttemptResult result = co_await RelayStream(request, channel, runner_header, runner);
     co_return result;
@@ -444,11 +451,37 @@
   co_return written ? AttemptResult::kDelivered : AttemptResult::kCallerGone;
 }
 
+bool Forwarder::ContinuesStream(const ForwardedRequest& request, const RunnerHeader& header) {
+  return header.answer.status == request.stream_status &&
+         HeaderValue(header.fields, kContentType) == request.stream_content_type;
+}
+
+bool Forwarder::TakeEvents(ForwardedRequest& request, EventSplitter& splitter, EventCheck& check,
+                           std::string& events) {
+  while (std::optional<StreamEvent> event = splitter.Next()) {
+    switch (check.Check(*event, request.last_event_id)) {
+      case EventVerdict::kForward:
+        request.last_event_id = event->id.value_or(request.last_event_id);
+        events += event->bytes;
+        break;
+      case EventVerdict::kDuplicate:
+        break;
+      case EventVerdict::kMalformed:
+        LogWarning("event_malformed", {{"request", request.caller.id},
+                                       {"runner", request.runner},
+                                       {"event", event->bytes.substr(0, kMaxLoggedEventBytes)}});
+        return false;
+    }
+  }
+  return true;
+}
+
 Awaitable<Forwarder::AttemptResult> Forwarder::RelayStream(ForwardedRequest& request,
                                                            RunnerChannel& channel,
                                                            const RunnerHeader& header,
                                                            const std::string& runner) {
   EventSplitter splitter;
+  EventCheck check(request.exchange.streaming());
   std::string received;
   const std::unique_ptr<MemoryBudget::Share> memory = ReserveAnswer(request, channel);
   while (true) {
@@ -457,11 +490,7 @@
     splitter.Add(received);
     received.clear();
     std::string events;
-    while (std::optional<StreamEvent> event = splitter.Next()) {
-      if (event->id && *event->id <= request.last_event_id) continue;
-      if (event->id) request.last_event_id = *event->id;
-      events += event->bytes;
-    }
+    if (!TakeEvents(request, splitter, check, events)) read = RunnerChannel::Read::kBroken;
     if (!memory->Resize(static_cast<int64_t>(events.capacity() + splitter.PartialBytes()))) {
       read = RunnerChannel::Read::kBroken;
     }
@@ -477,6 +506,8 @@
       bool written = true;
       if (request.exchange.waiting()) {
         HttpHeaders fields = platform::CallerHeaders(header.fields);
+        request.stream_status = header.answer.status;
+        request.stream_content_type = HeaderValue(header.fields, kContentType);
         written = co_await request.exchange.BeginStream(header.answer.status, std::move(fields));
       }
       if (written) written = co_await request.exchange.WriteChunk(std::move(events));
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "core/event_check.h"
+#include "core/event_splitter.h"
 #include "core/memory_budget.h"
 #include "core/placement.h"
 #include "core/retry_after_estimator.h"
@@ -56,6 +58,12 @@
   /// Copies the events of a runner's stream to the caller.
   Awaitable<AttemptResult> RelayStream(ForwardedRequest& request, RunnerChannel& channel,
                                        const RunnerHeader& header, const std::string& runner);
+  /// Whether the response can go on with the stream that the caller already has part of.
+  static bool ContinuesStream(const ForwardedRequest& request, const RunnerHeader& header);
+  /// Appends the complete events that the caller does not have yet. Returns false if the runner
+  /// sent something else.
+  static bool TakeEvents(ForwardedRequest& request, EventSplitter& splitter, EventCheck& check,
+                         std::string& events);
   /// Records that the runner's response did not arrive or is incomplete.
   AttemptResult RecordBrokenAttempt(ForwardedRequest& request, RunnerChannel& channel,
                                     const std::string& runner);
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -4,6 +4,10 @@
 
 #include <algorithm>
 #include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <cstdlib>
 #include <deque>
 #include <fstream>
@@ -157,6 +161,23 @@
                {platform::kApiKeyHeader, "key-1"}});
 }
 
+std::string Fleet::CallForBytes(const std::string& path, const std::string& body) {
+  static std::atomic<int64_t> calls = 0;
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  socket.connect({boost::asio::ip::address_v4::loopback(), static_cast<uint16_t>(caller_port(0))});
+  const std::string request =
+      absl::StrCat("POST ", path, " HTTP/1.1\r\nHost: fleet.example\r\nConnection: close\r\n",
+                   platform::kRequestIdHeader, ": bytes-", ++calls, "\r\n",
+                   platform::kTimeLeftHeader, ": 3000\r\n", platform::kApiKeyHeader,
+                   ": key-1\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+  boost::asio::write(socket, boost::asio::buffer(request));
+  std::string received;
+  boost::system::error_code end;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(received), end);
+  return received;
+}
+
 bool Fleet::Ready(int gateway) {
   const int port = gateways_.at(static_cast<size_t>(gateway)).readiness;
   return Send("GET", port, platform::kReadyPath, "", {}, Seconds(1)).status == 200;
--- a/test/standin/fleet_runner.cc
+++ b/test/standin/fleet_runner.cc
@@ -190,6 +190,10 @@
     if (HasFault("unframed")) {
       co_return co_await SendUnframed(exchange, std::move(response.headers), events);
     }
+    if (HasFault("resumed") &&
+        !HeaderValue(exchange.request().headers, platform::kResumeAfterHeader).empty()) {
+      co_return co_await AnswerResumed(exchange, std::move(response));
+    }
     HttpHeaders headers = response.headers;
     headers.emplace_back("Content-Type", "text/event-stream");
     co_await exchange.BeginStream(200, std::move(headers));
@@ -221,6 +225,15 @@
     co_await exchange.EndStream();
   }
 
+  /// Answers a request that resumes a stream with something else than the rest of the stream.
+  Awaitable<void> AnswerResumed(HttpExchange& exchange, HttpResponse response) {
+    const std::string kind(faults_.at("resumed").as_string());
+    if (kind == "refusal") response.status = 400;
+    response.headers.emplace_back("Content-Type", "text/plain");
+    response.body = kind == "empty" ? "" : "the model\n\nis not loaded\n\n";
+    co_await exchange.Respond(std::move(response));
+  }
+
   /// Sends the events with neither a length nor chunks. The fault's value is the last event that is
   /// complete; half of the one after it follows, and the connection ends.
   Awaitable<void> SendUnframed(HttpExchange& exchange, HttpHeaders headers, int64_t events) {
@@ -232,6 +245,9 @@
       absl::StrAppend(&text, "id: ", id, "\ndata: token ", id, "\n\n");
     }
     if (last < events) absl::StrAppend(&text, "id: ", last + 1, "\nda");
+    if (HasFault("second_head")) {
+      text += "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nfailed";
+    }
     co_await exchange.transport().WriteAll(text);
     exchange.Abort();
   }
--- a/test/standin/fleet_runner.h
+++ b/test/standin/fleet_runner.h
@@ -17,6 +17,8 @@
 /// "unframed" (send a stream with neither a length nor chunks, of this number of events),
 /// "limit" (name this limit of requests per second in each response), "leaving" (say in each
 /// response that the runner leaves), "pause" (refuse requests as not run for this Retry-After),
+/// "resumed" (answer a request that resumes a stream with "text", "empty" or "refusal" instead),
+/// "second_head" (append the header and text of an error to an unframed stream),
 /// "event_interval_ms" (send events at this interval), "trickle" (send single bytes of an event
 /// that never ends), "no_report" (do not answer GET /report), "repeat_refusal" (before a request
 /// runs, send the connection's last refusal once more), "status" (respond with this status after
