Answer every request that a gateway has read before a planned stop ends

Cause: once the listening socket is closed, a request can still arrive on a connection on which its first bytes came before. It was treated like any other. At the end of the grace the process left with what was under way.

Change: from the moment at which the gateway closes its listening socket, it takes only requests that are expected to end in time: the longest recent request of the service, at least the route's objective, or the request's own time limit. Others are refused at once as not run, with a short Retry-After, since the balancer sends their callers elsewhere. 0.2 s before the end all requests without a part of an answer are answered: 503 where none was sent to a runner, 504 otherwise. Streams that have begun may go on until the end.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -66,6 +66,10 @@
 /// the desired state, requests and connections.
 constexpr int64_t kAnswerMemoryDivisor = 4;
 constexpr int64_t kBytesPerMegabyte = 1'000'000;
+/// Window over which the longest request of a service is remembered.
+constexpr Duration kDurationWindow = Seconds(20);
+/// A stopping gateway gets no new connections, so a refused caller reaches another one at once.
+constexpr Duration kDrainRetryAfter = Millis(50);
 /// A faulty runner may send an event without end.
 constexpr size_t kMaxEventBytes = 1'000'000;
 constexpr size_t kMaxLoggedEventBytes = 200;
@@ -118,10 +122,42 @@
   request.caller = platform::DecodeCallerRequest(exchange.request());
   requests_.insert(&request);
   const absl::Cleanup ended = [this, &request]() { requests_.erase(&request); };
-  if (std::optional<Refusal> refusal = admission_.Admit(request)) {
+  std::optional<Refusal> refusal = admission_.Admit(request);
+  if (!refusal) refusal = RefuseLate(request);
+  if (refusal) {
     co_await SendRefusal(request, *refusal);
-  } else {
-    co_await ProcessRequest(request);
+    co_return;
+  }
+  co_await ProcessRequest(request);
+  if (request.runs == 0) co_return;
+  const TimePoint now = SteadyNow();
+  durations_.try_emplace(request.service, kDurationWindow)
+      .first->second.Add(now - request.arrived_at, now);
+}
+
+void Forwarder::BeginDrain(TimePoint end) { drain_end_ = end; }
+
+// Load pattern: a planned stop beside slow uploads and open connections. A request that arrives
+// late would be cut at the end of the stop, perhaps after it has run; here it costs its caller a
+// moment.
+std::optional<Refusal> Forwarder::RefuseLate(const ForwardedRequest& request) const {
+  if (!drain_end_) return std::nullopt;
+  const TimePoint now = SteadyNow();
+  const auto known = durations_.find(request.service);
+  const Duration longest = known == durations_.end() ? Duration{0} : known->second.Longest(now);
+  const Duration expected = std::max(longest, request.route->objective);
+  if (now + expected < *drain_end_ || request.deadline < *drain_end_) return std::nullopt;
+  return Refusal{503, ErrorCode::kOutOfService, RunState::kNotRun,
+                 "the gateway stops before the request can end", kDrainRetryAfter};
+}
+
+void Forwarder::EndRequests() {
+  const TimePoint now = SteadyNow();
+  for (ForwardedRequest* request : requests_) {
+    // A stream that has begun cannot be answered otherwise; it may still end in time.
+    if (!request->route || request->exchange.streaming()) continue;
+    request->deadline = std::min(request->deadline, now);
+    if (request->channel != nullptr) request->channel->Close();
   }
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -12,6 +12,7 @@
 #include "core/event_splitter.h"
 #include "core/memory_budget.h"
 #include "core/placement.h"
+#include "core/recent_maximum.h"
 #include "core/retry_after_estimator.h"
 #include "core/token_demand.h"
 #include "gateway/admission.h"
@@ -37,12 +38,19 @@
   CrashAttribution& crash_attribution() { return crash_attribution_; }
   /// Receives the other gateways' reports of what runners said.
   NoticeReports& notice_reports() { return notice_reports_; }
+  /// From now on only requests that are expected to end before `end` are taken: the process stops.
+  void BeginDrain(TimePoint end);
+  /// Cancels the attempts of all requests whose callers have no part of an answer yet, and answers
+  /// these requests.
+  void EndRequests();
   /// Number of requests that have not been answered.
   size_t in_flight() const { return requests_.size(); }
 
  private:
   enum class AttemptResult;
 
+  /// Returns the refusal of a request that arrives too late in a planned stop.
+  std::optional<Refusal> RefuseLate(const ForwardedRequest& request) const;
   Awaitable<void> ProcessRequest(ForwardedRequest& request);
   Awaitable<Placement> WaitForPlacement(ForwardedRequest& request);
   Placement TryPlacement(ForwardedRequest& request, TimePoint now);
@@ -92,6 +100,8 @@
   std::set<ForwardedRequest*> requests_;
   std::map<std::string, RetryAfterEstimator> retry_after_estimators_;  ///< By service.
   std::map<std::string, TokenDemand> token_demands_;                   ///< By service.
+  std::map<std::string, RecentMaximum> durations_;  ///< Of requests that ran, by service.
+  std::optional<TimePoint> drain_end_;              ///< Set once the process stops.
   uint64_t random_state_;
 };
 
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -38,6 +38,8 @@
 constexpr Duration kBalancerDelay = Millis(2600);
 /// Subtracted from the time for a shutdown, so that the process exits before it is killed.
 constexpr Duration kShutdownMargin = Millis(400);
+/// Time before the end of a shutdown at which requests that still wait for a runner are answered.
+constexpr Duration kLastAnswersTime = Millis(200);
 /// File descriptors reserved for files and for connections to runners, peers and the store.
 constexpr int64_t kReservedDescriptors = 700;
 constexpr int64_t kBytesPerMegabyte = 1'000'000;
@@ -112,11 +114,15 @@
     const TimePoint limit =
         started_at + Micros(static_cast<int64_t>(settings_.shutdown_s * 1e6)) - kShutdownMargin;
     if (caller_server_ != nullptr) {
-      co_await SleepFor(kBalancerDelay);
+      const TimePoint answer_by = limit - kLastAnswersTime;
+      co_await SleepFor(std::min(kBalancerDelay, (limit - started_at) / 2));
+      forwarder_->BeginDrain(answer_by);
       Spawn(io_, "drain", [this]() -> Awaitable<void> {
         co_await caller_server_->Drain();
         drained_ = true;
       });
+      while (SteadyNow() < answer_by && !drained_) co_await SleepFor(kDrainPollInterval);
+      forwarder_->EndRequests();
       while (SteadyNow() < limit && !drained_) co_await SleepFor(kDrainPollInterval);
     }
     LogInfo("shutdown_finished",
--- a/test/process/planned_stop.cc
+++ b/test/process/planned_stop.cc
@@ -24,6 +24,11 @@
 
 const std::string kRequest = "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 1\r\n\r\nx";
 constexpr int kCallers = 16;
+/// Before the gateway closes its listening socket, 2.6 s after SIGTERM.
+constexpr int64_t kBeginUploadMs = 2'400;
+/// Less than the time limit for a request's bytes. With it 2.4 s are left of the shutdown, less
+/// than the route's time limit of 3 s.
+constexpr int64_t kUploadMs = 2'800;
 
 }  // namespace
 
@@ -148,4 +153,54 @@
   LONGS_EQUAL(0, cut);
 }
 
+/// A gateway that gets SIGTERM while a caller sends a request slowly.
+TEST_GROUP(LateUpload) {
+  Fleet fleet{1, 1};
+
+  /// Sends SIGTERM, and a request whose last byte follows when half of the time for the shutdown is
+  /// over. Returns what the caller receives.
+  std::string StopDuringUpload() {
+    fleet.Signal("gateway0", SIGTERM);
+    // The gateway still takes connections, as the balancer does not know yet that it stops.
+    SleepMillis(kBeginUploadMs);
+    asio::io_context client_io;
+    tcp::socket socket(client_io);
+    socket.connect({asio::ip::address_v4::loopback(), static_cast<uint16_t>(fleet.caller_port(0))});
+    const std::string head =
+        "POST /unsafe/ HTTP/1.1\r\nHost: fleet.example\r\nX-Fuchsiaweir-Request-Id: late\r\n"
+        "X-Fuchsiaweir-Deadline-Ms: 9000\r\nApi-Key: key-1\r\nContent-Length: 1\r\n\r\n";
+    asio::write(socket, asio::buffer(head));
+    SleepMillis(kUploadMs);
+    asio::write(socket, asio::buffer("x", 1));
+    std::string received;
+    boost::system::error_code end;
+    asio::read(socket, asio::dynamic_buffer(received), end);
+    LONGS_EQUAL(0, fleet.Wait("gateway0"));
+    return received;
+  }
+};
+
+// Guards against a request that is passed on late in a planned stop and then cut with no answer,
+// although it may have run.
+TEST(LateUpload, ARequestWithoutAnAnswerIsAnsweredBeforeTheEnd) {
+  fleet.Start();
+  fleet.InjectFault("runner0", R"({"silent": true})");
+  const std::string received = StopDuringUpload();
+  CHECK_TEXT(received.starts_with("HTTP/1.1 504"), received.c_str());
+  LONGS_EQUAL(1, fleet.Runs(0));
+}
+
+// Guards against a request that runs although it cannot end before the gateway does: its caller may
+// not send it again.
+TEST(LateUpload, ARequestThatCannotEndInTimeIsRefusedAsNotRun) {
+  fleet.Start();
+  fleet.InjectFault("runner0", R"({"silent": true})");
+  LONGS_EQUAL(504, fleet.Call("/unsafe/", "x").status);
+  LONGS_EQUAL(1, fleet.Runs(0));
+  const std::string received = StopDuringUpload();
+  CHECK_TEXT(received.starts_with("HTTP/1.1 503"), received.c_str());
+  CHECK_TEXT(received.find("Retry-After: ") != std::string::npos, received.c_str());
+  LONGS_EQUAL(1, fleet.Runs(0));
+}
+
 }  // namespace fuchsiaweir::testing
