--- a/src/gateway/runner_channel.cc
+++ b/src/gateway/runner_channel.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "core/rendezvous.h"
 #include "net/http_transport.h"
 #include "net/received_body.h"
 
@@ -86,7 +87,7 @@
         platform::DecodeRunnerAnswer(static_cast<int>(parser.get().result_int()), header.fields);
     keep_alive_ = header.answer.keep_alive;
     if (header.answer.request_id == request_id) {
-      if (header.answer.not_run) refused_.insert(request_id);
+      if (header.answer.not_run) refused_.insert(RendezvousHash(request_id));
       co_return true;
     }
     if (!co_await DropBody() || !parser.keep_alive()) break;
@@ -135,6 +136,10 @@
   impl_->transport.Close();
 }
 
+bool RunnerChannel::HasRefused(const std::string& request_id) const {
+  return refused_.count(RendezvousHash(request_id)) > 0;
+}
+
 bool RunnerChannel::Reusable() const {
   if (impl_->closed || !impl_->complete || !impl_->parser || !impl_->parser->keep_alive()) {
     return false;
--- a/src/gateway/runner_channel.h
+++ b/src/gateway/runner_channel.h
@@ -57,7 +57,7 @@
   /// Whether the runner has refused a request with this id on the connection. A faulty runner may
   /// send the refusal once more, and it would be taken for the answer to the request's next
   /// attempt.
-  bool HasRefused(const std::string& request_id) const { return refused_.count(request_id) > 0; }
+  bool HasRefused(const std::string& request_id) const;
   /// Reason of the last failure.
   const std::string& failure() const { return failure_; }
   /// Idle timeout that the runner announced; zero if none.
@@ -71,7 +71,8 @@
   std::unique_ptr<Impl> impl_;
   std::string failure_;
   Duration keep_alive_{0};
-  std::set<std::string> refused_;  ///< Ids of requests that the runner has refused.
+  /// Hashes of the ids of requests that the runner has refused. Callers choose how long an id is.
+  std::set<uint64_t> refused_;
 };
 
 /// Pool of connections to runners.
--- a/src/net/received_body.h
+++ b/src/net/received_body.h
@@ -18,10 +18,10 @@
 
   static uint64_t size(const value_type& body) { return body.size(); }
 
-  class reader {
+  class Reader {
    public:
     template <bool is_request, typename Fields>
-    reader(boost::beast::http::header<is_request, Fields>&, value_type& body) : body_(body) {}
+    Reader(boost::beast::http::header<is_request, Fields>&, value_type& body) : body_(body) {}
 
     void init(const boost::optional<uint64_t>&, boost::system::error_code& failure) {
       failure = {};
@@ -43,6 +43,7 @@
    private:
     value_type& body_;
   };
+  using reader = Reader;  ///< The name that Beast looks for.
 };
 
 }  // namespace fuchsiaweir
