Compare media types of resumed streams without parameters, and simplify names

SetLimit of MemoryBudget had no caller. The size of a host's memory in bytes is computed in one place.

--- a/src/core/memory_budget.h
+++ b/src/core/memory_budget.h
@@ -38,8 +38,6 @@
     bool evicted_ = false;
   };
 
-  /// Sets the limit, in bytes; takes effect when a share grows.
-  void SetLimit(int64_t limit_bytes) { limit_bytes_ = limit_bytes; }
   int64_t used_bytes() const { return used_bytes_; }
   /// Number of shares evicted so far.
   int64_t evictions() const { return evictions_; }
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -71,7 +71,7 @@
   bool retry_reserved = false;  ///< The next attempt was already taken from the retry budget.
   int64_t last_event_id = 0;    ///< Id of the last event that the caller has received.
   int stream_status = 0;        ///< Status of the caller's stream, once it has begun.
-  std::string stream_content_type;
+  std::string stream_media_type;
   Duration time_to_first_byte{0};
   int failure_status = 0;  ///< Error response of the last runner that sent one; 0: none.
   HttpHeaders failure_headers;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -1,6 +1,7 @@
 #include "gateway/forwarder.h"
 
 #include <absl/cleanup/cleanup.h>
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
@@ -65,7 +66,6 @@
 /// Share of the host's memory for answers that are held until they are complete. The rest is for
 /// the desired state, requests and connections.
 constexpr int64_t kAnswerMemoryDivisor = 4;
-constexpr int64_t kBytesPerMegabyte = 1'000'000;
 /// Window over which the longest request of a service is remembered.
 constexpr Duration kDurationWindow = Seconds(20);
 /// A stopping gateway gets no new connections, so a refused caller reaches another one at once.
@@ -73,7 +73,6 @@
 /// A faulty runner may send an event without end.
 constexpr size_t kMaxEventBytes = 1'000'000;
 constexpr size_t kMaxLoggedEventBytes = 200;
-constexpr char kContentType[] = "Content-Type";
 /// Pause in a stream after which a runner that does not answer its sidecar counts as dead.
 constexpr Duration kMaxEventPause = Millis(1000);
 /// A failure this close to the deadline counts as a timeout.
@@ -81,6 +80,12 @@
 
 std::string Ms(Duration duration) { return absl::StrCat(ToMillis(duration)); }
 
+/// Returns the content type in lower case and without parameters; empty if there is none.
+std::string MediaType(const HttpHeaders& headers) {
+  const std::string type = HeaderValue(headers, "Content-Type");
+  return absl::AsciiStrToLower(absl::StripAsciiWhitespace(type.substr(0, type.find(';'))));
+}
+
 }  // namespace
 
 enum class Forwarder::AttemptResult {
@@ -99,7 +104,7 @@
       parts_(parts),
       metrics_(components.Find<Metrics>("metrics")),
       channels_(components.io()),
-      answer_memory_(view.settings().memory_mb * kBytesPerMegabyte / kAnswerMemoryDivisor),
+      answer_memory_(view.settings().memory_bytes() / kAnswerMemoryDivisor),
       runner_check_(components.io(), view, channels_),
       crash_attribution_(view, metrics_),
       notice_reports_(view, metrics_),
@@ -489,7 +494,7 @@
 
 bool Forwarder::ContinuesStream(const ForwardedRequest& request, const RunnerHeader& header) {
   return header.answer.status == request.stream_status &&
-         HeaderValue(header.fields, kContentType) == request.stream_content_type;
+         MediaType(header.fields) == request.stream_media_type;
 }
 
 bool Forwarder::TakeEvents(ForwardedRequest& request, EventSplitter& splitter, EventCheck& check,
@@ -543,7 +548,7 @@
       if (request.exchange.waiting()) {
         HttpHeaders fields = platform::CallerHeaders(header.fields);
         request.stream_status = header.answer.status;
-        request.stream_content_type = HeaderValue(header.fields, kContentType);
+        request.stream_media_type = MediaType(header.fields);
         written = co_await request.exchange.BeginStream(header.answer.status, std::move(fields));
       }
       if (written) written = co_await request.exchange.WriteChunk(std::move(events));
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -42,7 +42,6 @@
 constexpr Duration kLastAnswersTime = Millis(200);
 /// File descriptors reserved for files and for connections to runners, peers and the store.
 constexpr int64_t kReservedDescriptors = 700;
-constexpr int64_t kBytesPerMegabyte = 1'000'000;
 /// Share of the host's memory for responses to peers that are being sent.
 constexpr int64_t kPeerMemoryDivisor = 8;
 /// Requests of peers, of the balancer and for metrics have no body.
@@ -209,7 +208,7 @@
     // Many processes read at once when the store turns them away. Those that are refused here read
     // from another gateway.
     const auto bytes = static_cast<int64_t>(response.body.size());
-    const int64_t limit = settings_.memory_mb * kBytesPerMegabyte / kPeerMemoryDivisor;
+    const int64_t limit = settings_.memory_bytes() / kPeerMemoryDivisor;
     if (peer_bytes_ > 0 && peer_bytes_ + bytes > limit) {
       LogInfo("peer_refused",
               {{"held_bytes", absl::StrCat(peer_bytes_)}, {"asked_bytes", absl::StrCat(bytes)}});
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -34,6 +34,7 @@
   std::string log_level = "info";
   std::map<std::string, std::string> regions;  ///< Region of each data centre.
 
+  int64_t memory_bytes() const { return memory_mb * 1'000'000; }
   Endpoint callers_endpoint() const { return ParseEndpoint(callers); }
   Endpoint readiness_endpoint() const { return ParseEndpoint(readiness); }
   Endpoint runner_endpoint() const { return ParseEndpoint(runner); }
--- a/src/net/awaitable.cc
+++ b/src/net/awaitable.cc
@@ -37,16 +37,14 @@
 
 void SpawnService(asio::io_context& io, std::string name, std::function<Awaitable<void>()> body) {
   Spawn(io, name, [name, body = std::move(body)]() -> Awaitable<void> {
-    bool ended = false;
-    while (!ended) {
+    while (true) {
       std::string failure;
       try {
         co_await body();
-        ended = true;
+        co_return;
       } catch (const std::exception& e) {
-        failure = e.what();
+        failure = e.what();  // A handler of exceptions cannot suspend.
       }
-      if (ended) break;
       LogError("service_failed", {{"task", name}, {"reason", failure}});
       co_await SleepFor(kServiceRestartDelay);
     }
