--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -73,6 +73,7 @@
   int store_port() const { return store_port_; }
   int second_store_port() const { return second_store_port_; }
   int caller_port(int gateway) const { return gateways_.at(static_cast<size_t>(gateway)).callers; }
+  int peer_port(int gateway) const { return gateways_.at(static_cast<size_t>(gateway)).peer; }
   int metrics_port(int gateway) const { return gateways_.at(static_cast<size_t>(gateway)).metrics; }
 
  private:
