Test that calls to other processes end at their limit

EndlessResponses.* (2 tests): heads, bodies, chunk extensions, trailers, interim answers and bytes that are no answer, without end, to calls and to streams that are refused. They cover the part of that the store, reports, KV stores and peers use.

--- a/test/process/http_client.cc
+++ b/test/process/http_client.cc
@@ -5,7 +5,11 @@
 #include <CppUTest/TestHarness.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <set>
+#include <string>
+#include <thread>
 #include <vector>
 
 #include "net/http_server.h"
@@ -17,6 +21,10 @@
 
 constexpr Duration kCallTimeout = Millis(300);
 constexpr int kConnections = 3;
+/// Time limit of calls that must fail for another reason.
+constexpr Duration kEndlessTimeout = Seconds(20);
+constexpr int64_t kMaxBodyBytes = 1'000'000;
+constexpr size_t kPieceBytes = 65'536;
 
 uint16_t ClientPort(HttpExchange& exchange) {
   boost::system::error_code ignored;
@@ -71,4 +79,70 @@
   CHECK(succeeded.front());
 }
 
+/// A server that answers every connection with bytes that do not end.
+TEST_GROUP(EndlessResponses) {
+  boost::asio::io_context io{1};
+  boost::asio::ip::tcp::acceptor acceptor{io, {boost::asio::ip::address_v4::loopback(), 0}};
+
+  /// Calls the server, or opens a stream from it, while it sends `begin` and then `unit` without
+  /// end. Checks that the call fails long before its time limit.
+  void CheckEndsEarly(const std::string& begin, const std::string& unit, bool stream) {
+    std::jthread server([&]() {
+      boost::asio::ip::tcp::socket connection = acceptor.accept();
+      boost::system::error_code end;
+      boost::asio::write(connection, boost::asio::buffer(begin), end);
+      std::string piece;
+      while (piece.size() < kPieceBytes) piece += unit;
+      while (!end) boost::asio::write(connection, boost::asio::buffer(piece), end);
+    });
+    HttpClient client(io);
+    bool answered = true;
+    bool done = false;
+    Spawn(io, "call", [&]() -> Awaitable<void> {
+      Endpoint endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+      HttpRequest request{"GET", "/", {}, ""};
+      CallOptions options;
+      options.timeout = kEndlessTimeout;
+      options.max_body_bytes = kMaxBodyBytes;
+      if (stream) {
+        const HttpStreamResult result =
+            co_await client.OpenStream(std::move(endpoint), std::move(request), options);
+        answered = result.stream != nullptr || result.response.has_value();
+      } else {
+        const HttpResult result =
+            co_await client.Call(std::move(endpoint), std::move(request), options);
+        answered = result.ok();
+      }
+      done = true;
+    });
+    const TimePoint start = SteadyNow();
+    while (!done) io.run_one();
+    CHECK_TEXT(SteadyNow() - start < kEndlessTimeout / 2, begin.c_str());
+    CHECK_FALSE_TEXT(answered, begin.c_str());
+  }
+};
+
+// Guards against a process that runs out of memory because the store, a runner's report, a KV store
+// or a peer sends without end.
+TEST(EndlessResponses, CallsEndAtTheirLimit) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n1";
+  for (const std::string& begin :
+       {ok + "Field: ", ok + "\r\n", ok + "Content-Length: 900000000000000\r\n\r\n", chunked + ";",
+        chunked + "\r\nx\r\n0\r\nField: "}) {
+    CheckEndsEarly(begin, "x", /*stream=*/false);
+  }
+  CheckEndsEarly("", "HTTP/1.1 103 Early Hints\r\n\r\n", /*stream=*/false);
+  CheckEndsEarly("", "no answer ", /*stream=*/false);
+}
+
+// Guards against an error without end in answer to a call whose body has no limit, since it is a
+// stream.
+TEST(EndlessResponses, ErrorsOfStreamsEndAtTheLimit) {
+  const std::string error = "HTTP/1.1 500 Internal Server Error\r\n";
+  CheckEndsEarly(error + "\r\n", "x", /*stream=*/true);
+  CheckEndsEarly(error + "Transfer-Encoding: chunked\r\n\r\n1;", "x", /*stream=*/true);
+  CheckEndsEarly(error + "Field: ", "x", /*stream=*/true);
+}
+
 }  // namespace fuchsiaweir::testing
