Let two tests of runner connections share the reading of an answer

The test of an announced length repeated the server and the reader of the test of an endless body. ReadAnswer serves both; the assertions are the same.

--- a/test/process/runner_channel.cc
+++ b/test/process/runner_channel.cc
@@ -59,22 +59,22 @@
   CHECK(end == boost::asio::error::connection_reset);
 }
 
-// Guards against a gateway that runs out of memory because a runner sends a body without end.
-TEST(RunnerChannels, ABodyWithoutEndIsBroken) {
+/// Reads the answer of a runner that sends `fields`, the rest of a header and the begin of a body,
+/// and then 'x' without end if `endless`. Appends to `body` and returns how the last read ended.
+RunnerChannel::Read ReadAnswer(const std::string& fields, bool endless, std::string& body) {
   boost::asio::io_context io(1);
   tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
   const Endpoint runner{"127.0.0.1", acceptor.local_endpoint().port()};
-  std::jthread server([&acceptor]() {
+  std::jthread server([&]() {
     tcp::socket connection = acceptor.accept();
     boost::system::error_code end;
-    const std::string header =
-        absl::StrCat("HTTP/1.1 200 OK\r\n", platform::kRequestIdHeader, ": id\r\n\r\n");
-    boost::asio::write(connection, boost::asio::buffer(header), end);
+    const std::string begin =
+        absl::StrCat("HTTP/1.1 200 OK\r\n", platform::kRequestIdHeader, ": id\r\n", fields);
+    boost::asio::write(connection, boost::asio::buffer(begin), end);
     const std::string bytes(kReadBytes, 'x');
-    while (!end) boost::asio::write(connection, boost::asio::buffer(bytes), end);
+    while (endless && !end) boost::asio::write(connection, boost::asio::buffer(bytes), end);
   });
   RunnerChannelPool pool(io);
-  std::string body;
   RunnerChannel::Read read = RunnerChannel::Read::kData;
   bool done = false;
   Spawn(io, "attempt", [&]() -> Awaitable<void> {
@@ -94,44 +94,22 @@
     done = true;
   });
   while (!done) io.run_one();
-  CHECK(read == RunnerChannel::Read::kBroken);
+  return read;
+}
+
+// Guards against a gateway that runs out of memory because a runner sends a body without end.
+TEST(RunnerChannels, ABodyWithoutEndIsBroken) {
+  std::string body;
+  CHECK(ReadAnswer("\r\n", /*endless=*/true, body) == RunnerChannel::Read::kBroken);
   CHECK(body.size() < kBodyBytes);
 }
 
 // Guards against a gateway that ends because a runner announces a length that no memory holds: the
 // allocation threw an exception outside of the request's own coroutine.
 TEST(RunnerChannels, AnAnnouncedLengthAllocatesNothing) {
-  boost::asio::io_context io(1);
-  tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-  const Endpoint runner{"127.0.0.1", acceptor.local_endpoint().port()};
-  std::jthread server([&acceptor]() {
-    tcp::socket connection = acceptor.accept();
-    boost::system::error_code end;
-    const std::string begin =
-        absl::StrCat("HTTP/1.1 200 OK\r\n", platform::kRequestIdHeader,
-                     ": id\r\nContent-Length: 900000000000000\r\n\r\nthe first bytes");
-    boost::asio::write(connection, boost::asio::buffer(begin), end);
-  });
-  RunnerChannelPool pool(io);
   std::string body;
-  RunnerChannel::Read read = RunnerChannel::Read::kData;
-  bool done = false;
-  Spawn(io, "attempt", [&]() -> Awaitable<void> {
-    std::string request_id = "id";
-    RunnerChannelPool::Acquired acquired =
-        co_await pool.Acquire(runner, std::move(request_id), true, Seconds(1));
-    acquired.channel->ExpireAfter(Seconds(5));
-    std::string request = "GET / HTTP/1.1\r\n\r\n";
-    const std::string none;
-    co_await acquired.channel->Send(std::move(request), none);
-    RunnerHeader header;
-    const std::string id = "id";
-    CHECK(co_await acquired.channel->ReadHeader(id, header));
-    while (read == RunnerChannel::Read::kData) read = co_await acquired.channel->ReadBody(body);
-    done = true;
-  });
-  while (!done) io.run_one();
-  CHECK(read == RunnerChannel::Read::kBroken);
+  const std::string fields = "Content-Length: 900000000000000\r\n\r\nthe first bytes";
+  CHECK(ReadAnswer(fields, /*endless=*/false, body) == RunnerChannel::Read::kBroken);
   STRCMP_EQUAL("the first bytes", body.c_str());
 }
 
