Log why an attempt is given up, and how long the process stalled

The logs could not tell an attempt that was given up for a slow runner from one whose answer the gateway itself was too late to read, nor say that the process had not run. attempt_abandoned has the cause, the times since the request was sent and since its last byte, the age of the runner's report and the longest recent stall; process_stalled tells each stall of 0.5 s or more. The decision moves to AttemptMonitor unchanged.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -45,12 +45,6 @@
 constexpr double kReplacedWeightsShare = 0.75;
 /// Share of that deadline after which they get only requests that they start at once.
 constexpr double kIdleOnlyWeightsShare = 0.6;
-/// Timeout for the first byte, in multiples of the objective, after which a repeatable request is
-/// sent to another runner. The timeout is longer for a model engine with a fresh load report, which
-/// is busy rather than dead.
-constexpr double kFirstByteTimeoutFactor = 1.5;
-constexpr double kBusyFirstByteTimeoutFactor = 4;
-
 /// Retry-After times are extended by a random share up to this one, so that refused callers do not
 /// return together.
 constexpr double kRetryAfterJitter = 0.6;
@@ -73,8 +67,6 @@
 /// A faulty runner may send an event without end.
 constexpr size_t kMaxEventBytes = 1'000'000;
 constexpr size_t kMaxLoggedEventBytes = 200;
-/// Pause in a stream after which a runner that does not answer its sidecar counts as dead.
-constexpr Duration kMaxEventPause = Millis(1000);
 /// A failure this close to the deadline counts as a timeout.
 constexpr Duration kDeadlineTolerance = Millis(5);
 
@@ -109,6 +101,7 @@
       crash_attribution_(view, metrics_),
       notice_reports_(view, metrics_),
       admission_(view, crash_attribution_, metrics_),
+      monitor_(view, admission_, metrics_),
       random_state_(RendezvousHash(view.settings().name) ^ static_cast<uint64_t>(UnixMillis())) {
   components.Find<TimerService>("timer").Subscribe("forwarder", kTickPeriod,
                                                    [this](TimePoint now) { Tick(now); });
@@ -674,6 +667,7 @@
 }
 
 void Forwarder::Tick(TimePoint now) {
+  monitor_.OnTimer(now, kTickPeriod);
   for (ForwardedRequest* request : requests_) CheckAttempt(*request, now);
   crash_attribution_.ConfirmCrashes(now);
   channels_.CloseExpired(now);
@@ -705,19 +699,7 @@
     request.channel->Close();
     return;
   }
-  if (!request.repeatable()) return;
-  if (request.runs >= request.route->attempts) return;
-  const RunnerState* runner = view_.runner_registry().Find(request.runner);
-  // A runner that sends is alive, even if it does not answer its sidecar for a while.
-  const bool sends = request.first_byte_received && now - request.last_byte_at < kMaxEventPause;
-  const bool dead = runner != nullptr && runner->report_failed && !sends;
-  const bool alive = runner != nullptr && runner->ReportFresh(now);
-  const double factor = alive ? kBusyFirstByteTimeoutFactor : kFirstByteTimeoutFactor;
-  const Duration timeout =
-      Micros(static_cast<int64_t>(static_cast<double>(request.route->objective.count()) * factor));
-  if (!dead && (request.first_byte_received || now - request.sent_at < timeout)) return;
-  if (!admission_.TryConsumeRetry(request.service)) return;
-  request.retry_reserved = true;
+  if (!monitor_.ShouldAbandon(request, now)) return;
   request.abandoned = true;
   request.channel->Close();
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -16,6 +16,7 @@
 #include "core/retry_after_estimator.h"
 #include "core/token_demand.h"
 #include "gateway/admission.h"
+#include "gateway/attempt_monitor.h"
 #include "gateway/crash_attribution.h"
 #include "gateway/fleet_view.h"
 #include "gateway/forwarded_request.h"
@@ -97,6 +98,7 @@
   CrashAttribution crash_attribution_;
   NoticeReports notice_reports_;
   AdmissionController admission_;
+  AttemptMonitor monitor_;
   std::set<ForwardedRequest*> requests_;
   std::map<std::string, RetryAfterEstimator> retry_after_estimators_;  ///< By service.
   std::map<std::string, TokenDemand> token_demands_;                   ///< By service.
