Let a sidecar's word that its runner does not answer expire

What callers saw: a runner whose sidecar stopped after it had told that the runner does not answer got no request until a sidecar reported again, and with all runners in that state a service refused everything. Cause: report_failed had no time and only the next report took it back.

Test: RunnerRegistry.AMessageOfAStoppedSidecarDoesNotHoldForEver.

--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -200,7 +200,7 @@
     RecordRefusal(placement, PlacementRefusal::kLoading, kLoadingRetryAfter);
     return false;
   }
-  if (state.Avoided(now) || state.report_failed) {
+  if (state.Suspected(now)) {
     RecordRefusal(placement, PlacementRefusal::kUnreachable,
                   std::max(kUnreachableRetryAfter / 2, state.avoid_until - now));
     return false;
--- a/src/core/runner_registry.cc
+++ b/src/core/runner_registry.cc
@@ -45,6 +45,11 @@
   return report && now - reported_at < kMaxReportAge;
 }
 
+// A sidecar that stops takes nothing back, so what it told last is not valid for long.
+bool RunnerState::ReportFailed(TimePoint now) const {
+  return report_failed_at != TimePoint{} && now - report_failed_at < kMaxReportAge;
+}
+
 double RunnerState::Load(TimePoint now, int64_t gateways) const {
   if (!ReportFresh(now)) return static_cast<double>(in_flight * std::max<int64_t>(1, gateways));
   const int64_t reported = report->running + report->waiting + sent_since_report;
@@ -126,7 +131,7 @@
                               TimePoint now) {
   for (auto& [id, state] : runners_) {
     if (state.record.port != port || state.record.address != address) continue;
-    state.report_failed = !report;
+    state.report_failed_at = report ? TimePoint{} : now;
     if (!report) continue;
     // The report of a restarted runner arrives before its record.
     const bool restarted = report->started_ms > state.started_ms;
--- a/src/core/runner_registry.h
+++ b/src/core/runner_registry.h
@@ -36,7 +36,7 @@
   TimePoint listed_at;     ///< Arrival of the last record.
   std::optional<EngineReport> report;
   TimePoint reported_at;
-  bool report_failed = false;       ///< The runner does not answer its sidecar.
+  TimePoint report_failed_at;       ///< Last message that the runner does not answer its sidecar.
   int64_t in_flight = 0;            ///< This gateway's requests at the runner.
   int64_t sent_since_report = 0;    ///< Requests placed since the last report.
   int64_t tokens_since_report = 0;  ///< Their prompt and output tokens.
@@ -58,6 +58,10 @@
   /// report.
   double Load(TimePoint now, int64_t gateways) const;
   bool ReportFresh(TimePoint now) const;
+  /// Whether the runner currently does not answer its sidecar.
+  bool ReportFailed(TimePoint now) const;
+  /// Whether there are signs that the runner does not answer.
+  bool Suspected(TimePoint now) const { return Avoided(now) || ReportFailed(now); }
 };
 
 /// The known runners by id, with their state from records, load reports and request outcomes.
--- a/src/gateway/attempt_monitor.cc
+++ b/src/gateway/attempt_monitor.cc
@@ -45,7 +45,7 @@
   const RunnerState* runner = view_.runner_registry().Find(request.runner);
   // A runner that sends is alive, even if it does not answer its sidecar for a while.
   const bool sends = request.first_byte_received && now - request.last_byte_at < kMaxEventPause;
-  const bool dead = runner != nullptr && runner->report_failed && !sends;
+  const bool dead = runner != nullptr && runner->ReportFailed(now) && !sends;
   const bool alive = runner != nullptr && runner->ReportFresh(now);
   const double factor = alive ? kBusyFirstByteTimeoutFactor : kFirstByteTimeoutFactor;
   const Duration timeout =
--- a/src/gateway/crash_attribution.cc
+++ b/src/gateway/crash_attribution.cc
@@ -47,7 +47,7 @@
   std::erase_if(pending_, [&](const Pending& pending) {
     const RunnerState* state = view_.runner_registry().Find(pending.report.runner);
     const bool crashed = state == nullptr || state->record.started_ms != pending.started_ms ||
-                         state->replaced || state->report_failed || state->Avoided(now);
+                         state->replaced || state->Suspected(now);
     const CrashReport& report = pending.report;
     if (!crashed) {
       const bool expired = now - report.lost_at > kConfirmTimeout;
--- a/src/gateway/weight_orders.cc
+++ b/src/gateway/weight_orders.cc
@@ -105,7 +105,7 @@
     if (state.record.draining || state.replaced) continue;
     const WeightLoadPhase phase =
         state.ReportFresh(now) ? state.report->phase : WeightLoadPhase::kServing;
-    const bool heard = state.ReportFresh(now) || state.report_failed;
+    const bool heard = state.ReportFresh(now) || state.ReportFailed(now);
     rollout.runners.push_back({id, state.record.weights_version, phase, heard});
   }
   rollout.version = history.newest();
--- a/test/correctness/runner_registry.cc
+++ b/test/correctness/runner_registry.cc
@@ -39,6 +39,16 @@
   RunnerRegistry runner_registry;
 };
 
+// Guards against a runner that gets no requests for ever because its sidecar stopped after its last
+// message, that the runner did not answer.
+TEST(RunnerRegistry, AMessageOfAStoppedSidecarDoesNotHoldForEver) {
+  runner_registry.Upsert(Record("a", 1), kStart);
+  runner_registry.OnReport("10.0.0.1", 1, std::nullopt, Duration{0}, kStart);
+  STRCMP_EQUAL("", PlaceRequest(Query(gateways), runner_registry, kStart).runner.c_str());
+  STRCMP_EQUAL("a",
+               PlaceRequest(Query(gateways), runner_registry, kStart + Seconds(5)).runner.c_str());
+}
+
 // Guards against requests to a runner whose address now belongs to a newer one. After a power loss
 // of all hosts, the records of the former runners stay in the list for seconds; each request routed
 // by them is refused and retried, which exceeds the retry budget.
