Use a suspected runner where there is no other

What callers saw: while all runners of a service were slow at the same time, each request ended in 502, and then the service refused everything with 503 although its runners worked. Cause: two unanswered attempts take a runner out for up to 2.4 s, also if no other one is left. A request now goes to a suspected runner if no sound one takes requests soon, unless its port is closed or another runner has its address. Sound runners that are full, cold, paused or loading are still waited for.

--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -168,50 +168,48 @@
   std::optional<Duration> first_pause_end;
 };
 
-// Returns whether the runner may get the request now; otherwise records the refusal.
-bool IsEligible(const PlacementQuery& query, RunnerState& state, RunnerNotices& notices,
-                const SharedInputs& shared, Placement& placement, TimePoint now) {
+// Returns why the runner may not get the request now, and records it; kNone if it may.
+PlacementRefusal CheckEligible(const PlacementQuery& query, RunnerState& state,
+                               RunnerNotices& notices, const SharedInputs& shared,
+                               Placement& placement, TimePoint now) {
   if (query.closed_data_centres != nullptr &&
       query.closed_data_centres->count(state.record.data_centre) > 0) {
     RecordRefusal(placement, PlacementRefusal::kClosed, kUnreachableRetryAfter);
-    return false;
+    return PlacementRefusal::kClosed;
+  }
+  if (state.record.draining || state.replaced || notices.Leaving(state.record.id)) {
+    return PlacementRefusal::kLeaving;
   }
-  if (state.record.draining || state.replaced || notices.Leaving(state.record.id)) return false;
   const Duration paused_for = notices.PauseLeft(state.record.id, now);
   if (paused_for > Duration{0}) {
     RecordRefusal(placement, PlacementRefusal::kPaused, paused_for);
-    return false;
+    return PlacementRefusal::kPaused;
   }
   if (state.record.weights_version < query.min_weights_version) {
     RecordRefusal(placement, PlacementRefusal::kLoading, kLoadingRetryAfter);
-    return false;
+    return PlacementRefusal::kLoading;
   }
   // Late in a weight rollout, a request queued at a runner with old weights could start only after
   // the deadline for the new ones.
   if (state.record.weights_version < query.min_weights_version_if_queued &&
       state.ReportFresh(now) && state.report->waiting > 0) {
     RecordRefusal(placement, PlacementRefusal::kLoading, kLoadingRetryAfter);
-    return false;
+    return PlacementRefusal::kLoading;
   }
   const WeightLoadPhase phase =
       state.ReportFresh(now) ? state.report->phase : WeightLoadPhase::kServing;
   if (phase == WeightLoadPhase::kLoading ||
       (phase == WeightLoadPhase::kFinishing && !query.repeatable)) {
     RecordRefusal(placement, PlacementRefusal::kLoading, kLoadingRetryAfter);
-    return false;
-  }
-  if (state.Suspected(now)) {
-    RecordRefusal(placement, PlacementRefusal::kUnreachable,
-                  std::max(kUnreachableRetryAfter / 2, state.avoid_until - now));
-    return false;
+    return PlacementRefusal::kLoading;
   }
   if (query.tokens > 0 && !FitsMemory(query, state, shared.unreported_per_s, now)) {
     RecordRefusal(placement, PlacementRefusal::kFull, kFullRetryAfter);
-    return false;
+    return PlacementRefusal::kFull;
   }
   if (shared.first_pause_end && !BearsMore(query, state, now)) {
     RecordRefusal(placement, PlacementRefusal::kFull, *shared.first_pause_end);
-    return false;
+    return PlacementRefusal::kFull;
   }
   // Without the list of gateways, this gateway's shares are unknown.
   const std::vector<std::string> unknown;
@@ -219,7 +217,7 @@
   const Duration limited_for = notices.WaitTime(state.record.id, query.self, gateways, now);
   if (limited_for > Duration{0}) {
     RecordRefusal(placement, PlacementRefusal::kLimited, limited_for);
-    return false;
+    return PlacementRefusal::kLimited;
   }
   if (state.Cold(now) && query.cold_requests_per_second > 0) {
     const int64_t share = gateways.empty()
@@ -229,10 +227,22 @@
     if (!state.cold_requests.HasCapacity(share, kColdWindow, now)) {
       RecordRefusal(placement, PlacementRefusal::kCold,
                     std::min(kColdRetryAfter, state.cold_until - now));
-      return false;
+      return PlacementRefusal::kCold;
     }
   }
-  return true;
+  if (state.Suspected(now)) {
+    RecordRefusal(placement, PlacementRefusal::kUnreachable,
+                  std::max(kUnreachableRetryAfter / 2, state.avoid_until - now));
+    return PlacementRefusal::kUnreachable;
+  }
+  return PlacementRefusal::kNone;
+}
+
+// Whether a runner that refuses for this reason takes requests soon.
+bool TakesRequestsSoon(PlacementRefusal refusal) {
+  return refusal == PlacementRefusal::kLoading || refusal == PlacementRefusal::kCold ||
+         refusal == PlacementRefusal::kFull || refusal == PlacementRefusal::kLimited ||
+         refusal == PlacementRefusal::kPaused;
 }
 
 const Candidate* ChooseHome(const std::vector<Candidate>& candidates, double limit) {
@@ -276,10 +286,11 @@
                        TimePoint now) {
   Placement placement;
   std::vector<Candidate> candidates;
-  double total = 0;
   uint64_t home_affinity = 0;
   RunnerNotices& notices = runner_registry.notices();
   bool some_leave = false;
+  std::vector<Candidate> suspected;
+  bool some_sound = false;  // Runners that take requests soon, if not now.
   SharedInputs shared;
   if (query.tokens > 0) {
     shared.unreported_per_s = UnreportedTokensPerSecond(query, runner_registry, now);
@@ -302,15 +313,24 @@
       }
       continue;
     }
-    if (!IsEligible(query, state, notices, shared, placement, now)) continue;
+    const PlacementRefusal refusal = CheckEligible(query, state, notices, shared, placement, now);
+    some_sound = some_sound || TakesRequestsSoon(refusal);
+    if (refusal != PlacementRefusal::kNone && refusal != PlacementRefusal::kUnreachable) continue;
     Candidate candidate{&id, &state, LoadScore(query, state, now), affinity, false};
     candidate.failing = state.FailureRate(now) > kMaxFailureRate;
     if (state.record.weights_version < query.preferred_weights_version) {
       candidate.load += kOldWeightsPenalty;
     }
-    total += candidate.load;
+    if (refusal == PlacementRefusal::kUnreachable) {
+      if (!state.absent) suspected.push_back(candidate);
+      continue;
+    }
     candidates.push_back(candidate);
   }
+  // Load pattern: a stall of the network, of this host or of the service makes all runners look
+  // dead at the same time, while they work on. If no sound one will take the request, a suspected
+  // one is better than none, unless it is known to be absent.
+  if (candidates.empty() && !some_sound && query.allow_suspected) candidates = std::move(suspected);
   if (candidates.empty()) {
     if (placement.refusal == PlacementRefusal::kNone) {
       RecordRefusal(placement,
@@ -319,6 +339,8 @@
     }
     return placement;
   }
+  double total = 0;
+  for (const Candidate& candidate : candidates) total += candidate.load;
   const double mean = total / static_cast<double>(candidates.size());
   const Candidate* chosen = nullptr;
   if (query.prefix_hash != 0) {
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -25,6 +25,8 @@
   int64_t tokens = 0;                         ///< Prompt and output tokens of the request.
   int64_t priority = 0;                       ///< 0 is the highest.
   bool repeatable = true;                     ///< Another runner may continue the request.
+  /// If all runners are suspected not to answer, the request may go to one of them.
+  bool allow_suspected = true;
   const std::set<std::string>* closed_data_centres = nullptr;  ///< Evacuated, or no home region.
   const std::set<std::string>* tried = nullptr;  ///< Runners of earlier attempts, not eligible.
   std::string self;                              ///< Name of this gateway.
--- a/src/core/runner_registry.cc
+++ b/src/core/runner_registry.cc
@@ -169,6 +169,7 @@
                                       Duration cold_time, TimePoint now) {
   RunnerState* state = Find(id);
   if (state == nullptr) return;
+  state->absent = outcome == AttemptOutcome::kUnreachable || outcome == AttemptOutcome::kMoved;
   const bool failed = outcome != AttemptOutcome::kServed && outcome != AttemptOutcome::kMoved;
   const double weight = outcome == AttemptOutcome::kFull ? kFailureWeight / 2 : kFailureWeight;
   state->failure_rate = state->FailureRate(now) * (1 - weight) + (failed ? weight : 0.0);
--- a/src/core/runner_registry.h
+++ b/src/core/runner_registry.h
@@ -44,6 +44,7 @@
   double failure_rate = 0;  ///< Decaying failure rate of this gateway's requests.
   TimePoint failure_rate_at;
   TimePoint avoid_until;  ///< End of the avoidance after unanswered requests.
+  bool absent = false;    ///< The last attempt found no open port, or another runner there.
   TimePoint cold_until;
   RequestWindow cold_requests;
   std::optional<TimePoint> missing_since;  ///< Set while the runner is retained but not listed.
--- a/test/correctness/runner_registry.cc
+++ b/test/correctness/runner_registry.cc
@@ -49,6 +49,33 @@
                PlaceRequest(Query(gateways), runner_registry, kStart + Seconds(5)).runner.c_str());
 }
 
+// Guards against a service that refuses everything while all of its runners are slow at the same
+// time, or the gateway could not read their answers for a moment.
+TEST(RunnerRegistry, ASuspectedRunnerIsUsedIfThereIsNoOther) {
+  for (const char* id : {"a", "b"}) {
+    runner_registry.Upsert(Record(id, id[0]), kStart);
+    for (int i = 0; i < 3; ++i) {
+      runner_registry.OnAttemptOutcome(id, AttemptOutcome::kSilent, Duration{0}, kStart);
+    }
+  }
+  CHECK(!PlaceRequest(Query(gateways), runner_registry, kStart).runner.empty());
+  PlacementQuery strict = Query(gateways);
+  strict.allow_suspected = false;
+  STRCMP_EQUAL("", PlaceRequest(strict, runner_registry, kStart).runner.c_str());
+  runner_registry.OnAttemptOutcome("a", AttemptOutcome::kServed, Duration{0}, kStart);
+  runner_registry.Upsert(Record("c", 3), kStart);
+  STRCMP_EQUAL("c", PlaceRequest(Query(gateways), runner_registry, kStart).runner.c_str());
+}
+
+// Guards against requests that wait for connections to runners that are known to be down.
+TEST(RunnerRegistry, ARunnerWithoutAnOpenPortIsNotUsedForWantOfAnother) {
+  runner_registry.Upsert(Record("a", 1), kStart);
+  runner_registry.OnAttemptOutcome("a", AttemptOutcome::kUnreachable, Duration{0}, kStart);
+  const Placement placement = PlaceRequest(Query(gateways), runner_registry, kStart);
+  STRCMP_EQUAL("", placement.runner.c_str());
+  CHECK(placement.refusal == PlacementRefusal::kUnreachable);
+}
+
 // Guards against requests to a runner whose address now belongs to a newer one. After a power loss
 // of all hosts, the records of the former runners stay in the list for seconds; each request routed
 // by them is refused and retried, which exceeds the retry budget.
--- a/test/standin/fleet_runner.cc
+++ b/test/standin/fleet_runner.cc
@@ -169,8 +169,15 @@
     --active_;
   }
 
+  /// Lets the time pass that the fault gives, unless the caller leaves.
+  Awaitable<void> Work(HttpExchange& exchange) {
+    const TimePoint end = SteadyNow() + Millis(faults_.at("work_ms").to_number<int64_t>());
+    while (SteadyNow() < end && !exchange.peer_closed()) co_await SleepFor(Millis(10));
+  }
+
   Awaitable<void> Run(HttpExchange& exchange, HttpResponse response) {
     while (HasFault("silent") && !exchange.peer_closed()) co_await SleepFor(Millis(10));
+    if (HasFault("work_ms")) co_await Work(exchange);
     if (exchange.peer_closed()) ++cancelled_;
     if (HasFault("flood")) co_return co_await SendFlood(exchange, "flood");
     if (HasFault("lose") || exchange.peer_closed()) {
