Give an attempt up only for a runner that takes the request now

What callers saw: requests ended in 502, and streams that had begun were cut, although their runners worked on them (LOST around planned work, where silence is no reason to end an answer). Cause: a gateway took the lack of a byte within a time for the death of the runner. It closed the connection first and looked for another runner then; where all were slow there was none. Time in which the gateway itself, or its host, stood still counted, and so did answers that had arrived and were not read yet. Now an attempt is given up only if another runner that is not suspected takes the request at that moment, if nothing is there to be read on its connection, and by the time in which the gateway ran. For services whose runners send no load reports the time is at least that of the slowest recent answer. Bytes of a plain answer count as signs of life like those of a stream.

--- a/src/gateway/attempt_monitor.cc
+++ b/src/gateway/attempt_monitor.cc
@@ -21,6 +21,10 @@
 constexpr Duration kMinLoggedStall = Millis(500);
 /// Window over which the longest stall is remembered.
 constexpr Duration kStallWindow = Seconds(20);
+/// Window over which the slowest answer of a service is remembered.
+constexpr Duration kAnswerTimeWindow = Seconds(20);
+/// Periods of the timer that one call counts for at most. The rest of a longer time is a stall.
+constexpr int64_t kMaxPeriodsPerStep = 2;
 
 std::string Ms(Duration duration) { return absl::StrCat(ToMillis(duration)); }
 
@@ -30,9 +34,12 @@
     : view_(view), admission_(admission), metrics_(metrics), stalls_(kStallWindow) {}
 
 void AttemptMonitor::OnTimer(TimePoint now, Duration period) {
-  const Duration late = last_timer_ ? now - *last_timer_ - period : Duration{0};
+  const Duration elapsed = last_timer_ == TimePoint{} ? Duration{0} : now - last_timer_;
+  const Duration late = std::max(Duration{0}, elapsed - period);
+  step_began_ = last_timer_;
+  step_ = std::min(elapsed, period * kMaxPeriodsPerStep);
   last_timer_ = now;
-  stalls_.Add(std::max(Duration{0}, late), now);
+  stalls_.Add(late, now);
   metrics_
       .Gauge("fuchsiaweir_longest_stall_ms",
              "Longest recent time in which the process handled no events.")
@@ -40,17 +47,39 @@
   if (late >= kMinLoggedStall) LogWarning("process_stalled", {{"late_ms", Ms(late)}});
 }
 
-bool AttemptMonitor::ShouldAbandon(ForwardedRequest& request, TimePoint now) {
-  if (!request.repeatable() || request.runs >= request.route->attempts) return false;
-  const RunnerState* runner = view_.runner_registry().Find(request.runner);
-  // A runner that sends is alive, even if it does not answer its sidecar for a while.
-  const bool sends = request.first_byte_received && now - request.last_byte_at < kMaxEventPause;
-  const bool dead = runner != nullptr && runner->ReportFailed(now) && !sends;
+void AttemptMonitor::OnAnswer(const std::string& service, Duration after, TimePoint now) {
+  answer_times_.try_emplace(service, kAnswerTimeWindow).first->second.Add(after, now);
+}
+
+Duration AttemptMonitor::FirstByteTimeout(const ForwardedRequest& request,
+                                          const RunnerState* runner, TimePoint now) const {
   const bool alive = runner != nullptr && runner->ReportFresh(now);
   const double factor = alive ? kBusyFirstByteTimeoutFactor : kFirstByteTimeoutFactor;
   const Duration timeout =
       Micros(static_cast<int64_t>(static_cast<double>(request.route->objective.count()) * factor));
-  if (!dead && (request.first_byte_received || now - request.sent_at < timeout)) return false;
+  const auto known = answer_times_.find(request.service);
+  if (alive || known == answer_times_.end()) return timeout;
+  return std::max(timeout, known->second.Longest(now));
+}
+
+// Load pattern: all runners of a service are slow, or the network or this process stands still. An
+// attempt that is given up then loses the work of its runner and loads another one that is no
+// faster. Only time in which this process could have read an answer counts, and only a runner that
+// takes the request now is a reason to give one up.
+bool AttemptMonitor::ShouldAbandon(ForwardedRequest& request,
+                                   const std::function<bool()>& has_other, TimePoint now) {
+  const bool new_bytes = request.last_byte_at >= step_began_;
+  request.silent_for =
+      new_bytes ? std::min(now - request.last_byte_at, step_) : request.silent_for + step_;
+  if (!request.repeatable() || request.runs >= request.route->attempts) return false;
+  const RunnerState* runner = view_.runner_registry().Find(request.runner);
+  // A runner that sends is alive, even if it does not answer its sidecar for a while.
+  const bool dead = runner != nullptr && runner->ReportFailed(now) &&
+                    (!request.first_byte_received || request.silent_for >= kMaxEventPause);
+  const bool late =
+      !request.first_byte_received && request.silent_for >= FirstByteTimeout(request, runner, now);
+  if (!dead && !late) return false;
+  if (request.channel->HasInput() || !has_other()) return false;
   if (!admission_.TryConsumeRetry(request.service)) return false;
   request.retry_reserved = true;
   LogAbandoned(request, runner, dead, now);
@@ -61,14 +90,13 @@
                                   bool dead, TimePoint now) {
   const char* const cause = dead ? "runner_dead" : "no_first_byte";
   const bool reported = runner != nullptr && runner->report;
-  LogInfo("attempt_abandoned",
-          {{"request", request.caller.id},
-           {"runner", request.runner},
-           {"cause", cause},
-           {"after_ms", Ms(now - request.sent_at)},
-           {"last_byte_ms", request.first_byte_received ? Ms(now - request.last_byte_at) : "-1"},
-           {"report_age_ms", reported ? Ms(now - runner->reported_at) : "-1"},
-           {"stalled_ms", Ms(stalls_.Longest(now))}});
+  LogInfo("attempt_abandoned", {{"request", request.caller.id},
+                                {"runner", request.runner},
+                                {"cause", cause},
+                                {"after_ms", Ms(now - request.sent_at)},
+                                {"silent_ms", Ms(request.silent_for)},
+                                {"report_age_ms", reported ? Ms(now - runner->reported_at) : "-1"},
+                                {"stalled_ms", Ms(stalls_.Longest(now))}});
   metrics_
       .Counter("fuchsiaweir_attempts_abandoned_total",
                "Attempts that were given up for another runner, by cause.", {{"cause", cause}})
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -63,7 +63,8 @@
   TimePoint sent_at;
   bool first_byte_received = false;  ///< By the attempt in progress; streams only.
   TimePoint first_byte_at;
-  TimePoint last_byte_at;        ///< By the attempt in progress; streams only.
+  TimePoint last_byte_at;        ///< Last byte of the answer, or when the attempt was sent.
+  Duration silent_for{0};        ///< Time since `last_byte_at` in which this process ran.
   bool answer_recorded = false;  ///< The answer's begin was reported to `CrashAttribution`.
   bool withdrawn = false;  ///< The attempt was cancelled because requests like it are refused.
   bool caller_gone = false;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -231,6 +231,19 @@
 }
 
 Placement Forwarder::TryPlacement(ForwardedRequest& request, TimePoint now) {
+  return PlaceRequest(MakePlacementQuery(request, now), view_.runner_registry(), now);
+}
+
+bool Forwarder::HasOtherRunner(ForwardedRequest& request, TimePoint now) {
+  PlacementQuery query = MakePlacementQuery(request, now);
+  std::set<std::string> tried = request.tried;
+  tried.insert(request.runner);
+  query.tried = &tried;
+  query.allow_suspected = false;
+  return !PlaceRequest(query, view_.runner_registry(), now).runner.empty();
+}
+
+PlacementQuery Forwarder::MakePlacementQuery(ForwardedRequest& request, TimePoint now) {
   PlacementQuery query;
   query.service = request.service;
   query.data_centre = view_.settings().data_centre;
@@ -258,7 +271,7 @@
     query.min_weights_version = weights->RequiredVersion(max_lag, now);
     query.min_weights_version_if_queued = weights->RequiredVersion(max_lag_if_queued, now);
   }
-  return PlaceRequest(query, view_.runner_registry(), now);
+  return query;
 }
 
 Awaitable<Placement> Forwarder::WaitForPlacement(ForwardedRequest& request) {
@@ -375,6 +388,8 @@
   request.runner = placement.runner;
   request.runner_started_ms = chosen->started_ms;
   request.sent_at = now;
+  request.last_byte_at = now;
+  request.silent_for = Duration{0};
   request.abandoned = false;
   request.withdrawn = false;
   request.first_byte_received = false;
@@ -426,6 +441,7 @@
   bool received = co_await channel.Send(std::move(header), request.exchange.request().body);
   if (received) received = co_await channel.ReadHeader(request.caller.id, runner_header);
   if (!received) co_return RecordBrokenAttempt(request, channel, runner);
+  request.last_byte_at = SteadyNow();
   const platform::RunnerAnswer& answer = runner_header.answer;
   const bool success = answer.status / 100 == 2;
   notice_reports_.OnAnswer(runner, request.runner_started_ms, answer);
@@ -448,6 +464,7 @@
   RunnerChannel::Read read = RunnerChannel::Read::kData;
   while (read == RunnerChannel::Read::kData) {
     read = co_await channel.ReadBody(body);
+    request.last_byte_at = SteadyNow();
     if (!memory->Resize(static_cast<int64_t>(body.capacity()))) read = RunnerChannel::Read::kBroken;
   }
   memory->Complete();
@@ -478,6 +495,7 @@
   }
   runner_registry.OnAttemptOutcome(runner, AttemptOutcome::kServed, cold_time, SteadyNow());
   crash_attribution_.OnAnswer(request, SteadyNow());
+  monitor_.OnAnswer(request.service, SteadyNow() - request.sent_at, SteadyNow());
   request.attempt_log.push_back(absl::StrCat(runner, ":status_", answer.status));
   HttpResponse response{answer.status, platform::CallerHeaders(runner_header.fields),
                         std::move(body)};
@@ -533,6 +551,8 @@
       if (!request.first_byte_received) {
         request.first_byte_received = true;
         request.first_byte_at = SteadyNow();
+        monitor_.OnAnswer(request.service, request.first_byte_at - request.sent_at,
+                          request.first_byte_at);
         if (request.time_to_first_byte == Duration{0}) {
           request.time_to_first_byte = SteadyNow() - request.arrived_at;
         }
@@ -699,7 +719,8 @@
     request.channel->Close();
     return;
   }
-  if (!monitor_.ShouldAbandon(request, now)) return;
+  const auto has_other = [&]() { return HasOtherRunner(request, now); };
+  if (!monitor_.ShouldAbandon(request, has_other, now)) return;
   request.abandoned = true;
   request.channel->Close();
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -54,9 +54,12 @@
   std::optional<Refusal> RefuseLate(const ForwardedRequest& request) const;
   Awaitable<void> ProcessRequest(ForwardedRequest& request);
   Awaitable<Placement> WaitForPlacement(ForwardedRequest& request);
+  PlacementQuery MakePlacementQuery(ForwardedRequest& request, TimePoint now);
   Placement TryPlacement(ForwardedRequest& request, TimePoint now);
   /// Whether the runner may get a request that was placed there; it may have asked for none since.
   bool TakesRequests(const RunnerState& runner, TimePoint now) const;
+  /// Whether a runner other than that of the attempt in progress takes the request now.
+  bool HasOtherRunner(ForwardedRequest& request, TimePoint now);
   /// Sends the request to the runner once.
   Awaitable<AttemptResult> RunAttempt(ForwardedRequest& request, const Placement& placement);
   /// Returns a share of the memory for the answer that the attempt receives.
--- a/src/gateway/runner_channel.cc
+++ b/src/gateway/runner_channel.cc
@@ -140,6 +140,8 @@
   return refused_.count(RendezvousHash(request_id)) > 0;
 }
 
+bool RunnerChannel::HasInput() const { return impl_->transport.HasUnexpectedInput(); }
+
 bool RunnerChannel::Reusable() const {
   if (impl_->closed || !impl_->complete || !impl_->parser || !impl_->parser->keep_alive()) {
     return false;
--- a/src/gateway/runner_channel.h
+++ b/src/gateway/runner_channel.h
@@ -58,6 +58,8 @@
   /// send the refusal once more, and it would be taken for the answer to the request's next
   /// attempt.
   bool HasRefused(const std::string& request_id) const;
+  /// Whether the connection has input or its end to read.
+  bool HasInput() const;
   /// Reason of the last failure.
   const std::string& failure() const { return failure_; }
   /// Idle timeout that the runner announced; zero if none.
