Tell from the logs how a request ended that its process took along

The end of a request that was under way when its process ended had no record: one that a planned stop cut looked like one of a killed process. A planned stop now logs request_ended for each, and trace tells from the records of the same process whether it crashed, stopped as planned, was killed (with its memory near the limit, if that was logged), or its log is cut. A planned stop no longer drops answers that have arrived and are not read yet, and an attempt is not given up for a retry that suspected requests may not have.

--- a/src/core/request_trace.cc
+++ b/src/core/request_trace.cc
@@ -25,7 +25,8 @@
     "data_centre_evacuated", "data_centre_restored", "weights_named",
     "part_store_lost",       "part_store_regained",  "shutdown_started",
     "settings_loaded",       "settings_refused",     "daemon_started",
-    "runner_paused",         "runner_leaving"};
+    "runner_paused",         "runner_leaving",       "process_stalled",
+    "process_crashed",       "memory_near_limit",    "shutdown_finished"};
 
 std::string ToText(const json::value& value) {
   return value.is_string() ? std::string(value.as_string()) : json::serialize(value);
@@ -48,10 +49,38 @@
   return nullptr;
 }
 
-std::string Summarize(const std::vector<LogRecord>& steps) {
+// Tells how the process that logged the last step ended, as far as its records show.
+std::string SummarizeMissingEnd(const LogRecord& last_step, std::vector<LogRecord> records) {
+  std::erase_if(records, [&](const LogRecord& record) {
+    return record.process != last_step.process || record.time_us < last_step.time_us;
+  });
+  SortByTime(records);
+  const std::string begin = absl::StrCat("no record of its end: ", last_step.process);
+  std::string last_time = last_step.time;
+  std::string memory;
+  for (const LogRecord& record : records) {
+    if (record.event == "process_crashed") {
+      return absl::StrCat(begin, " crashed at ", record.time, " (", record.Field("signal"),
+                          record.Field("reason"), ")");
+    }
+    if (record.event == "shutdown_finished") {
+      return absl::StrCat(begin, " ended at ", record.time, " in a planned stop");
+    }
+    if (record.event == "memory_near_limit") memory = ", with its memory near the limit";
+    if (record.event == "daemon_started") {
+      return absl::StrCat(begin, " ended without a record, as if killed, after ", last_time, memory,
+                          ", and started again at ", record.time);
+    }
+    last_time = record.time;
+  }
+  return absl::StrCat(begin, " failed or was killed", memory, ", or its log is cut, after ",
+                      last_time);
+}
+
+std::string Summarize(const std::vector<LogRecord>& steps, const std::vector<LogRecord>& records) {
   if (steps.empty()) return "";
   const LogRecord* ended = FindLast(steps, "request_ended");
-  if (ended == nullptr) return "no record of its end: the process failed, or its log is missing";
+  if (ended == nullptr) return SummarizeMissingEnd(steps.back(), records);
   const std::string outcome = ended->Field("outcome");
   const std::string took = absl::StrCat(" after ", ended->Field("took_ms"), " ms");
   const LogRecord* refused = FindLast(steps, "request_refused");
@@ -144,7 +173,7 @@
     if (shown || (handled_request && IsProcessEvent(record.event))) trace.context.push_back(record);
   }
   SortByTime(trace.context);
-  trace.conclusion = Summarize(trace.steps);
+  trace.conclusion = Summarize(trace.steps, records);
   return trace;
 }
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -155,7 +155,15 @@
     // A stream that has begun cannot be answered otherwise; it may still end in time.
     if (!request->route || request->exchange.streaming()) continue;
     request->deadline = std::min(request->deadline, now);
-    if (request->channel != nullptr) request->channel->Close();
+    // An answer that is there to be read is delivered.
+    if (request->channel != nullptr && !request->channel->HasInput()) request->channel->Close();
+  }
+}
+
+void Forwarder::RecordCutRequests() {
+  for (ForwardedRequest* request : requests_) {
+    request->attempt_log.push_back(request->runner + ":process_stopped");
+    RecordRequestEnd(metrics_, *request, "cut", 0);
   }
 }
 
@@ -235,6 +243,7 @@
 }
 
 bool Forwarder::HasOtherRunner(ForwardedRequest& request, TimePoint now) {
+  if (!crash_attribution_.MayRetry(request)) return false;
   PlacementQuery query = MakePlacementQuery(request, now);
   std::set<std::string> tried = request.tried;
   tried.insert(request.runner);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -44,6 +44,8 @@
   /// Cancels the attempts of all requests whose callers have no part of an answer yet, and answers
   /// these requests.
   void EndRequests();
+  /// Logs the requests that the end of the process cuts.
+  void RecordCutRequests();
   /// Number of requests that have not been answered.
   size_t in_flight() const { return requests_.size(); }
 
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -124,6 +124,7 @@
       forwarder_->EndRequests();
       while (SteadyNow() < limit && !drained_) co_await SleepFor(kDrainPollInterval);
     }
+    if (forwarder_ != nullptr) forwarder_->RecordCutRequests();
     LogInfo("shutdown_finished",
             {{"in_flight", absl::StrCat(forwarder_ ? forwarder_->in_flight() : 0)}});
     io_.stop();
--- a/test/correctness/request_trace.cc
+++ b/test/correctness/request_trace.cc
@@ -77,6 +77,23 @@
   CHECK(TraceRequest(records, "other").steps.empty());
 }
 
+// Guards against a request whose end cannot be told from the end of its process.
+TEST(RequestTrace, TellsHowTheProcessEnded) {
+  std::vector<LogRecord> records{
+      Parsed("05", "gateway1", "request_sent", R"(,"request":"a1","runner":"r2")"),
+      Parsed("06", "gateway1", "memory_near_limit", ""),
+      Parsed("07", "gateway2", "process_crashed", R"(,"signal":"SIGSEGV")")};
+  const auto conclusion = [&]() { return TraceRequest(records, "a1").conclusion; };
+  CHECK(absl::StrContains(conclusion(), "gateway1 failed or was killed, with its memory near"));
+  records.push_back(Parsed("08", "gateway1", "daemon_started", ""));
+  CHECK(absl::StrContains(conclusion(), "as if killed, after 2026-12-04T10:00:06"));
+  records.push_back(Parsed("07.5", "gateway1", "shutdown_finished", R"(,"in_flight":"1")"));
+  CHECK(absl::StrContains(conclusion(), "ended at 2026-12-04T10:00:07.5+00:00 in a planned stop"));
+  records.push_back(Parsed("07", "gateway1", "process_crashed", R"(,"signal":"SIGSEGV")"));
+  CHECK(absl::StrContains(conclusion(), "gateway1 crashed at 2026-12-04T10:00:07"));
+  CHECK(absl::StrContains(conclusion(), "(SIGSEGV)"));
+}
+
 // Guards against a command that terminates on a damaged line, for example one truncated by a full
 // pipe.
 TEST(RequestTrace, ArbitraryLinesAreParsedOrSkipped) {
