--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -45,12 +45,6 @@
 constexpr double kReplacedWeightsShare = 0.75;
 /// Share of that deadline after which they get only requests that they start at once.
 constexpr double kIdleOnlyWeightsShare = 0.6;
-/// Timeout for the first byte, in multiples of the objective, after which a repeatable request is
-/// sent to another runner. The timeout is longer for a model engine with a fresh load report, which
-/// is busy rather than dead.
-constexpr double kFirstByteTimeoutFactor = 1.5;
-constexpr double kBusyFirstByteTimeoutFactor = 4;
-
 /// Retry-After times are extended by a random share up to this one, so that refused callers do not
 /// return together.
 constexpr double kRetryAfterJitter = 0.6;
@@ -73,8 +67,6 @@
 /// A faulty runner may send an event without end.
 constexpr size_t kMaxEventBytes = 1'000'000;
 constexpr size_t kMaxLoggedEventBytes = 200;
-/// Pause in a stream after which a runner that does not answer its sidecar counts as dead.
-constexpr Duration kMaxEventPause = Millis(1000);
 /// A failure this close to the deadline counts as a timeout.
 constexpr Duration kDeadlineTolerance = Millis(5);
 
@@ -109,6 +101,7 @@
       crash_attribution_(view, metrics_),
       notice_reports_(view, metrics_),
       admission_(view, crash_attribution_, metrics_),
+      monitor_(view, admission_, metrics_),
       random_state_(RendezvousHash(view.settings().name) ^ static_cast<uint64_t>(UnixMillis())) {
   components.Find<TimerService>("timer").Subscribe("forwarder", kTickPeriod,
                                                    [this](TimePoint now) { Tick(now); });
@@ -162,7 +155,15 @@
     // A stream that has begun cannot be answered otherwise; it may still end in time.
     if (!request->route || request->exchange.streaming()) continue;
     request->deadline = std::min(request->deadline, now);
-    if (request->channel != nullptr) request->channel->Close();
+    // An answer that is there to be read is delivered.
+    if (request->channel != nullptr && !request->channel->HasInput()) request->channel->Close();
+  }
+}
+
+void Forwarder::RecordCutRequests() {
+  for (ForwardedRequest* request : requests_) {
+    request->attempt_log.push_back(request->runner + ":process_stopped");
+    RecordRequestEnd(metrics_, *request, "cut", 0);
   }
 }
 
@@ -238,6 +239,20 @@
 }
 
 Placement Forwarder::TryPlacement(ForwardedRequest& request, TimePoint now) {
+  return PlaceRequest(MakePlacementQuery(request, now), view_.runner_registry(), now);
+}
+
+bool Forwarder::HasOtherRunner(ForwardedRequest& request, TimePoint now) {
+  if (!crash_attribution_.MayRetry(request)) return false;
+  PlacementQuery query = MakePlacementQuery(request, now);
+  std::set<std::string> tried = request.tried;
+  tried.insert(request.runner);
+  query.tried = &tried;
+  query.allow_suspected = false;
+  return !PlaceRequest(query, view_.runner_registry(), now).runner.empty();
+}
+
+PlacementQuery Forwarder::MakePlacementQuery(ForwardedRequest& request, TimePoint now) {
   PlacementQuery query;
   query.service = request.service;
   query.data_centre = view_.settings().data_centre;
@@ -265,7 +280,7 @@
     query.min_weights_version = weights->RequiredVersion(max_lag, now);
     query.min_weights_version_if_queued = weights->RequiredVersion(max_lag_if_queued, now);
   }
-  return PlaceRequest(query, view_.runner_registry(), now);
+  return query;
 }
 
 Awaitable<Placement> Forwarder::WaitForPlacement(ForwardedRequest& request) {
@@ -382,6 +397,8 @@
   request.runner = placement.runner;
   request.runner_started_ms = chosen->started_ms;
   request.sent_at = now;
+  request.last_byte_at = now;
+  request.silent_for = Duration{0};
   request.abandoned = false;
   request.withdrawn = false;
   request.first_byte_received = false;
@@ -433,6 +450,7 @@
   bool received = co_await channel.Send(std::move(header), request.exchange.request().body);
   if (received) received = co_await channel.ReadHeader(request.caller.id, runner_header);
   if (!received) co_return RecordBrokenAttempt(request, channel, runner);
+  request.last_byte_at = SteadyNow();
   const platform::RunnerAnswer& answer = runner_header.answer;
   const bool success = answer.status / 100 == 2;
   notice_reports_.OnAnswer(runner, request.runner_started_ms, answer);
@@ -455,6 +473,7 @@
   RunnerChannel::Read read = RunnerChannel::Read::kData;
   while (read == RunnerChannel::Read::kData) {
     read = co_await channel.ReadBody(body);
+    request.last_byte_at = SteadyNow();
     if (!memory->Resize(static_cast<int64_t>(body.capacity()))) read = RunnerChannel::Read::kBroken;
   }
   memory->Complete();
@@ -485,6 +504,7 @@
   }
   runner_registry.OnAttemptOutcome(runner, AttemptOutcome::kServed, cold_time, SteadyNow());
   crash_attribution_.OnAnswer(request, SteadyNow());
+  monitor_.OnAnswer(request.service, SteadyNow() - request.sent_at, SteadyNow());
   request.attempt_log.push_back(absl::StrCat(runner, ":status_", answer.status));
   HttpResponse response{answer.status, platform::CallerHeaders(runner_header.fields),
                         std::move(body)};
@@ -540,6 +560,8 @@
       if (!request.first_byte_received) {
         request.first_byte_received = true;
         request.first_byte_at = SteadyNow();
+        monitor_.OnAnswer(request.service, request.first_byte_at - request.sent_at,
+                          request.first_byte_at);
         if (request.time_to_first_byte == Duration{0}) {
           request.time_to_first_byte = SteadyNow() - request.arrived_at;
         }
@@ -674,6 +696,7 @@
 }
 
 void Forwarder::Tick(TimePoint now) {
+  monitor_.OnTimer(now, kTickPeriod);
   for (ForwardedRequest* request : requests_) CheckAttempt(*request, now);
   crash_attribution_.ConfirmCrashes(now);
   channels_.CloseExpired(now);
@@ -705,19 +728,8 @@
     request.channel->Close();
     return;
   }
-  if (!request.repeatable()) return;
-  if (request.runs >= request.route->attempts) return;
-  const RunnerState* runner = view_.runner_registry().Find(request.runner);
-  // A runner that sends is alive, even if it does not answer its sidecar for a while.
-  const bool sends = request.first_byte_received && now - request.last_byte_at < kMaxEventPause;
-  const bool dead = runner != nullptr && runner->report_failed && !sends;
-  const bool alive = runner != nullptr && runner->ReportFresh(now);
-  const double factor = alive ? kBusyFirstByteTimeoutFactor : kFirstByteTimeoutFactor;
-  const Duration timeout =
-      Micros(static_cast<int64_t>(static_cast<double>(request.route->objective.count()) * factor));
-  if (!dead && (request.first_byte_received || now - request.sent_at < timeout)) return;
-  if (!admission_.TryConsumeRetry(request.service)) return;
-  request.retry_reserved = true;
+  const auto has_other = [&]() { return HasOtherRunner(request, now); };
+  if (!monitor_.ShouldAbandon(request, has_other, now)) return;
   request.abandoned = true;
   request.channel->Close();
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -16,6 +16,7 @@
 #include "core/retry_after_estimator.h"
 #include "core/token_demand.h"
 #include "gateway/admission.h"
+#include "gateway/attempt_monitor.h"
 #include "gateway/crash_attribution.h"
 #include "gateway/fleet_view.h"
 #include "gateway/forwarded_request.h"
@@ -43,6 +44,8 @@
   /// Cancels the attempts of all requests whose callers have no part of an answer yet, and answers
   /// these requests.
   void EndRequests();
+  /// Logs the requests that the end of the process cuts.
+  void RecordCutRequests();
   /// Number of requests that have not been answered.
   size_t in_flight() const { return requests_.size(); }
 
@@ -53,9 +56,12 @@
   std::optional<Refusal> RefuseLate(const ForwardedRequest& request) const;
   Awaitable<void> ProcessRequest(ForwardedRequest& request);
   Awaitable<Placement> WaitForPlacement(ForwardedRequest& request);
+  PlacementQuery MakePlacementQuery(ForwardedRequest& request, TimePoint now);
   Placement TryPlacement(ForwardedRequest& request, TimePoint now);
   /// Whether the runner may get a request that was placed there; it may have asked for none since.
   bool TakesRequests(const RunnerState& runner, TimePoint now) const;
+  /// Whether a runner other than that of the attempt in progress takes the request now.
+  bool HasOtherRunner(ForwardedRequest& request, TimePoint now);
   /// Sends the request to the runner once.
   Awaitable<AttemptResult> RunAttempt(ForwardedRequest& request, const Placement& placement);
   /// Returns a share of the memory for the answer that the attempt receives.
@@ -97,6 +103,7 @@
   CrashAttribution crash_attribution_;
   NoticeReports notice_reports_;
   AdmissionController admission_;
+  AttemptMonitor monitor_;
   std::set<ForwardedRequest*> requests_;
   std::map<std::string, RetryAfterEstimator> retry_after_estimators_;  ///< By service.
   std::map<std::string, TokenDemand> token_demands_;                   ///< By service.
