Let the stand-in runners record which requests they run

A soak has to tell a request that ran and lost its answer from one that never reached a runner. The stand-in runner logs the begin and end of each run in one write each, works for a time that the request's body names, breaks off within the head or the body of an answer, and reports a start time that changes with its restarts. Fleet starts runners again, limits the time of calls to a store that does not answer, and returns whether the store confirmed a write; Deployment asks whether a process has ended without waiting for it. Processes no longer inherit the connections of the test.

--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -53,6 +53,8 @@
   const int descriptor = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   dup2(descriptor, STDOUT_FILENO);
   dup2(descriptor, STDERR_FILENO);
+  // A connection of the test that the child inherits would stay open when the test closes it.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(arguments[0], arguments.data());
   _exit(127);
 }
@@ -227,8 +229,10 @@
 }
 
 void Deployment::Restart(const std::string& name) {
-  if (Running(name)) Signal(name, SIGKILL);
-  Wait(name);
+  if (Running(name)) {
+    Signal(name, SIGKILL);
+    Wait(name);
+  }
   StartProcess(name, commands_.at(name));
 }
 
@@ -292,6 +296,13 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+std::optional<int> Deployment::TryWait(const std::string& name) {
+  int status = 0;
+  if (waitpid(processes_.at(name), &status, WNOHANG) == 0) return std::nullopt;
+  processes_.erase(name);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
 bool Deployment::Running(const std::string& name) {
   const auto found = processes_.find(name);
   return found != processes_.end() && kill(found->second, 0) == 0;
--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -76,6 +77,9 @@
   void Signal(const std::string& name, int signal);
   /// Waits until the process exits; returns its exit code, or -1 if a signal terminated it.
   int Wait(const std::string& name);
+  /// Returns the exit code if the process has ended, or the negative number of the signal that
+  /// terminated it. Does not wait.
+  std::optional<int> TryWait(const std::string& name);
   bool Running(const std::string& name);
 
   int port(const std::string& name) const { return ports_.at(name); }
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -52,18 +52,17 @@
   for (int i = 0; i < gateways; ++i) {
     gateways_.push_back({FreePort(), FreePort(), FreePort(), FreePort()});
   }
-  for (int i = 0; i < runners; ++i) runners_.push_back(FreePort());
+  for (int i = 0; i < runners; ++i) {
+    runners_.push_back(FreePort());
+    sidecar_metrics_.push_back(FreePort());
+  }
 }
 
 void Fleet::Start() {
-  const std::string standin = std::getenv("FW_STANDIN");
-  processes_.StartProcess("store", {standin, "fleet_store", absl::StrCat("--port=", store_port_),
-                                    absl::StrCat("--second_port=", second_store_port_)});
-  for (size_t i = 0; i < runners_.size(); ++i) {
-    const std::string id = absl::StrCat("runner", i);
-    processes_.StartProcess(id, {standin, "fleet_runner", absl::StrCat("--port=", runners_[i]),
-                                 absl::StrCat("--instance=", id)});
-  }
+  processes_.StartProcess(
+      "store", {std::getenv("FW_STANDIN"), "fleet_store", absl::StrCat("--port=", store_port_),
+                absl::StrCat("--second_port=", second_store_port_)});
+  for (size_t i = 0; i < runners_.size(); ++i) StartRunner(static_cast<int>(i));
   Eventually([&]() { return Send("GET", store_port_, "/objects/config").status == 200; });
   PutDesiredState({"key-1", "key-2"});
   for (size_t i = 0; i < runners_.size(); ++i) ListRunner(static_cast<int>(i));
@@ -77,14 +76,24 @@
   }
   for (size_t i = 0; sidecars_ && i < runners_.size(); ++i) {
     StartDaemon("sidecar", absl::StrCat("sidecar", i),
-                absl::StrCat("runner = 127.0.0.1:", runners_[i], "\n"), FreePort(), FreePort(),
-                store_port_);
+                absl::StrCat("runner = 127.0.0.1:", runners_[i], "\n"), FreePort(),
+                sidecar_metrics_[i], store_port_);
   }
   for (size_t i = 0; i < gateways_.size(); ++i) {
     Eventually([&]() { return Ready(static_cast<int>(i)); });
   }
 }
 
+void Fleet::StartRunner(int runner, int64_t started_ms) {
+  const std::string id = absl::StrCat("runner", runner);
+  std::vector<std::string> command{
+      std::getenv("FW_STANDIN"), "fleet_runner",
+      absl::StrCat("--port=", runners_.at(static_cast<size_t>(runner))),
+      absl::StrCat("--instance=", id), absl::StrCat("--started_ms=", started_ms)};
+  if (record_runs_) command.emplace_back("--record_runs");
+  processes_.StartProcess(id, command);
+}
+
 void Fleet::StartDaemon(const std::string& role, const std::string& name,
                         const std::string& process, int peer, int metrics, int store) {
   const std::string file = absl::StrCat(directory(), "/", name, ".ini");
@@ -97,18 +106,20 @@
   processes_.StartProcess(name, {std::getenv("FW_BINARY"), role, "--settings=" + file});
 }
 
-void Fleet::Put(const std::string& kind, const std::string& name, const json::value& spec) {
+bool Fleet::Put(const std::string& kind, const std::string& name, const json::value& spec) {
   const std::string body = json::serialize(json::object{{"spec", spec}});
-  Send("PUT", store_port_, absl::StrCat("/objects/", kind, "/", name), body);
+  const std::string path = absl::StrCat("/objects/", kind, "/", name);
+  return Send("PUT", store_port_, path, body, {}, call_timeout_).status == 200;
 }
 
 void Fleet::Delete(const std::string& kind, const std::string& name) {
-  Send("DELETE", store_port_, absl::StrCat("/objects/", kind, "/", name));
+  Send("DELETE", store_port_, absl::StrCat("/objects/", kind, "/", name), "", {}, call_timeout_);
 }
 
-void Fleet::ListRunner(int runner, const std::string& state, int cold_ms, int started_ms) {
+bool Fleet::ListRunner(int runner, const std::string& state, int cold_ms, int64_t started_ms) {
   const std::string id = absl::StrCat("runner", runner);
-  Put(platform::kRunnerKind, id,
+  return Put(
+      platform::kRunnerKind, id,
       json::object{{"service", "llm"},
                    {"addr", absl::StrCat("127.0.0.1:", runners_.at(static_cast<size_t>(runner)))},
                    {"zone", "east"},
@@ -121,7 +132,7 @@
                    {"seq", ++sequence_}});
 }
 
-void Fleet::PutDesiredState(const std::vector<std::string>& keys, int further_routes) {
+bool Fleet::PutDesiredState(const std::vector<std::string>& keys, int further_routes) {
   json::array routes{MakeRoute("safe", "safe", 2, false), MakeRoute("unsafe", "unsafe", 1, false),
                      MakeRoute("stream", "stream", 2, true),
                      MakeRoute("single", "stream", 1, false)};
@@ -130,17 +141,17 @@
   }
   json::array key_list(keys.begin(), keys.end());
   revision_ += 3;
-  Put(platform::kConfigKind, "main",
-      json::object{
-          {"version", revision_},
-          {"routes", std::move(routes)},
-          {"services", json::array{{{"name", "llm"}, {"cold_s", 3.0}, {"cold_per_s", 4.0}}}},
-          {"limits",
-           {{"header_bytes", 16'384},
-            {"body_bytes", 65'536},
-            {"header_timeout_ms", 3'000},
-            {"idle_timeout_ms", 15'000}}},
-          {"tenants", json::array{{{"name", "alpha"}, {"api_keys", std::move(key_list)}}}}});
+  return Put(platform::kConfigKind, "main",
+             json::object{
+                 {"version", revision_},
+                 {"routes", std::move(routes)},
+                 {"services", json::array{{{"name", "llm"}, {"cold_s", 3.0}, {"cold_per_s", 4.0}}}},
+                 {"limits",
+                  {{"header_bytes", 16'384},
+                   {"body_bytes", body_limit_bytes_},
+                   {"header_timeout_ms", 3'000},
+                   {"idle_timeout_ms", 15'000}}},
+                 {"tenants", json::array{{{"name", "alpha"}, {"api_keys", std::move(key_list)}}}}});
 }
 
 Reply Fleet::Call(const std::string& path, const std::string& body, int gateway,
@@ -187,7 +198,7 @@
   const std::string prefix = "runner";
   const int port =
       name == "store" ? store_port_ : runners_.at(std::stoul(name.substr(prefix.size())));
-  Send("POST", port, "/fault", json);
+  Send("POST", port, "/fault", json, {}, call_timeout_);
 }
 
 int64_t Fleet::PeakMemoryMb(const std::string& name) const {
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -2,6 +2,7 @@
 #define FUCHSIAWEIR_TEST_PROCESS_FLEET_H_
 
 #include <boost/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,18 +22,29 @@
     gateways_.at(static_cast<size_t>(gateway)).second_store_port = true;
   }
 
+  /// Lets the runners log which requests they begin and how each ends. Call before `Start`.
+  void RecordRuns() { record_runs_ = true; }
+  /// Sets the largest body that the desired states allow. Call before `Start`.
+  void SetBodyLimit(int64_t bytes) { body_limit_bytes_ = bytes; }
+  /// Limits the time of each call to the store and of each injected fault.
+  void SetCallTimeout(Duration timeout) { call_timeout_ = timeout; }
+
   /// Starts everything and waits until the gateways are ready.
   void Start();
 
-  /// Writes an object of the store, as an operator or a runner would.
-  void Put(const std::string& kind, const std::string& name, const boost::json::value& spec);
+  /// Starts a runner's process, with a start time that its reports tell.
+  void StartRunner(int runner, int64_t started_ms = 1'000);
+
+  /// Writes an object of the store, as an operator or a runner would. Returns whether the store has
+  /// confirmed it.
+  bool Put(const std::string& kind, const std::string& name, const boost::json::value& spec);
   void Delete(const std::string& kind, const std::string& name);
   /// Writes the store's record of a runner that started at `started_ms`.
-  void ListRunner(int runner, const std::string& state = "ready", int cold_ms = 0,
-                  int started_ms = 1'000);
+  bool ListRunner(int runner, const std::string& state = "ready", int cold_ms = 0,
+                  int64_t started_ms = 1'000);
   /// Writes a new version of the desired state, with `keys` as the API keys of team "alpha" and
   /// this number of further routes.
-  void PutDesiredState(const std::vector<std::string>& keys, int further_routes = 0);
+  bool PutDesiredState(const std::vector<std::string>& keys, int further_routes = 0);
 
   /// Sends a request to a gateway. `path` selects the route by its prefix: "/safe/", "/unsafe/",
   /// "/stream/" or "/single/".
@@ -59,6 +71,7 @@
   void Signal(const std::string& name, int signal) { processes_.Signal(name, signal); }
   void Restart(const std::string& name) { processes_.Restart(name); }
   int Wait(const std::string& name) { return processes_.Wait(name); }
+  std::optional<int> TryWait(const std::string& name) { return processes_.TryWait(name); }
   /// Runs a command of the binary. Returns its exit code.
   int RunOperatorCommand(const std::vector<std::string>& arguments, std::string* output = nullptr) {
     return processes_.RunOperatorCommand(arguments, output);
@@ -75,6 +88,9 @@
   int caller_port(int gateway) const { return gateways_.at(static_cast<size_t>(gateway)).callers; }
   int peer_port(int gateway) const { return gateways_.at(static_cast<size_t>(gateway)).peer; }
   int metrics_port(int gateway) const { return gateways_.at(static_cast<size_t>(gateway)).metrics; }
+  int sidecar_metrics_port(int sidecar) const {
+    return sidecar_metrics_.at(static_cast<size_t>(sidecar));
+  }
 
  private:
   struct GatewayPorts {
@@ -93,7 +109,11 @@
   int second_store_port_;
   std::vector<GatewayPorts> gateways_;
   std::vector<int> runners_;
+  std::vector<int> sidecar_metrics_;
   bool sidecars_;
+  bool record_runs_ = false;
+  int64_t body_limit_bytes_ = 65'536;
+  Duration call_timeout_ = Seconds(30);
   int64_t revision_ = 0;
   int64_t sequence_ = 0;
 };
--- a/test/standin/fleet_runner.cc
+++ b/test/standin/fleet_runner.cc
@@ -8,7 +8,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <cstdlib>
+#include <iostream>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -23,8 +25,11 @@
 
 constexpr char kModel[] = "model";
 constexpr absl::string_view kEventsPrefix = "events=";
+/// A body "work=MS;..." is answered after this number of milliseconds.
+constexpr absl::string_view kWorkPrefix = "work=";
 constexpr int kMisdirectedRequest = 421;
 constexpr Duration kEventInterval = Millis(20);
+constexpr Duration kWorkPollInterval = Millis(10);
 constexpr Duration kTimeToCrash = Millis(50);
 constexpr Duration kSilentPollInterval = Millis(50);
 constexpr Duration kWeightLoadDuration = Millis(300);
@@ -49,8 +54,8 @@
 
 class FleetRunner {
  public:
-  FleetRunner(boost::asio::io_context& io, std::string instance)
-      : io_(io), instance_(std::move(instance)) {}
+  FleetRunner(boost::asio::io_context& io, const FleetRunnerOptions& options)
+      : io_(io), options_(options), instance_(options.instance) {}
 
   Awaitable<void> Handle(HttpExchange& exchange) {
     const std::string path = exchange.target().path;
@@ -95,7 +100,7 @@
                                         {"active", active_},
                                         {"kv_used", active_ * 1000},
                                         {"kv_total", 100'000},
-                                        {"born", 1'000},
+                                        {"born", options_.started_ms},
                                         {"runs", json::array{}}});
   }
 
@@ -165,18 +170,64 @@
     ++active_;
     last_headers_.clear();
     for (const auto& [name, value] : request.headers) last_headers_[name] = value;
+    const std::string id = HeaderValue(request.headers, platform::kRequestIdHeader);
+    Record("begin", id, "run");
     co_await Run(exchange, std::move(response));
+    const bool broken_off = broken_off_.erase(&exchange) > 0;
+    Record("end", id, broken_off ? "broken" : exchange.answered() ? "complete" : "left");
     --active_;
   }
 
+  /// Logs a step of a run with the steady clock's time in milliseconds, in one write, so that the
+  /// line is whole or missing when the process is killed.
+  void Record(const char* step, const std::string& id, const char* outcome) const {
+    if (!options_.record_runs) return;
+    const int64_t now_ms = ToMillis(SteadyNow().time_since_epoch());
+    std::cout << absl::StrCat("run ", step, " ", id, " ", now_ms, " ", outcome, "\n") << std::flush;
+  }
+
+  /// Ends the connection within an answer, as a faulty runner does.
+  void BreakOff(HttpExchange& exchange) {
+    broken_off_.insert(&exchange);
+    exchange.Abort();
+  }
+
+  /// Sends the first part of an answer: of its head, or the head and half of the body.
+  Awaitable<void> SendPart(HttpExchange& exchange, const HttpResponse& response) {
+    std::string text = "HTTP/1.1 200 OK\r\n";
+    for (const auto& [name, value] : response.headers) {
+      absl::StrAppend(&text, name, ": ", value, "\r\n");
+    }
+    if (HasFault("cut_body")) {
+      absl::StrAppend(&text, "Content-Length: ", response.body.size() + 2, "\r\n\r\n",
+                      response.body.substr(0, response.body.size() / 2));
+    }
+    co_await exchange.transport().WriteAll(text);
+    BreakOff(exchange);
+  }
+
   Awaitable<void> Run(HttpExchange& exchange, HttpResponse response) {
     while (HasFault("silent") && !exchange.peer_closed()) co_await SleepFor(Millis(10));
     if (exchange.peer_closed()) ++cancelled_;
     if (HasFault("flood")) co_return co_await SendFlood(exchange, "flood");
-    if (HasFault("lose") || exchange.peer_closed()) {
+    int64_t work_ms = 0;
+    const std::string& text = exchange.request().body;
+    if (absl::StartsWith(text, kWorkPrefix) &&
+        absl::SimpleAtoi(text.substr(kWorkPrefix.size(), text.find(';') - kWorkPrefix.size()),
+                         &work_ms)) {
+      const TimePoint end = SteadyNow() + Millis(work_ms);
+      while (SteadyNow() < end && !exchange.peer_closed()) {
+        co_await SleepFor(std::min(kWorkPollInterval, end - SteadyNow()));
+      }
+    }
+    if (HasFault("lose")) co_return BreakOff(exchange);
+    if (exchange.peer_closed()) {
       exchange.Abort();
       co_return;
     }
+    if (HasFault("cut_head") || HasFault("cut_body")) {
+      co_return co_await SendPart(exchange, response);
+    }
     if (HasFault("fail")) response.status = 500;
     if (HasFault("status")) response.status = faults_.at("status").to_number<int>();
     int64_t events = 0;
@@ -211,8 +262,7 @@
                                   : kEventInterval;
     for (int64_t id = last_received + 1; id <= events; ++id) {
       if (HasFault("cut_after") && id > faults_.at("cut_after").to_number<int64_t>()) {
-        exchange.Abort();
-        co_return;
+        co_return BreakOff(exchange);
       }
       std::string event = absl::StrCat("id: ", id, "\ndata: token ", id, "\n\n");
       const bool written = co_await exchange.WriteChunk(std::move(event));
@@ -283,7 +333,9 @@
   }
 
   boost::asio::io_context& io_;
+  FleetRunnerOptions options_;
   std::string instance_;
+  std::set<const HttpExchange*> broken_off_;
   json::object faults_;
   ClientPorts clients_;
   std::map<uint16_t, HttpResponse> refusals_;  ///< Last refusal on a connection, by its port.
@@ -299,10 +351,11 @@
 
 }  // namespace
 
-void RunFleetRunner(int port, const std::string& instance) {
+void RunFleetRunner(const FleetRunnerOptions& options) {
   boost::asio::io_context io(1);
-  FleetRunner runner(io, instance);
-  standin::Serve(io, port, [&runner](HttpExchange& exchange) { return runner.Handle(exchange); });
+  FleetRunner runner(io, options);
+  standin::Serve(io, options.port,
+                 [&runner](HttpExchange& exchange) { return runner.Handle(exchange); });
 }
 
 }  // namespace fuchsiaweir::standin
--- a/test/standin/main.cc
+++ b/test/standin/main.cc
@@ -26,6 +26,8 @@
 ABSL_FLAG(int64_t, warm_up_runs, 4, "completed runs after which the engine is warm");
 ABSL_FLAG(bool, checks_fence, true, "the engine refuses orders with an old fencing number");
 ABSL_FLAG(std::string, instance, "runner", "id of the runner");
+ABSL_FLAG(int64_t, started_ms, 1'000, "start time that the fleet_runner reports");
+ABSL_FLAG(bool, record_runs, false, "the fleet_runner logs the begin and end of each run");
 ABSL_FLAG(std::string, platform, "", "ADDRESS:PORT of the weight store");
 ABSL_FLAG(int64_t, capacity_blocks, 1024, "blocks in the store");
 ABSL_FLAG(int64_t, memory_blocks, 1024, "blocks in the store's memory");
@@ -40,7 +42,12 @@
   } else if (standin_name == "fleet_store") {
     RunFleetStore(port, absl::GetFlag(FLAGS_second_port));
   } else if (standin_name == "fleet_runner") {
-    RunFleetRunner(port, absl::GetFlag(FLAGS_instance));
+    FleetRunnerOptions options;
+    options.port = port;
+    options.instance = absl::GetFlag(FLAGS_instance);
+    options.started_ms = absl::GetFlag(FLAGS_started_ms);
+    options.record_runs = absl::GetFlag(FLAGS_record_runs);
+    RunFleetRunner(options);
   } else if (standin_name == "service") {
     RunPlainService(port);
   } else if (standin_name == "engine") {
