Ask no parser without a header whether its connection can be kept

Seen: a build with assertions, such as the default one, ends with "Assertion `is_header_done()' failed" in basic_parser::keep_alive when a runner sends a late answer to an earlier request and then stops in the head of the next one. Builds of type Release have no assertions; there the call returned false and nothing was seen.

Cause: RunnerChannel remembered from the dropped late answer that a response was complete, while the parser was already a new one without a header. Reusable() then asked that parser.

Change: each new parser starts as incomplete.

Result: RunnerChannels.ACutHeadAfterALateAnswerIsNotReusable aborted on the code before with that assertion and passes now.

--- a/src/gateway/runner_channel.cc
+++ b/src/gateway/runner_channel.cc
@@ -69,6 +69,7 @@
 Awaitable<bool> RunnerChannel::ReadHeader(const std::string& request_id, RunnerHeader& header) {
   for (int late = 0; late <= kMaxLateResponses; ++late) {
     impl_->parser.emplace();
+    impl_->complete = false;
     Parser& parser = *impl_->parser;
     parser.body_limit(boost::none);
     parser.header_limit(kMaxHeaderBytes);
--- a/test/process/runner_channel.cc
+++ b/test/process/runner_channel.cc
@@ -113,4 +113,33 @@
   STRCMP_EQUAL("the first bytes", body.c_str());
 }
 
+// Guards against an assertion that ends the process: a late answer was dropped whole, the next one
+// stops in its head, and the connection was asked whether it can be kept.
+TEST(RunnerChannels, ACutHeadAfterALateAnswerIsNotReusable) {
+  boost::asio::io_context io(1);
+  tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const Endpoint runner{"127.0.0.1", acceptor.local_endpoint().port()};
+  std::jthread server([&]() {
+    tcp::socket connection = acceptor.accept();
+    boost::system::error_code end;
+    const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlateHTTP/1.1 200 O";
+    boost::asio::write(connection, boost::asio::buffer(text), end);
+    SleepMillis(300);
+  });
+  RunnerChannelPool pool(io);
+  bool done = false;
+  Spawn(io, "attempt", [&]() -> Awaitable<void> {
+    std::string request_id = "id";
+    RunnerChannelPool::Acquired acquired =
+        co_await pool.Acquire(runner, std::move(request_id), true, Seconds(1));
+    acquired.channel->ExpireAfter(Millis(200));
+    RunnerHeader header;
+    const std::string id = "id";
+    CHECK_FALSE(co_await acquired.channel->ReadHeader(id, header));
+    CHECK_FALSE(acquired.channel->Reusable());
+    done = true;
+  });
+  while (!done) io.run_one();
+}
+
 }  // namespace fuchsiaweir::testing
