Wait for a runner's final answer behind an interim one

Callers saw: a status such as "103 Early Hints" with Content-Length 0 as the final answer to a request that its runner answered behind it. No caller takes an interim answer for the end, so the request had none.

Cause: an answer with the request's id was taken for the final one, whatever its status. Interim answers of runners may bear the id too.

Change: a response of status 1xx is dropped like a late answer, within the same bound.

--- a/src/gateway/runner_channel.cc
+++ b/src/gateway/runner_channel.cc
@@ -21,7 +21,7 @@
 using tcp = asio::ip::tcp;
 using Parser = http::response_parser<ReceivedBody>;
 
-/// Late responses to earlier requests that may precede the awaited one.
+/// Interim responses, and late responses to earlier requests, that may precede the awaited one.
 constexpr int kMaxLateResponses = 3;
 /// Idle timeout of a connection whose runner announces none.
 constexpr Duration kDefaultIdleTimeout = Seconds(4);
@@ -87,7 +87,8 @@
     header.answer =
         platform::DecodeRunnerAnswer(static_cast<int>(parser.get().result_int()), header.fields);
     keep_alive_ = header.answer.keep_alive;
-    if (header.answer.request_id == request_id) {
+    const bool interim = header.answer.status / 100 == 1;
+    if (header.answer.request_id == request_id && !interim) {
       if (header.answer.not_run) refused_.insert(RendezvousHash(request_id));
       co_return true;
     }
--- a/test/process/runner_channel.cc
+++ b/test/process/runner_channel.cc
@@ -61,7 +61,8 @@
 
 /// Reads the answer of a runner that sends `fields`, the rest of a header and the begin of a body,
 /// and then 'x' without end if `endless`. Appends to `body` and returns how the last read ended.
-RunnerChannel::Read ReadAnswer(const std::string& fields, bool endless, std::string& body) {
+RunnerChannel::Read ReadAnswer(const std::string& fields, bool endless, std::string& body,
+                               const char* status = "200 OK") {
   boost::asio::io_context io(1);
   tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
   const Endpoint runner{"127.0.0.1", acceptor.local_endpoint().port()};
@@ -69,7 +70,7 @@
     tcp::socket connection = acceptor.accept();
     boost::system::error_code end;
     const std::string begin =
-        absl::StrCat("HTTP/1.1 200 OK\r\n", platform::kRequestIdHeader, ": id\r\n", fields);
+        absl::StrCat("HTTP/1.1 ", status, "\r\n", platform::kRequestIdHeader, ": id\r\n", fields);
     boost::asio::write(connection, boost::asio::buffer(begin), end);
     const std::string bytes(kReadBytes, 'x');
     while (endless && !end) boost::asio::write(connection, boost::asio::buffer(bytes), end);
@@ -113,6 +114,16 @@
   STRCMP_EQUAL("the first bytes", body.c_str());
 }
 
+// Guards against an interim answer with the request's id that is taken for the final one.
+TEST(RunnerChannels, AnInterimAnswerIsNotTheFinalOne) {
+  std::string body;
+  const std::string fields = absl::StrCat("\r\nHTTP/1.1 200 OK\r\n", platform::kRequestIdHeader,
+                                          ": id\r\nContent-Length: 5\r\n\r\nwhole");
+  CHECK(ReadAnswer(fields, /*endless=*/false, body, "103 Early Hints") ==
+        RunnerChannel::Read::kEnd);
+  STRCMP_EQUAL("whole", body.c_str());
+}
+
 // Guards against an assertion that ends the process: a late answer was dropped whole, the next one
 // stops in its head, and the connection was asked whether it can be kept.
 TEST(RunnerChannels, ACutHeadAfterALateAnswerIsNotReusable) {
--- a/test/standin/fleet_runner.cc
+++ b/test/standin/fleet_runner.cc
@@ -3,9 +3,11 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/socket_base.hpp>
 #include <boost/json.hpp>
 #include <cstdlib>
 #include <map>
@@ -27,6 +29,7 @@
 constexpr Duration kEventInterval = Millis(20);
 constexpr Duration kTimeToCrash = Millis(50);
 constexpr Duration kSilentPollInterval = Millis(50);
+constexpr Duration kTimeToReadRaw = Millis(15);
 constexpr Duration kWeightLoadDuration = Millis(300);
 constexpr size_t kMaxArrivals = 5'000;
 constexpr size_t kFloodPieceBytes = 65'536;
@@ -173,6 +176,11 @@
     while (HasFault("silent") && !exchange.peer_closed()) co_await SleepFor(Millis(10));
     if (exchange.peer_closed()) ++cancelled_;
     if (HasFault("flood")) co_return co_await SendFlood(exchange, "flood");
+    const std::string resume =
+        HeaderValue(exchange.request().headers, platform::kResumeAfterHeader);
+    if (HasFault("raw") && (!HasFault("raw_if_resumed") || !resume.empty())) {
+      co_return co_await SendRaw(exchange);
+    }
     if (HasFault("lose") || exchange.peer_closed()) {
       exchange.Abort();
       co_return;
@@ -190,16 +198,13 @@
     if (HasFault("unframed")) {
       co_return co_await SendUnframed(exchange, std::move(response.headers), events);
     }
-    if (HasFault("resumed") &&
-        !HeaderValue(exchange.request().headers, platform::kResumeAfterHeader).empty()) {
+    if (HasFault("resumed") && !resume.empty()) {
       co_return co_await AnswerResumed(exchange, std::move(response));
     }
     HttpHeaders headers = response.headers;
     headers.emplace_back("Content-Type", "text/event-stream");
     co_await exchange.BeginStream(200, std::move(headers));
     int64_t last_received = 0;
-    const std::string resume =
-        HeaderValue(exchange.request().headers, platform::kResumeAfterHeader);
     if (!absl::SimpleAtoi(resume, &last_received)) last_received = 0;
     while (HasFault("trickle")) {
       std::string byte = "x";
@@ -274,6 +279,26 @@
     exchange.Abort();
   }
 
+  /// Sends the bytes of the fault, with the fields of a response in place of "{head}", and closes
+  /// or resets the connection.
+  Awaitable<void> SendRaw(HttpExchange& exchange) {
+    std::string fields;
+    for (const auto& [name, value] : ResponseHeaders(exchange.request())) {
+      absl::StrAppend(&fields, name, ": ", value, "\r\n");
+    }
+    const std::string text =
+        absl::StrReplaceAll(std::string(faults_.at("raw").as_string()), {{"{head}", fields}});
+    co_await exchange.transport().WriteAll(text);
+    co_await SleepFor(kTimeToReadRaw);
+    if (HasFault("reset")) {
+      boost::system::error_code ignored;
+      auto& socket = exchange.transport().tcp().socket();
+      socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+      socket.close(ignored);
+    }
+    exchange.Abort();
+  }
+
   /// Sends an unsolicited response on the same connection.
   Awaitable<void> SendExtraResponse(HttpExchange& exchange) {
     HttpExchange second(exchange.transport(), exchange.request(), Seconds(1));
--- a/test/standin/fleet_runner.h
+++ b/test/standin/fleet_runner.h
@@ -26,7 +26,9 @@
 /// "flood" (send without end: "head", "interim", "body", "chunk_extension", "trailer" or "event";
 /// with "length", announce a body that no memory holds and send its first byte),
 /// "flood_report" (answer GET /report with the same), "crash_part" and "crash_text" (exit on a
-/// request whose list of prompt parts, or whose body, contains this text).
+/// request whose list of prompt parts, or whose body, contains this text), "raw" (send these bytes,
+/// with request id and receipt in place of "{head}", and close the connection), "reset" (reset it
+/// instead), "raw_if_resumed" (only to a request that resumes a stream).
 void RunFleetRunner(int port, const std::string& instance);
 
 }  // namespace fuchsiaweir::standin
