Take no list that cannot be split for an empty one

Seen in a test only: a store's page, or a relay's response, whose list was no array or whose array could not be split into entries counted as an empty list. Applied as whole contents, it removes all runners, and every request is refused until the next list.

Cause: SplitElements returned no elements both for "[]" and for text that is no complete array; a page that could be parsed as a whole was not checked for a list that is no array, nor for the missing revision.

The source is asked again, as after a failed call. A list of null still counts as empty.

--- a/src/gateway/object_log.cc
+++ b/src/gateway/object_log.cc
@@ -81,8 +81,9 @@
   changes.revision = platform::IntegerAt(fields, "revision");
   changes.age = platform::MillisAt(fields, "age_ms");
   changes.outage = platform::BooleanAt(fields, "outage");
-  for (const std::string_view item :
-       platform::SplitElements(platform::FindMember(members, "objects"))) {
+  const auto items = platform::SplitElements(platform::FindMember(members, "objects"));
+  if (!items) return std::nullopt;
+  for (const std::string_view item : *items) {
     if (std::optional<StoredObject> object = DecodeObject(item)) {
       changes.objects.push_back(std::move(*object));
     }
