Wait for the final response behind an interim one in calls

Seen in a test only: a call to the store, a peer or a runner's report that is answered with an interim response first (status 1xx) failed with that status, and the connection was kept although the final response was still to come. If that arrived after the next request had been sent, it would be its response.

Cause: HttpClient took the first response for the final one.

Change: up to three interim responses are dropped within the call's time; more are an error that closes the connection.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <list>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -25,6 +26,7 @@
 constexpr size_t kMaxIdleConnections = 512;
 constexpr Duration kIdleTimeout = Seconds(60);  // Below the server's idle timeout of 75 s.
 constexpr size_t kMaxLineBytes = 4'000'000;
+constexpr int kMaxInterimResponses = 3;
 
 std::string Serialize(const Endpoint& endpoint, const HttpRequest& request) {
   std::string message = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
@@ -217,9 +219,14 @@
   impl->RunRequestHooks(endpoint, request);
   const std::string message = Serialize(endpoint, request);
   auto failure = co_await transport->WriteAll(message);
-  ResponseParser parser;
-  parser.body_limit(static_cast<uint64_t>(options.max_body_bytes));
-  if (!failure) failure = co_await transport->Read(parser);
+  std::optional<ResponseParser> received;
+  for (int interim = 0; !failure && interim <= kMaxInterimResponses; ++interim) {
+    received.emplace();
+    received->body_limit(static_cast<uint64_t>(options.max_body_bytes));
+    failure = co_await transport->Read(*received);
+    if (failure || received->get().result_int() / 100 != 1) break;
+    if (interim == kMaxInterimResponses) failure = http::error::bad_status;
+  }
   if (failure) {
     result.failure = absl::StrCat("call to ", ToString(endpoint), " failed: ", failure.message());
     result.too_large = failure == http::error::body_limit;
@@ -229,8 +236,8 @@
     co_return result;
   }
   result.stage = CallStage::kAnswered;
-  const bool keep_alive = parser.get().keep_alive();
-  result.response = ToResponse(parser.get());
+  const bool keep_alive = received->get().keep_alive();
+  result.response = ToResponse(received->get());
   impl->RunResponseHooks(endpoint, request, *result.response);
   if (keep_alive) impl->PutIdle(endpoint, std::move(transport));
   co_return result;
--- a/test/process/store_lists.cc
+++ b/test/process/store_lists.cc
@@ -79,6 +79,16 @@
   CHECK(CallStore({empty}, /*watch=*/false).outcome == StoreOutcome::kDone);
 }
 
+// Guards against an interim response that is taken for the final one, which the next call on the
+// connection then gets.
+TEST(StoreLists, AnInterimResponseIsNotTheFinalOne) {
+  const std::string empty = R"({"items":[],"more":false,"current_rev":9})";
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  CHECK(CallStore({empty}, /*watch=*/false, interim).outcome == StoreOutcome::kDone);
+  CHECK(CallStore({empty}, /*watch=*/false, interim + interim + interim + interim).outcome ==
+        StoreOutcome::kUnknown);
+}
+
 // Guards against the removal of the runners on later pages, after a page of entries without names.
 TEST(StoreLists, AListThatCannotBeContinuedIsNotWhole) {
   CHECK(CallStore({kNamelessPage}, /*watch=*/false).outcome == StoreOutcome::kUnknown);
