--- a/test/standin/fleet_runner.h
+++ b/test/standin/fleet_runner.h
@@ -31,14 +31,17 @@
 /// response that the runner leaves), "pause" (refuse requests as not run for this Retry-After),
 /// "resumed" (answer a request that resumes a stream with "text", "empty" or "refusal" instead),
 /// "second_head" (append the header and text of an error to an unframed stream),
-/// "event_interval_ms" (send events at this interval), "trickle" (send single bytes of an event
-/// that never ends), "no_report" (do not answer GET /report), "repeat_refusal" (before a request
-/// runs, send the connection's last refusal once more), "status" (respond with this status after
-/// the run), "silence_open_connections" (never respond on connections that are open now),
-/// "flood" (send without end: "head", "interim", "body", "chunk_extension", "trailer" or "event";
-/// with "length", announce a body that no memory holds and send its first byte),
-/// "flood_report" (answer GET /report with the same), "crash_part" and "crash_text" (exit on a
-/// request whose list of prompt parts, or whose body, contains this text).
+/// "work_ms" (answer after this time), "event_interval_ms" (send events at this interval),
+/// "trickle" (send single bytes of an event that never ends), "no_report" (do not answer GET
+/// /report), "repeat_refusal" (before a request runs, send the connection's last refusal once
+/// more), "status" (respond with this status after the run), "silence_open_connections" (never
+/// respond on connections that are open now), "flood" (send without end: "head", "interim", "body",
+/// "chunk_extension", "trailer" or "event"; with "length", announce a body that no memory holds and
+/// send its first byte), "flood_report" (answer GET /report with the same), "crash_part" and
+/// "crash_text" (exit on a request whose list of prompt parts, or whose body, contains this text),
+/// "raw" (send these bytes, with request id and receipt in place of "{head}", and close the
+/// connection), "reset" (reset it instead), "raw_if_resumed" (only to a request that resumes a
+/// stream).
 void RunFleetRunner(const FleetRunnerOptions& options);
 
 }  // namespace fuchsiaweir::standin
