Log why a process ends or refuses to start

Operators saw processes end with nothing in the logs: settings findings went to standard error as text, a port in use gave an exception's text without the socket, and signals, crashes and exceptions that nothing caught left nothing. There was no record of memory either.

--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -3,12 +3,14 @@
 #include <absl/cleanup/cleanup.h>
 #include <absl/strings/str_cat.h>
 #include <sys/stat.h>
+#include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <cstring>
 #include <exception>
 #include <iostream>
 #include <memory>
@@ -16,15 +18,18 @@
 #include <utility>
 
 #include "core/file_text.h"
+#include "core/version.h"
 #include "gateway/fleet_view.h"
 #include "gateway/forwarder.h"
 #include "gateway/part_watch.h"
 #include "gateway/peer_link.h"
 #include "gateway/relay_client.h"
 #include "gateway/weight_orders.h"
+#include "net/crash_handler.h"
 #include "net/http_server.h"
 #include "net/log.h"
 #include "net/metrics.h"
+#include "net/process_usage.h"
 #include "net/timer_service.h"
 #include "platform/names.h"
 
@@ -81,10 +86,14 @@
 
   void Start() {
     components_.StartAll();
-    peer_server_->Start();
-    metrics_server_->Start();
-    if (ready_server_ != nullptr) ready_server_->Start();
-    if (caller_server_ != nullptr) caller_server_->Start();
+    StartServer("peers", *peer_server_, settings_.peer_endpoint());
+    StartServer("metrics", *metrics_server_, MetricsEndpoint());
+    if (ready_server_ != nullptr) {
+      StartServer("readiness", *ready_server_, settings_.readiness_endpoint());
+    }
+    if (caller_server_ != nullptr) {
+      StartServer("callers", *caller_server_, settings_.callers_endpoint());
+    }
   }
 
   void Reload(const std::string& cause) {
@@ -133,6 +142,9 @@
   void AddComponents() {
     components_.Add<Metrics>("metrics");
     TimerService& timer = components_.Add<TimerService>("timer", io_);
+    components_.Add<ProcessUsage>(
+        "process_usage", components_, [this]() { return settings_.memory_bytes(); },
+        [this]() { return CallerUsage(); });
     components_.Add<HttpClients>("http_clients", io_, nullptr);
     PeerLink& link = components_.Add<PeerLink>("peer_link", io_, settings_.peer_endpoint());
     fleet_view_ = &components_.Add<FleetView>("fleet_view", components_, settings_, role_);
@@ -149,7 +161,7 @@
     options.listen = settings_.peer_endpoint();
     peer_server_ = std::make_unique<HttpServer>(
         io_, options, [this](HttpExchange& exchange) { return ServePeer(exchange); });
-    options.listen.port = static_cast<uint16_t>(settings_.metrics_port);
+    options.listen = MetricsEndpoint();
     metrics_server_ = std::make_unique<HttpServer>(
         io_, options, [this](HttpExchange& exchange) { return ServeMetrics(exchange); });
     link.SetReceiver([this](const PeerMessage& message) { OnPeerMessage(message); });
@@ -158,6 +170,26 @@
     });
   }
 
+  Endpoint MetricsEndpoint() const {
+    return {settings_.address, static_cast<uint16_t>(settings_.metrics_port)};
+  }
+
+  static void StartServer(const char* socket, HttpServer& server, const Endpoint& endpoint) {
+    try {
+      server.Start();
+    } catch (const std::exception& e) {
+      LogError("listen_failed",
+               {{"socket", socket}, {"address", ToString(endpoint)}, {"reason", e.what()}});
+      throw;
+    }
+  }
+
+  LogFields CallerUsage() const {
+    if (caller_server_ == nullptr) return {};
+    return {{"caller_connections", absl::StrCat(caller_server_->connections())},
+            {"in_flight", absl::StrCat(forwarder_->in_flight())}};
+  }
+
   void AddCallerServers() {
     HttpServerOptions options;
     options.listen = settings_.callers_endpoint();
@@ -265,8 +297,10 @@
 Awaitable<void> HandleSignals(boost::asio::signal_set& signals, Process& process) {
   while (true) {
     const int signal = co_await signals.async_wait(boost::asio::use_awaitable);
+    const std::string name = absl::StrCat("SIG", sigabbrev_np(signal));
+    LogInfo("signal_received", {{"signal", name}});
     if (signal != SIGHUP) break;
-    process.Reload("SIGHUP");
+    process.Reload(name);
   }
   co_await process.ShutDown();
 }
@@ -274,20 +308,29 @@
 }  // namespace
 
 int RunGatewayOrSidecar(PlatformRole role, const std::string& settings_file) {
+  const TimePoint started_at = SteadyNow();
+  const std::string role_name = role == PlatformRole::kGateway ? "gateway" : "sidecar";
+  InitLog("info", role_name, LogStream::kStandardOutput);
+  InstallCrashHandler(role_name, LogStream::kStandardOutput);
   Findings findings;
   const std::optional<GatewaySettings> settings = LoadSettings(settings_file, role, findings);
   if (!settings) {
+    LogError("start_refused", {{"findings", findings.ToString()}});
     std::cerr << findings.ToString();
     return kExitInvalidSettings;
   }
   std::signal(SIGPIPE, SIG_IGN);
   InitLog(settings->log_level, settings->name, LogStream::kStandardOutput);
+  InstallCrashHandler(settings->name, LogStream::kStandardOutput);
   boost::asio::io_context io(1);
   boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
   try {
     Process process(io, role, *settings, settings_file);
     process.Start();
-    LogInfo("daemon_started", {{"role", role == PlatformRole::kGateway ? "gateway" : "sidecar"},
+    LogInfo("daemon_started", {{"role", role_name},
+                               {"version", kVersion},
+                               {"pid", absl::StrCat(getpid())},
+                               {"start_ms", absl::StrCat(ToMillis(SteadyNow() - started_at))},
                                {"peer", ToString(settings->peer_endpoint())},
                                {"store", settings->store}});
     Spawn(io, "signals", [&]() { return HandleSignals(signals, process); });
--- a/src/net/command_version.cc
+++ b/src/net/command_version.cc
@@ -2,13 +2,9 @@
 
 #include <iostream>
 
-namespace fuchsiaweir {
-namespace {
-
-constexpr char kVersion[] = "0.1.0";
-
-}  // namespace
+#include "core/version.h"
 
+namespace fuchsiaweir {
 ExitCode RunVersion(const Operands& operands) {
   if (!operands.empty()) return ExitCode::kUsage;
   if (JsonOutput()) {
--- a/src/net/daemon.cc
+++ b/src/net/daemon.cc
@@ -1,10 +1,12 @@
 #include "net/daemon.h"
 
 #include <absl/strings/str_cat.h>
+#include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstring>
 #include <exception>
 #include <iostream>
 #include <optional>
@@ -12,9 +14,11 @@
 
 #include "core/file_text.h"
 #include "core/settings.h"
+#include "core/version.h"
 #include "net/agent_service.h"
 #include "net/common_routes.h"
 #include "net/config_service.h"
+#include "net/crash_handler.h"
 #include "net/entry_service.h"
 #include "net/host_list.h"
 #include "net/log.h"
@@ -89,6 +93,10 @@
 }  // namespace
 
 int RunDaemon(Role role, const std::string& settings_file) {
+  const TimePoint started_at = SteadyNow();
+  const std::string role_name = role == Role::kEntry ? "entry" : "agent";
+  InitLog("info", role_name);
+  InstallCrashHandler(role_name, LogStream::kStandardError);
   Findings findings;
   std::optional<Settings> settings;
   TlsContexts tls;
@@ -97,10 +105,12 @@
   }
   if (settings) tls = LoadTlsContexts(*settings, findings);
   if (!findings.empty()) {
+    LogError("start_refused", {{"findings", findings.ToString()}});
     std::cerr << findings.ToString();
     return kExitFindings;
   }
   InitLog(settings->log_level, settings->host);
+  InstallCrashHandler(settings->host, LogStream::kStandardError);
 
   boost::asio::io_context io(1);
   ComponentRegistry components(io);
@@ -111,10 +121,16 @@
     LogError("start_failed", {{"reason", e.what()}});
     return kExitFailed;
   }
-  LogInfo("daemon_started", {{"port", absl::StrCat(settings->listen_port)}});
+  LogInfo("daemon_started", {{"role", role_name},
+                             {"version", kVersion},
+                             {"pid", absl::StrCat(getpid())},
+                             {"start_ms", absl::StrCat(ToMillis(SteadyNow() - started_at))},
+                             {"port", absl::StrCat(settings->listen_port)}});
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](const boost::system::error_code& failure, int) {
-    if (!failure) Spawn(io, "shutdown", [&components]() { return ShutDown(components); });
+  signals.async_wait([&](const boost::system::error_code& failure, int signal) {
+    if (failure) return;
+    LogInfo("signal_received", {{"signal", absl::StrCat("SIG", sigabbrev_np(signal))}});
+    Spawn(io, "shutdown", [&components]() { return ShutDown(components); });
   });
   RunLoop(io);
   return 0;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -345,6 +345,8 @@
 
 int64_t HttpServer::active_requests() const { return impl_->active; }
 
+int64_t HttpServer::connections() const { return impl_->connections; }
+
 void HttpServer::SetCallerLimits(int64_t max_header_bytes, int64_t max_body_bytes,
                                  Duration read_timeout, Duration idle_timeout) {
   impl_->options.max_header_bytes = max_header_bytes;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -102,6 +102,8 @@
   Awaitable<void> Drain();
 
   int64_t active_requests() const;
+  /// Open connections, including idle ones.
+  int64_t connections() const;
 
   /// Sets the size limits and timeouts of requests, effective from the next request on.
   void SetCallerLimits(int64_t max_header_bytes, int64_t max_body_bytes, Duration read_timeout,
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -102,6 +102,7 @@
   trivial::severity_level threshold = trivial::info;
   trivial::from_string(level.data(), level.size(), threshold);
   boost::log::core::get()->set_filter(trivial::severity >= threshold);
+  boost::log::core::get()->remove_all_sinks();
   if (stream == LogStream::kStandardOutput) {
     rate_limited = true;
     using Sink = boost::log::sinks::synchronous_sink<NonBlockingBackend>;
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -18,7 +18,8 @@
 };
 
 /// Writes records of at least `level` (debug, info, warning or error) to `stream`, as one JSON
-/// object per line. Every record contains `process`, the name of the process.
+/// object per line. Every record contains `process`, the name of the process. A later call replaces
+/// all three.
 void InitLog(const std::string& level, const std::string& process,
              LogStream stream = LogStream::kStandardError);
 
