Keep sidecars alive beside a model that is named with version 0

Seen: every sidecar ends by itself with signal 11 within 1.5 s after an entry in "versions" gives 0, or a fraction below 1, as a model's version. The protocol's versions start at 1; the entry is another writer's mistake, but it ends all sidecars of the fleet and each one that starts later.

Cause: such a model gets a history without versions, and SendReport read the newest one of the empty map, which follows a null pointer.

Change: SendReport passes over a model without versions.

--- a/src/gateway/weight_orders.cc
+++ b/src/gateway/weight_orders.cc
@@ -125,6 +125,8 @@
   view_.BroadcastToGateways(message);
   const TimePoint now = SteadyNow();
   for (const auto& [model, history] : view_.all_weights()) {
+    // No version is known of a model that was named with version 0 only.
+    if (history.named().empty()) continue;
     // Sidecars need each other's reports only to take turns during a rollout.
     const bool recent = now - history.named().rbegin()->second < kRolloutDuration;
     if (recent) return view_.BroadcastToSidecars(message);
--- a/test/process/odd_entries.cc
+++ b/test/process/odd_entries.cc
@@ -82,4 +82,17 @@
   LONGS_EQUAL(200, fleet.Call("/safe/", "x").status);
 }
 
+// Guards against sidecars that end by a segmentation fault once a model is named with version 0:
+// the newest of no versions was read.
+TEST(OddEntries, SidecarsOutliveAModelWithoutAVersion) {
+  fleet.Start();
+  fleet.Put("versions", "model", json::object{{"model", "model"}, {"version", 0}});
+  SleepMillis(1'500);
+  CHECK(fleet.PeakMemoryMb("sidecar0") > 0);
+  CHECK(fleet.PeakMemoryMb("sidecar1") > 0);
+  // They still follow the versions.
+  fleet.Put("versions", "model", json::object{{"model", "model"}, {"version", 2}});
+  CHECK(Eventually([&]() { return fleet.Stats(0).at("version") == 2; }, Seconds(10)));
+}
+
 }  // namespace fuchsiaweir::testing
