--- a/test/process/deployment.cc
+++ b/test/process/deployment.cc
@@ -228,7 +228,7 @@
 
 void Deployment::Restart(const std::string& name) {
   if (Running(name)) Signal(name, SIGKILL);
-  Wait(name);
+  if (processes_.count(name) > 0) Wait(name);
   StartProcess(name, commands_.at(name));
 }
 
