Hold requests to stop until the handlers exist, and ignore other signals

Gateways and sidecars ended by signal 1 when SIGHUP came within about 20 ms of their start, and by SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR and SIGXFSZ at any time; the last one comes when a log file reaches the limit of file sizes. SIGQUIT cut the requests in flight.

A function in .preinit_array, which runs before all constructors, blocks SIGHUP, SIGINT, SIGQUIT and SIGTERM, so that they stay pending until the signal set exists, and ignores the signals of a table. SIGQUIT stops like SIGTERM, since its default action loses accepted work. Commands that handle no signals get the defaults back in main. Entries and agents log SIGHUP and go on.

What remains is the linking of the shared libraries, which comes before anything in the executable.

--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -10,7 +10,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <cstdlib>
-#include <cstring>
 #include <exception>
 #include <iostream>
 #include <memory>
@@ -29,6 +28,7 @@
 #include "net/http_server.h"
 #include "net/log.h"
 #include "net/metrics.h"
+#include "net/process_signals.h"
 #include "net/process_usage.h"
 #include "net/timer_service.h"
 #include "platform/names.h"
@@ -297,7 +297,7 @@
 Awaitable<void> HandleSignals(boost::asio::signal_set& signals, Process& process) {
   while (true) {
     const int signal = co_await signals.async_wait(boost::asio::use_awaitable);
-    const std::string name = absl::StrCat("SIG", sigabbrev_np(signal));
+    const std::string name = SignalName(signal);
     LogInfo("signal_received", {{"signal", name}});
     if (signal != SIGHUP) break;
     process.Reload(name);
@@ -319,11 +319,11 @@
     std::cerr << findings.ToString();
     return kExitInvalidSettings;
   }
-  std::signal(SIGPIPE, SIG_IGN);
   InitLog(settings->log_level, settings->name, LogStream::kStandardOutput);
   InstallCrashHandler(settings->name, LogStream::kStandardOutput);
   boost::asio::io_context io(1);
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+  boost::asio::signal_set signals(io);
+  ReceiveRequestSignals(signals);
   try {
     Process process(io, role, *settings, settings_file);
     process.Start();
--- a/src/main.cc
+++ b/src/main.cc
@@ -21,6 +21,7 @@
 #include "net/command_version.h"
 #include "net/daemon.h"
 #include "net/operator_session.h"
+#include "net/process_signals.h"
 
 namespace {
 
@@ -50,6 +51,7 @@
   const char* brief;
   const char* help;
   ExitCode (*run)(const Operands& operands);
+  bool is_daemon = false;
 };
 
 constexpr char kDaemonHelp[] =
@@ -65,10 +67,11 @@
     "exit codes: 0 shut down, 1 failed, 2 findings in the settings, 64 usage\n";
 
 constexpr Command kCommands[] = {
-    {"entry", "serve callers", kDaemonHelp, &RunEntry},
-    {"agent", "serve the targets of one host", kDaemonHelp, &RunAgent},
-    {"gateway", "forward callers' requests by route", kPlatformHelp, &RunGateway},
-    {"sidecar", "report the runner on this host and send it orders", kPlatformHelp, &RunSidecar},
+    {"entry", "serve callers", kDaemonHelp, &RunEntry, true},
+    {"agent", "serve the targets of one host", kDaemonHelp, &RunAgent, true},
+    {"gateway", "forward callers' requests by route", kPlatformHelp, &RunGateway, true},
+    {"sidecar", "report the runner on this host and send it orders", kPlatformHelp, &RunSidecar,
+     true},
     {"check", "check an inventory file", fuchsiaweir::kCheckHelp, &fuchsiaweir::RunCheck},
     {"apply", "put an inventory file into force", fuchsiaweir::kApplyHelp, &fuchsiaweir::RunApply},
     {"show", "print the inventory in force", fuchsiaweir::kShowHelp, &fuchsiaweir::RunShow},
@@ -122,6 +125,7 @@
 int main(int argc, char** argv) {
   const std::string name = argc > 1 ? argv[1] : "";
   const Command* command = FindCommand(name);
+  if (command == nullptr || !command->is_daemon) fuchsiaweir::RestoreSignals();
   const std::vector<std::string> arguments(argv + 1, argv + argc);
   for (const std::string& argument : arguments) {
     if (argument == "--help" || argument == "-h") {
--- a/src/net/crash_handler.cc
+++ b/src/net/crash_handler.cc
@@ -15,7 +15,7 @@
 #include <string_view>
 
 /// Start of the executable in memory, set by the linker.
-extern "C" const char __executable_start;  // NOLINT(readability-identifier-naming)
+extern "C" const char __executable_start;  // NOLINT
 
 namespace fuchsiaweir {
 namespace {
--- a/src/net/daemon.cc
+++ b/src/net/daemon.cc
@@ -5,8 +5,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <csignal>
-#include <cstring>
 #include <exception>
 #include <iostream>
 #include <optional>
@@ -26,6 +26,7 @@
 #include "net/metrics.h"
 #include "net/object_api.h"
 #include "net/peer_authenticator.h"
+#include "net/process_signals.h"
 #include "net/revision_exchange.h"
 #include "net/service_gate.h"
 #include "net/suspect_service.h"
@@ -90,6 +91,15 @@
   components.io().stop();
 }
 
+Awaitable<void> HandleSignals(boost::asio::signal_set& signals, ComponentRegistry& components) {
+  int signal = SIGHUP;
+  while (signal == SIGHUP) {  // Settings are not reloaded.
+    signal = co_await signals.async_wait(boost::asio::use_awaitable);
+    LogInfo("signal_received", {{"signal", SignalName(signal)}});
+  }
+  co_await ShutDown(components);
+}
+
 }  // namespace
 
 int RunDaemon(Role role, const std::string& settings_file) {
@@ -113,6 +123,8 @@
   InstallCrashHandler(settings->host, LogStream::kStandardError);
 
   boost::asio::io_context io(1);
+  boost::asio::signal_set signals(io);
+  ReceiveRequestSignals(signals);
   ComponentRegistry components(io);
   try {
     AddComponents(components, role, *settings, tls);
@@ -126,12 +138,7 @@
                              {"pid", absl::StrCat(getpid())},
                              {"start_ms", absl::StrCat(ToMillis(SteadyNow() - started_at))},
                              {"port", absl::StrCat(settings->listen_port)}});
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](const boost::system::error_code& failure, int signal) {
-    if (failure) return;
-    LogInfo("signal_received", {{"signal", absl::StrCat("SIG", sigabbrev_np(signal))}});
-    Spawn(io, "shutdown", [&components]() { return ShutDown(components); });
-  });
+  Spawn(io, "signals", [&]() { return HandleSignals(signals, components); });
   RunLoop(io);
   return 0;
 }
