Soak real processes in overlapping faults and planned work

Every third seed has planned work alone, since the rule for planned work asks for 3 s without any fault.

--- /dev/null
+++ b/test/soak/schedule.cc
@@ -0,0 +1,162 @@
+#include "soak/schedule.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <iterator>
+#include <random>
+
+namespace fuchsiaweir::soak {
+namespace {
+
+using Random = std::mt19937_64;
+
+int64_t Draw(Random& random, int64_t low, int64_t high) {
+  return std::uniform_int_distribution<int64_t>(low, high)(random);
+}
+
+/// Processes that a step may affect.
+enum class Target { kGateway, kDaemon, kRunner, kAny, kStore };
+
+struct StepType {
+  StepKind kind;
+  const char* name;
+  Target target;
+  int weight;  ///< Share among the steps of its phase.
+  bool planned;
+  int64_t low;  ///< Range of `amount`.
+  int64_t high;
+};
+
+constexpr StepType kTypes[] = {
+    {StepKind::kStop, "stop", Target::kDaemon, 6, true, 0, 0},
+    {StepKind::kStop, "stop", Target::kDaemon, 2, true, 1, 800},
+    {StepKind::kStopTwice, "stop_twice", Target::kDaemon, 1, true, 0, 5'000},
+    {StepKind::kReloadInStop, "reload_in_stop", Target::kDaemon, 2, true, 0, 7'500},
+    {StepKind::kReloadAtStart, "reload_at_start", Target::kDaemon, 2, true, 0, 30},
+    {StepKind::kReload, "reload", Target::kDaemon, 4, true, 0, 0},
+    {StepKind::kSettings, "settings", Target::kDaemon, 2, true, 0, 999},
+    {StepKind::kCutSettings, "cut_settings", Target::kDaemon, 2, true, 0, 9'999},
+    {StepKind::kDesiredState, "desired_state", Target::kStore, 4, true, 0, 20},
+    {StepKind::kDesiredState, "desired_state", Target::kStore, 1, true, 200, 500},
+    {StepKind::kWeights, "weights", Target::kStore, 1, true, 0, 0},
+    {StepKind::kDrain, "drain", Target::kRunner, 2, true, 300, 3'000},
+    {StepKind::kEvacuate, "evacuate", Target::kStore, 1, true, 100, 1'200},
+    {StepKind::kKill, "kill", Target::kDaemon, 4, false, 0, 1'000},
+    {StepKind::kKill, "kill", Target::kRunner, 2, false, 0, 2'000},
+    {StepKind::kStall, "stall", Target::kAny, 6, false, 100, 2'000},
+    {StepKind::kThrottle, "throttle", Target::kAny, 2, false, 1'000, 5'000},
+    {StepKind::kLeave, "leave", Target::kRunner, 2, false, 100, 3'000},
+    {StepKind::kRunnerFault, "runner_fault", Target::kRunner, 8, false, 100, 2'000},
+    {StepKind::kStoreFault, "store_fault", Target::kStore, 3, false, 100, 4'000}};
+
+constexpr const char* kRunnerFaults[] = {
+    R"({"lose":1})",           R"({"cut_after":3})", R"({"cut_head":1})",
+    R"({"cut_body":1})",       R"({"full":1})",      R"({"pause":"0.4"})",
+    R"({"fail":1})",           R"({"silent":1})",    R"({"event_interval_ms":150})",
+    R"({"no_report":1})",      R"({"extra":1})",     R"({"silence_open_connections":1})",
+    R"({"repeat_refusal":1})", R"({"limit":"30"})"};
+constexpr const char* kStoreFaults[] = {R"({"down":true})", R"({"silent":true})",
+                                        R"({"silence_open_connections":1})",
+                                        R"({"forget_history":1})"};
+
+/// Lengths of the phases of seeds that alternate between planned work alone and all kinds of steps.
+/// Between the two nothing happens, so that the work that follows meets no fault.
+constexpr int64_t kPlannedPhaseMs = 13'000;
+constexpr int64_t kFaultPhaseMs = 6'000;
+constexpr int64_t kCalmPhaseMs = 5'000;
+/// Nothing new begins in the last part, in which processes that stop come back.
+constexpr int64_t kLastPartMs = 4'000;
+constexpr int64_t kCycleMs = kPlannedPhaseMs + kFaultPhaseMs + kCalmPhaseMs;
+
+enum class Phase { kPlanned, kAll, kCalm };
+
+Phase PhaseAt(uint64_t seed, int64_t at_ms) {
+  if (seed % 3 == 0) return Phase::kPlanned;
+  if (seed % 3 == 2) return Phase::kAll;
+  const int64_t in_cycle = at_ms % kCycleMs;
+  if (in_cycle < kPlannedPhaseMs) return Phase::kPlanned;
+  return in_cycle < kPlannedPhaseMs + kFaultPhaseMs ? Phase::kAll : Phase::kCalm;
+}
+
+const StepType& DrawType(Random& random, Phase phase) {
+  const auto drawn = [phase](const StepType& type) { return phase == Phase::kAll || type.planned; };
+  int64_t sum = 0;
+  for (const StepType& type : kTypes) sum += drawn(type) ? type.weight : 0;
+  int64_t rest = Draw(random, 0, sum - 1);
+  for (const StepType& type : kTypes) {
+    if (!drawn(type)) continue;
+    rest -= type.weight;
+    if (rest < 0) return type;
+  }
+  return kTypes[0];
+}
+
+std::string DrawProcess(Random& random, Target target, const SoakOptions& options) {
+  if (target == Target::kAny) {
+    constexpr Target kTargets[] = {Target::kDaemon, Target::kDaemon, Target::kRunner,
+                                   Target::kStore};
+    target = kTargets[Draw(random, 0, std::size(kTargets) - 1)];
+  }
+  if (target == Target::kDaemon && Draw(random, 0, 2) < 2) target = Target::kGateway;
+  if (target == Target::kStore) return "store";
+  if (target == Target::kGateway) {
+    return absl::StrCat("gateway", Draw(random, 0, options.gateways - 1));
+  }
+  return absl::StrCat(target == Target::kDaemon ? "sidecar" : "runner",
+                      Draw(random, 0, options.runners - 1));
+}
+
+}  // namespace
+
+SoakOptions DrawSizes(SoakOptions options) {
+  Random random(options.seed * 31 + 7);
+  const int gateways = static_cast<int>(Draw(random, 1, 4));
+  const int runners = static_cast<int>(Draw(random, 2, 7));
+  const int clients = static_cast<int>(Draw(random, 8, 40));
+  if (options.gateways == 0) options.gateways = gateways;
+  if (options.runners == 0) options.runners = runners;
+  if (options.clients == 0) options.clients = clients;
+  return options;
+}
+
+std::vector<Step> DrawSchedule(const SoakOptions& options) {
+  Random random(options.seed);
+  std::vector<Step> steps;
+  const int64_t end_ms = options.seconds * 1'000 - kLastPartMs;
+  const int64_t mean_ms = Draw(random, 150, 900);
+  int64_t at_ms = 1'000;
+  while (at_ms < end_ms) {
+    at_ms += 1 + static_cast<int64_t>(std::exponential_distribution<double>(
+                     1.0 / static_cast<double>(mean_ms))(random));
+    const Phase phase = PhaseAt(options.seed, at_ms);
+    const StepType& type = DrawType(random, phase);
+    Step step{at_ms, type.kind, DrawProcess(random, type.target, options), 0, ""};
+    const bool series = Draw(random, 0, 3) == 0;
+    const int64_t count = series ? Draw(random, 2, 6) : 1;
+    const int64_t interval_ms = Draw(random, 1, 150);
+    for (int64_t i = 0; i < count; ++i) {
+      step.at_ms = at_ms + i * interval_ms;
+      step.amount = Draw(random, type.low, type.high);
+      if (type.kind == StepKind::kRunnerFault) {
+        step.detail = kRunnerFaults[Draw(random, 0, std::size(kRunnerFaults) - 1)];
+      } else if (type.kind == StepKind::kStoreFault) {
+        step.detail = kStoreFaults[Draw(random, 0, std::size(kStoreFaults) - 1)];
+      }
+      if (phase != Phase::kCalm && step.at_ms < end_ms) steps.push_back(step);
+    }
+  }
+  std::stable_sort(steps.begin(), steps.end(),
+                   [](const Step& a, const Step& b) { return a.at_ms < b.at_ms; });
+  return steps;
+}
+
+std::string Describe(const Step& step) {
+  const char* name = "";
+  for (const StepType& type : kTypes) {
+    if (type.kind == step.kind) name = type.name;
+  }
+  return absl::StrCat(step.at_ms, " ", name, " ", step.process, " ", step.amount, " ", step.detail);
+}
+
+}  // namespace fuchsiaweir::soak
