Soak with capped processors, slow uploads and idle connections

Gateways of a small site have 0.13 of a core, given in each tenth of a second; the soak left that out, and each of its processes had a whole core. Callers also pause within a request, and use connections again that were idle for up to four fifths of the limit.

--- a/test/soak/caller.cc
+++ b/test/soak/caller.cc
@@ -37,6 +37,10 @@
 /// Callers wait this much longer than their time limit, so that a late answer is seen.
 constexpr Duration kExtraWait = Millis(1'500);
 constexpr Duration kLongestPause = Millis(50);
+/// Four fifths of the fleet's limit for idle connections.
+constexpr Duration kLongestIdleTime = Seconds(12);
+constexpr Duration kLongestUploadPause = Seconds(1);
+constexpr Duration kStopPollInterval = Millis(100);
 constexpr Duration kLongestRetryAfter = Millis(300);
 constexpr int kMaxEvents = 80;
 constexpr int64_t kMaxSlowWorkMs = 2'500;
@@ -180,7 +184,14 @@
     attempt.begin = SteadyNow();
     const TimePoint limit =
         attempt.begin + (leaves ? Millis(Draw(1, 400)) : kTimeLimit + kExtraWait);
-    attempt.error = connection_->WriteAll(absl::StrCat(head, "\r\n", body), limit);
+    absl::StrAppend(&head, "\r\n", body);
+    const bool pauses = Draw(0, 19) == 0;
+    const size_t first = pauses ? static_cast<size_t>(Draw(1, head.size() - 1)) : head.size();
+    attempt.error = connection_->WriteAll(head.substr(0, first), limit);
+    if (pauses && attempt.error.empty()) {
+      std::this_thread::sleep_for(Micros(Draw(0, kLongestUploadPause.count())));
+      attempt.error = connection_->WriteAll(head.substr(first), limit);
+    }
     attempt.written = attempt.error.empty();
     attempt.sent = SteadyNow();
     Receive(attempt, body, events, limit);
@@ -190,7 +201,10 @@
     return attempt;
   }
 
-  Duration Pause() { return std::max(retry_after_, Micros(Draw(0, kLongestPause.count()))); }
+  Duration Pause() {
+    if (Draw(0, 199) == 0) return Micros(Draw(0, kLongestIdleTime.count()));
+    return std::max(retry_after_, Micros(Draw(0, kLongestPause.count())));
+  }
 
  private:
   int64_t Draw(int64_t low, int64_t high) {
@@ -283,7 +297,10 @@
       const std::lock_guard lock(mutex_);
       attempts_.push_back(*std::move(attempt));
     }
-    std::this_thread::sleep_for(caller.Pause());
+    const TimePoint next = SteadyNow() + caller.Pause();
+    while (!stopped_ && SteadyNow() < next) {
+      std::this_thread::sleep_for(std::min(kStopPollInterval, next - SteadyNow()));
+    }
   }
 }
 
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -17,6 +17,8 @@
 ABSL_FLAG(int, gateways, 0, "number of gateways; 0: by the seed");
 ABSL_FLAG(int, runners, 0, "number of runners, each with a sidecar; 0: by the seed");
 ABSL_FLAG(int, clients, 0, "number of callers; 0: by the seed");
+ABSL_FLAG(int, cap_ms, -1,
+          "processor time of each gateway and sidecar in each 100 ms; 0: no cap; -1: by the seed");
 ABSL_FLAG(std::string, keep, "", "directory for the logs of seeds with a violation");
 
 namespace fuchsiaweir::soak {
@@ -46,7 +48,8 @@
   }
   std::cout << "seed " << options.seed << ": " << violations.size() << " violations, "
             << options.gateways << " gateways, " << options.runners << " runners, "
-            << options.clients << " callers, peak memory " << run.peak_memory_mb() << " MB;";
+            << options.clients << " callers, cap " << options.cap_ms << " ms, peak memory "
+            << run.peak_memory_mb() << " MB;";
   for (const auto& [outcome, count] : run.outcomes()) {
     std::cout << " " << outcome << "=" << count;
   }
@@ -70,6 +73,7 @@
   options.gateways = absl::GetFlag(FLAGS_gateways);
   options.runners = absl::GetFlag(FLAGS_runners);
   options.clients = absl::GetFlag(FLAGS_clients);
+  options.cap_ms = absl::GetFlag(FLAGS_cap_ms);
   return fuchsiaweir::soak::RunSeed(fuchsiaweir::soak::DrawSizes(options),
                                     absl::GetFlag(FLAGS_keep));
 }
--- a/test/soak/schedule.cc
+++ b/test/soak/schedule.cc
@@ -69,6 +69,9 @@
 constexpr int64_t kLastPartMs = 4'000;
 constexpr int64_t kCycleMs = kPlannedPhaseMs + kFaultPhaseMs + kCalmPhaseMs;
 
+/// A gateway of a small site has 0.13 of a core.
+constexpr int kCapMs = 13;
+
 enum class Phase { kPlanned, kAll, kCalm };
 
 Phase PhaseAt(uint64_t seed, int64_t at_ms) {
@@ -114,9 +117,11 @@
   const int gateways = static_cast<int>(Draw(random, 1, 4));
   const int runners = static_cast<int>(Draw(random, 2, 7));
   const int clients = static_cast<int>(Draw(random, 8, 40));
+  const bool capped = Draw(random, 0, 3) == 0;
   if (options.gateways == 0) options.gateways = gateways;
   if (options.runners == 0) options.runners = runners;
   if (options.clients == 0) options.clients = clients;
+  if (options.cap_ms < 0) options.cap_ms = capped ? kCapMs : 0;
   return options;
 }
 
--- a/test/soak/schedule.h
+++ b/test/soak/schedule.h
@@ -13,6 +13,7 @@
   int gateways = 0;  ///< 0: drawn by the seed, as are the next two.
   int runners = 0;
   int clients = 0;
+  int cap_ms = -1;  ///< Processor time of each daemon in each 100 ms; 0: no cap; -1: drawn.
 };
 
 enum class StepKind {
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -132,6 +132,9 @@
   for (const Step& step : schedule_) {
     At(Millis(step.at_ms), [this, &step]() { (this->*FunctionOf(step.kind))(step); });
   }
+  if (options_.cap_ms > 0) {
+    for (const auto& [name, settings] : settings_) BeginCap(name);
+  }
   SamplePeakMemory();
   Callers callers(options_.seed, options_.clients, ports);
   {
@@ -453,7 +456,7 @@
   Process& process = processes_.at(name);
   if (!process.running) return;
   process.watched = false;
-  if (++process.stalls == 1) fleet_.Signal(name, SIGSTOP);
+  if (++process.stalls == 1 && !process.capped) fleet_.Signal(name, SIGSTOP);
 }
 
 void SoakRun::Release(const std::string& name) {
@@ -461,7 +464,23 @@
   Process& process = processes_.at(name);
   // A process that ended meanwhile, and was started again, is not held.
   if (!process.running || process.stalls == 0) return;
-  if (--process.stalls == 0) fleet_.Signal(name, SIGCONT);
+  if (--process.stalls == 0 && !process.capped) fleet_.Signal(name, SIGCONT);
+}
+
+void SoakRun::BeginCap(const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  Process& process = processes_.at(name);
+  process.capped = process.running;
+  if (process.running && process.stalls == 0) fleet_.Signal(name, SIGSTOP);
+  At(Millis(kThrottlePeriodMs - options_.cap_ms), [this, name]() { EndCap(name); });
+}
+
+void SoakRun::EndCap(const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  Process& process = processes_.at(name);
+  process.capped = false;
+  if (process.running && process.stalls == 0) fleet_.Signal(name, SIGCONT);
+  At(Millis(options_.cap_ms), [this, name]() { BeginCap(name); });
 }
 
 void SoakRun::Stall(const Step& step) {
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -56,6 +56,7 @@
     bool daemon = false;  ///< A gateway or sidecar.
     bool running = true;
     bool killed = false;                ///< By SIGKILL; it has not ended yet.
+    bool capped = false;                ///< Whether the cap of its processor time holds it.
     int stalls = 0;                     ///< Steps that hold it with SIGSTOP.
     std::optional<TimePoint> stopping;  ///< Time of the SIGTERM that has not ended it yet.
     std::function<void()> on_end;
@@ -89,6 +90,8 @@
   void StartLater(const std::string& name, int64_t delay_ms);
   void Hold(const std::string& name);
   void Release(const std::string& name);
+  void BeginCap(const std::string& name);
+  void EndCap(const std::string& name);
   void SetRunnerFault(const std::string& name, const std::string& fault);
   void Relist(const std::string& name, const std::string& state);
   void CheckProcesses();
