Reset connections to runners in the soak

A runner's kill resets its connections too, but then the runner is gone. Every second runner of the soak is reached through a proxy in the soak's process that can reset all of its connections while the runner works on; the others are reached directly, since a proxy accepts for a runner that is gone. A run whose connection was reset is excused in the check of LOST, as the runner broke off.

--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -54,6 +54,7 @@
   }
   for (int i = 0; i < runners; ++i) {
     runners_.push_back(FreePort());
+    listed_.push_back(runners_.back());
     sidecar_metrics_.push_back(FreePort());
   }
 }
@@ -76,7 +77,7 @@
   }
   for (size_t i = 0; sidecars_ && i < runners_.size(); ++i) {
     StartDaemon("sidecar", absl::StrCat("sidecar", i),
-                absl::StrCat("runner = 127.0.0.1:", runners_[i], "\n"), FreePort(),
+                absl::StrCat("runner = 127.0.0.1:", listed_[i], "\n"), FreePort(),
                 sidecar_metrics_[i], store_port_);
   }
   for (size_t i = 0; i < gateways_.size(); ++i) {
@@ -121,7 +122,7 @@
   return Put(
       platform::kRunnerKind, id,
       json::object{{"service", "llm"},
-                   {"addr", absl::StrCat("127.0.0.1:", runners_.at(static_cast<size_t>(runner)))},
+                   {"addr", absl::StrCat("127.0.0.1:", listed_.at(static_cast<size_t>(runner)))},
                    {"zone", "east"},
                    {"version", "v1"},
                    {"slots", 8},
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -26,6 +26,9 @@
   void RecordRuns() { record_runs_ = true; }
   /// Sets the largest body that the desired states allow. Call before `Start`.
   void SetBodyLimit(int64_t bytes) { body_limit_bytes_ = bytes; }
+  int runner_port(int runner) const { return runners_.at(static_cast<size_t>(runner)); }
+  /// Lets the system reach a runner at another port, that of a proxy. Call before `Start`.
+  void SetListedPort(int runner, int port) { listed_.at(static_cast<size_t>(runner)) = port; }
   /// Limits the time of each call to the store and of each injected fault.
   void SetCallTimeout(Duration timeout) { call_timeout_ = timeout; }
 
@@ -109,6 +112,7 @@
   int second_store_port_;
   std::vector<GatewayPorts> gateways_;
   std::vector<int> runners_;
+  std::vector<int> listed_;  ///< Ports of the runners in the store and in the sidecars' settings.
   std::vector<int> sidecar_metrics_;
   bool sidecars_;
   bool record_runs_ = false;
--- a/test/soak/schedule.cc
+++ b/test/soak/schedule.cc
@@ -48,6 +48,7 @@
     {StepKind::kThrottle, "throttle", Target::kAny, 2, false, 1'000, 5'000},
     {StepKind::kLeave, "leave", Target::kRunner, 2, false, 100, 3'000},
     {StepKind::kRunnerFault, "runner_fault", Target::kRunner, 8, false, 100, 2'000},
+    {StepKind::kReset, "reset", Target::kRunner, 2, false, 0, 0},
     {StepKind::kStoreFault, "store_fault", Target::kStore, 3, false, 100, 4'000}};
 
 constexpr const char* kRunnerFaults[] = {
--- a/test/soak/schedule.h
+++ b/test/soak/schedule.h
@@ -33,6 +33,7 @@
   kThrottle,       ///< SIGSTOP for all but 13 of each 100 ms, for `amount` ms.
   kLeave,          ///< A runner drains, ends and comes back after `amount` ms.
   kRunnerFault,    ///< The fault `detail` of a runner, for `amount` ms.
+  kReset,          ///< All connections to a runner are reset.
   kStoreFault,     ///< The fault `detail` of the store, for `amount` ms.
 };
 
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -82,6 +82,10 @@
   fleet_.RecordRuns();
   fleet_.SetBodyLimit(kBodyLimit);
   fleet_.SetCallTimeout(kCallTimeout);
+  // The other runners are reached directly, since a link accepts for a runner that is gone.
+  for (int i = 1; i < options.runners; i += 2) {
+    fleet_.SetListedPort(i, links_.Add(fleet_.runner_port(i)));
+  }
 }
 
 SoakRun::PlayStep SoakRun::FunctionOf(StepKind kind) {
@@ -102,6 +106,7 @@
       {StepKind::kThrottle, &SoakRun::Throttle},
       {StepKind::kLeave, &SoakRun::Leave},
       {StepKind::kRunnerFault, &SoakRun::FaultRunner},
+      {StepKind::kReset, &SoakRun::ResetConnections},
       {StepKind::kStoreFault, &SoakRun::FaultStore}};
   return functions.at(kind);
 }
@@ -529,6 +534,14 @@
   Note(name, Cause::kFault, SteadyNow(), SteadyNow() + Millis(step.amount));
 }
 
+void SoakRun::ResetConnections(const Step& step) {
+  if (Number(step.process) % 2 == 0) return;
+  links_.Reset(Number(step.process) / 2);
+  const std::lock_guard lock(mutex_);
+  Note(step.process, Cause::kFault, SteadyNow(), SteadyNow());
+  Note(step.process, Cause::kReset, SteadyNow(), SteadyNow());
+}
+
 void SoakRun::FaultStore(const Step& step) {
   runner_calls_.Add([this, fault = step.detail]() { fleet_.InjectFault("store", fault); });
   At(Millis(step.amount), [this]() {
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "process/fleet.h"
+#include "soak/links.h"
 #include "soak/schedule.h"
 #include "soak/verdict.h"
 
@@ -80,6 +81,7 @@
   void Throttle(const Step& step);
   void Leave(const Step& step);
   void FaultRunner(const Step& step);
+  void ResetConnections(const Step& step);
   void FaultStore(const Step& step);
   static PlayStep FunctionOf(StepKind kind);
 
@@ -105,6 +107,7 @@
   SoakOptions options_;
   std::vector<Step> schedule_;
   testing::Fleet fleet_;
+  Links links_;  ///< Between the system and each second runner.
   TimePoint begin_;
   std::multimap<TimePoint, std::function<void()>> timers_;
   int64_t version_ = 1;
--- a/test/soak/verdict.cc
+++ b/test/soak/verdict.cc
@@ -10,6 +10,7 @@
 namespace fuchsiaweir::soak {
 namespace {
 
+constexpr Duration kRecordResolution = Millis(1);
 constexpr Duration kLongestRest = Seconds(3);  ///< After SIGTERM, for requests that may run on.
 
 std::string GatewayName(const Attempt& attempt) { return absl::StrCat("gateway", attempt.gateway); }
@@ -37,6 +38,7 @@
     if (GatewayWasDisturbed()) return "gateway_killed_or_stalled";
     if (ran() && last_run_->end == TimePoint::max()) return "runner_ended";
     if (ran() && last_run_->outcome == "broken") return "runner_broke_off";
+    if (ran() && RunWasReset()) return "connection_reset";
     if (attempt_.end - attempt_.begin >= kTimeLimit) return "time_limit";
     if (RanIntoTheEndOfTheStop()) return "end_of_stop";
     if (ran()) return "";
@@ -95,6 +97,13 @@
     });
   }
 
+  bool RunWasReset() const {
+    return AnyDisturbance([&](const Disturbance& other) {
+      return other.cause == Cause::kReset && other.process == last_run_->runner &&
+             other.begin >= last_run_->begin - kRecordResolution && other.begin <= attempt_.end;
+    });
+  }
+
   bool RanIntoTheEndOfTheStop() const {
     return AnyDisturbance([&](const Disturbance& other) {
       return other.cause == Cause::kStop && other.process == gateway_ && ran() &&
@@ -116,6 +125,7 @@
         case Cause::kDesiredState:
           return end <= other.end + kConfigBound + Seconds(1) &&
                  end - attempt_.begin < kTimeLimit * 7 / 10;
+        case Cause::kReset:
         case Cause::kFault:
           return false;
       }
--- a/test/soak/verdict.h
+++ b/test/soak/verdict.h
@@ -23,6 +23,7 @@
   kStop,          ///< SIGTERM; `begin` is its time.
   kReload,        ///< SIGHUP, or changed settings.
   kDesiredState,  ///< From its sending until the store has confirmed it.
+  kReset,         ///< A reset of all connections to a runner; it also counts as a fault.
   kFault,         ///< SIGKILL, SIGSTOP, or a fault of a runner or of the store.
 };
 
