Bound the bodies of callers' requests together

Callers saw uploads, and requests on other connections, end without an answer: 24 uploads of 4 MB at once, each within the limit, took a gateway beyond the 96 MB of its host, and it was killed.

Each connection read its body whole, and nothing bounded all of them together. An UploadBudget now does. Small bodies are received at once. Large ones are admitted, smaller first, as long as what the admitted ones have announced fits; the others are not read meanwhile, for at most 2.5 s. Memory counts by the bytes held: an upload that is still incomplete two seconds after its admission keeps no room for the rest, and if the budget is exceeded, the largest incomplete upload gives way. Who gets no room is answered 503 as not run, with a Retry-After, and the connection lingers, so that the answer arrives. A body is freed once no further attempt can need it.

Not bounded by this: large answers that come back while as many bytes of bodies are held count toward their own quarter of the memory.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -446,6 +446,8 @@
     request.attempt_log.push_back(absl::StrCat(runner, ":not_resumed_", answer.status));
     co_return AttemptResult::kCut;
   }
+  const bool last_attempt = !request.repeatable() || request.runs >= request.route->attempts;
+  if (!answer.not_run && last_attempt) request.exchange.ReleaseBody();
   if (success && request.is_stream()) {
     const AttemptResult result = co_await RelayStream(request, channel, runner_header, runner);
     co_return result;
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -21,6 +21,7 @@
 #include "gateway/part_watch.h"
 #include "gateway/peer_link.h"
 #include "gateway/relay_client.h"
+#include "gateway/uploads.h"
 #include "gateway/weight_orders.h"
 #include "net/http_server.h"
 #include "net/log.h"
@@ -44,6 +45,10 @@
 constexpr int64_t kReservedDescriptors = 700;
 /// Share of the host's memory for responses to peers that are being sent.
 constexpr int64_t kPeerMemoryDivisor = 8;
+/// Percentage of the host's memory for callers' connections and the bodies of their requests.
+constexpr int64_t kBodyMemoryPercent = 62;
+constexpr int64_t kInternalBodyMemoryBytes = 8'000'000;
+constexpr Duration kUploadReportInterval = Millis(500);
 /// Requests of peers, of the balancer and for metrics have no body.
 constexpr int64_t kMaxInternalBodyBytes = 4'096;
 constexpr Duration kSettingsPollInterval = Millis(1000);
@@ -146,6 +151,7 @@
     }
     HttpServerOptions options;
     options.max_body_bytes = kMaxInternalBodyBytes;
+    options.body_memory_bytes = kInternalBodyMemoryBytes;
     options.listen = settings_.peer_endpoint();
     peer_server_ = std::make_unique<HttpServer>(
         io_, options, [this](HttpExchange& exchange) { return ServePeer(exchange); });
@@ -163,16 +169,23 @@
     options.listen = settings_.callers_endpoint();
     options.max_connections =
         std::max(kMinCallerConnections, settings_.max_descriptors - kReservedDescriptors);
+    options.body_memory_bytes = settings_.memory_bytes() / 100 * kBodyMemoryPercent;
+    options.refuse_upload = RespondToRefusedUpload;
     caller_server_ = std::make_unique<HttpServer>(io_, options, [this](HttpExchange& exchange) {
       if (stopping_) exchange.CloseAfterResponse();
       return forwarder_->Handle(exchange);
     });
+    components_.Find<TimerService>("timer").Subscribe(
+        "uploads", kUploadReportInterval, [this](TimePoint) {
+          ReportUploads(components_.Find<Metrics>("metrics"), caller_server_->uploads());
+        });
     fleet_view_->AddTableListener([this](const RouteTable& table) {
       caller_server_->SetCallerLimits(table.limits.header_bytes, table.limits.body_bytes,
                                       table.limits.header_timeout, table.limits.idle_timeout);
     });
     HttpServerOptions ready;
     ready.max_body_bytes = kMaxInternalBodyBytes;
+    ready.body_memory_bytes = kInternalBodyMemoryBytes;
     ready.listen = settings_.readiness_endpoint();
     ready_server_ = std::make_unique<HttpServer>(
         io_, ready, [this](HttpExchange& exchange) { return ServeReady(exchange); });
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -4,6 +4,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -33,6 +34,14 @@
 // Limits of the input that is discarded after a request was rejected before it was read completely.
 constexpr size_t kMaxLingerBytes = 64'000'000;
 constexpr Duration kLingerTimeout = Seconds(2);
+/// Time that an upload waits for room. Callers that are not idempotent wait; the others leave
+/// earlier.
+constexpr Duration kMaxUploadWait = Millis(2500);
+/// Between two checks whether slower uploads have lost their claim to room.
+constexpr Duration kUploadPollInterval = Millis(250);
+/// Memory of a connection and its request, without the body.
+constexpr int64_t kConnectionBytes = 16'384;
+constexpr Duration kUploadRetryAfter = Seconds(1);
 
 HttpRequest ToRequest(http::request<ReceivedBody>&& message) {
   HttpRequest request;
@@ -74,6 +83,58 @@
   return std::nullopt;
 }
 
+HttpResponse RespondToRefusal(const HttpRequest& request, const UploadRefusal& refusal) {
+  LogInfo("upload_refused", {{"target", request.target},
+                             {"held_bytes", absl::StrCat(refusal.held_bytes)},
+                             {"asked_bytes", absl::StrCat(refusal.asked_bytes)},
+                             {"waited_ms", absl::StrCat(ToMillis(refusal.waited))}});
+  return ErrorResponse({ErrorCode::kOverloaded, RunState::kNotRun, "no memory for the request body",
+                        kUploadRetryAfter});
+}
+
+/// Cancels the operations of a connection whose request takes too long to arrive.
+class ReadDeadline {
+ public:
+  ReadDeadline(asio::io_context& io, HttpTransport& transport, Duration timeout)
+      : io_(io), transport_(transport), timer_(io), end_(SteadyNow() + timeout) {}
+
+  void Start() {
+    timer_.expires_at(end_);
+    timer_.async_wait([this](const boost::system::error_code& cancelled) {
+      if (!cancelled) transport_.tcp().cancel();
+    });
+  }
+
+  Awaitable<void> Stop() {
+    // If the timer has expired already, its handler may still be queued on this thread. Yielding
+    // lets it run while the transport still exists.
+    if (timer_.cancel() == 0) co_await asio::post(io_, asio::use_awaitable);
+  }
+
+  void Extend(Duration duration) { end_ += duration; }
+  bool passed() const { return SteadyNow() >= end_; }
+
+ private:
+  asio::io_context& io_;
+  HttpTransport& transport_;
+  asio::steady_timer timer_;
+  TimePoint end_;
+};
+
+/// The body of a request and its room in memory.
+struct Reception {
+  Reception(asio::io_context& io, HttpTransport& transport, UploadBudget& budget)
+      : admitted(io), upload(budget, [this, &transport]() {
+          admitted.cancel();
+          if (upload.evicted()) transport.tcp().cancel();
+        }) {}
+
+  RequestParser parser;
+  asio::steady_timer admitted;  ///< Cancelled when the upload no longer waits.
+  UploadBudget::Upload upload;
+  Duration waited{0};
+};
+
 }  // namespace
 
 HttpExchange::HttpExchange(HttpTransport& transport, HttpRequest request, Duration write_timeout)
@@ -88,6 +149,11 @@
 
 bool HttpExchange::peer_closed() const { return transport_.PeerClosed(); }
 
+void HttpExchange::ReleaseBody() {
+  std::string().swap(request_.body);
+  if (upload_ != nullptr) upload_->Resize(0);
+}
+
 void HttpExchange::Abort() {
   state_ = State::kFailed;
   keep_alive_ = false;
@@ -163,7 +229,10 @@
       : io(io_context),
         options(std::move(server_options)),
         handler(std::move(request_handler)),
-        acceptor(io_context) {}
+        acceptor(io_context),
+        uploads(options.body_memory_bytes) {
+    if (!options.refuse_upload) options.refuse_upload = RespondToRefusal;
+  }
 
   void Listen();
   Awaitable<void> AcceptLoop();
@@ -173,15 +242,21 @@
   void CloseAcceptor();
   Awaitable<void> Serve(std::shared_ptr<HttpTransport> transport);
   Awaitable<bool> ServeOne(HttpTransport& transport);
-  Awaitable<boost::system::error_code> ReadRequest(HttpTransport& transport, RequestParser& parser);
+  Awaitable<boost::system::error_code> ReadRequest(HttpTransport& transport, Reception& reception);
   Awaitable<boost::system::error_code> ReadHeaderAndBody(HttpTransport& transport,
-                                                         RequestParser& parser);
+                                                         Reception& reception,
+                                                         ReadDeadline& deadline);
+  /// Waits until the body has room or is refused.
+  Awaitable<void> WaitForRoom(Reception& reception, ReadDeadline& deadline);
+  Awaitable<void> RespondToFailure(HttpTransport& transport, HttpResponse response,
+                                   Duration linger_timeout);
   Awaitable<void> Handle(HttpExchange& exchange);
 
   asio::io_context& io;
   HttpServerOptions options;
   HttpHandler handler;
   tcp::acceptor acceptor;
+  UploadBudget uploads;
   std::set<HttpTransport*> idle;  ///< Connections between two requests.
   int64_t connections = 0;
   int64_t active = 0;
@@ -215,8 +290,12 @@
   if (connections >= options.max_connections) return;  // The socket's destructor closes it.
   auto transport = std::make_shared<HttpTransport>(std::move(socket), options.tls);
   ++connections;
+  uploads.AddConnectionBytes(kConnectionBytes);
   Spawn(io, "http_connection", [self = shared_from_this(), transport]() -> Awaitable<void> {
-    const absl::Cleanup closed = [&self]() { --self->connections; };
+    const absl::Cleanup closed = [&self]() {
+      --self->connections;
+      self->uploads.AddConnectionBytes(-kConnectionBytes);
+    };
     co_await self->Serve(transport);
   });
 }
@@ -256,50 +335,102 @@
 }
 
 Awaitable<boost::system::error_code> HttpServer::Impl::ReadRequest(HttpTransport& transport,
-                                                                   RequestParser& parser) {
-  parser.header_limit(static_cast<uint32_t>(options.max_header_bytes));
-  parser.body_limit(static_cast<uint64_t>(options.max_body_bytes));
+                                                                   Reception& reception) {
+  reception.parser.header_limit(static_cast<uint32_t>(options.max_header_bytes));
+  reception.parser.body_limit(static_cast<uint64_t>(options.max_body_bytes));
   // The stream's own timeout closes the socket, so that a slow sender would get no error response.
   // This timer only cancels the pending operation.
   transport.tcp().expires_never();
-  asio::steady_timer deadline(io);
-  deadline.expires_after(options.read_timeout);
-  deadline.async_wait([&transport](const boost::system::error_code& cancelled) {
-    if (!cancelled) transport.tcp().cancel();
-  });
-  const auto failure = co_await ReadHeaderAndBody(transport, parser);
-  // If the timer has expired already, its handler may still be queued on this thread. Yielding lets
-  // it run while the transport still exists.
-  if (deadline.cancel() == 0) co_await asio::post(io, asio::use_awaitable);
+  ReadDeadline deadline(io, transport, options.read_timeout);
+  deadline.Start();
+  const auto failure = co_await ReadHeaderAndBody(transport, reception, deadline);
+  co_await deadline.Stop();
   co_return failure;
 }
 
 Awaitable<boost::system::error_code> HttpServer::Impl::ReadHeaderAndBody(HttpTransport& transport,
-                                                                         RequestParser& parser) {
+                                                                         Reception& reception,
+                                                                         ReadDeadline& deadline) {
+  RequestParser& parser = reception.parser;
   auto failure = co_await transport.ReadHeader(parser);
-  if (failure) co_return failure;
+  if (failure || parser.is_done()) co_return failure;
+  parser.eager(true);
+  const auto announced = parser.content_length();
+  if (announced) reception.upload.Expect(static_cast<int64_t>(*announced), SteadyNow());
+  co_await WaitForRoom(reception, deadline);
+  if (reception.upload.evicted()) co_return asio::error::no_memory;
   const auto expect = parser.get()[http::field::expect];
   if (absl::EqualsIgnoreCase(std::string(expect.data(), expect.size()), "100-continue")) {
     failure = co_await transport.WriteAll("HTTP/1.1 100 Continue\r\n\r\n");
-    if (failure) co_return failure;
   }
-  co_return co_await transport.Read(parser);
+  while (!failure && !parser.is_done()) {
+    failure = co_await transport.ReadSome(parser);
+    const auto bytes = static_cast<int64_t>(parser.get().body().size());
+    if (!reception.upload.Resize(bytes)) co_return asio::error::no_memory;
+    if (failure || parser.is_done()) break;
+    if (deadline.passed()) co_return asio::error::operation_aborted;
+    if (announced || bytes <= UploadBudget::kSmallBytes) continue;
+    reception.upload.Expect(options.max_body_bytes, SteadyNow());
+    co_await WaitForRoom(reception, deadline);
+    if (reception.upload.evicted()) co_return asio::error::no_memory;
+  }
+  if (reception.upload.evicted()) co_return asio::error::no_memory;
+  if (!failure) reception.upload.Complete();
+  co_return failure;
+}
+
+Awaitable<void> HttpServer::Impl::WaitForRoom(Reception& reception, ReadDeadline& deadline) {
+  if (!reception.upload.waiting()) co_return;
+  co_await deadline.Stop();
+  const TimePoint start = SteadyNow();
+  const TimePoint limit = start + kMaxUploadWait;
+  while (reception.upload.waiting()) {
+    const TimePoint now = SteadyNow();
+    if (now >= limit) {
+      uploads.Refuse(reception.upload);
+      break;
+    }
+    reception.admitted.expires_at(std::min(now + kUploadPollInterval, limit));
+    boost::system::error_code cancelled;
+    co_await reception.admitted.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+    uploads.AdmitWaiting(SteadyNow());
+  }
+  // The caller could not send in this time.
+  reception.waited = SteadyNow() - start;
+  deadline.Extend(reception.waited);
+  deadline.Start();
+}
+
+Awaitable<void> HttpServer::Impl::RespondToFailure(HttpTransport& transport, HttpResponse response,
+                                                   Duration linger_timeout) {
+  HttpExchange exchange(transport, HttpRequest{}, options.write_timeout);
+  exchange.CloseAfterResponse();
+  co_await exchange.Respond(std::move(response));
+  co_await transport.Linger(kMaxLingerBytes, linger_timeout);
 }
 
 Awaitable<bool> HttpServer::Impl::ServeOne(HttpTransport& transport) {
-  RequestParser parser;
-  const auto failure = co_await ReadRequest(transport, parser);
+  std::optional<Reception> reception(std::in_place, io, transport, uploads);
+  const auto failure = co_await ReadRequest(transport, *reception);
   if (failure) {
     std::optional<HttpResponse> response = ReadFailureResponse(failure);
-    if (!response) co_return false;
-    HttpExchange exchange(transport, HttpRequest{}, options.write_timeout);
-    exchange.CloseAfterResponse();
-    co_await exchange.Respond(std::move(*response));
-    co_await transport.Linger(kMaxLingerBytes, kLingerTimeout);
+    Duration linger_timeout = kLingerTimeout;
+    if (failure == asio::error::no_memory) {
+      const UploadRefusal refusal{uploads.used_bytes(), reception->upload.expected_bytes(),
+                                  reception->waited};
+      HttpRequest request = ToRequest(reception->parser.release());
+      request.body.clear();
+      response = options.refuse_upload(request, refusal);
+      // A caller that reads the answer only after it has sent everything would lose it earlier.
+      if (!draining) linger_timeout = std::max(linger_timeout, options.read_timeout);
+    }
+    reception.reset();
+    if (response) co_await RespondToFailure(transport, std::move(*response), linger_timeout);
     co_return false;
   }
-  const bool keep_alive = parser.get().keep_alive();
-  HttpExchange exchange(transport, ToRequest(parser.release()), options.write_timeout);
+  const bool keep_alive = reception->parser.get().keep_alive();
+  HttpExchange exchange(transport, ToRequest(reception->parser.release()), options.write_timeout);
+  exchange.SetUpload(&reception->upload);
   if (!keep_alive || draining) exchange.CloseAfterResponse();
   co_await Handle(exchange);
   co_return exchange.keep_alive() && exchange.answered();
@@ -345,6 +476,8 @@
 
 int64_t HttpServer::active_requests() const { return impl_->active; }
 
+const UploadBudget& HttpServer::uploads() const { return impl_->uploads; }
+
 void HttpServer::SetCallerLimits(int64_t max_header_bytes, int64_t max_body_bytes,
                                  Duration read_timeout, Duration idle_timeout) {
   impl_->options.max_header_bytes = max_header_bytes;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -9,6 +9,7 @@
 
 #include "core/clock.h"
 #include "core/result.h"
+#include "core/upload_budget.h"
 #include "net/awaitable.h"
 #include "net/http_types.h"
 #include "net/tls_context.h"
@@ -24,6 +25,10 @@
 
   const HttpRequest& request() const { return request_; }
   const HttpTarget& target() const { return target_; }
+  /// Frees the memory of the request's body, which no further attempt needs.
+  void ReleaseBody();
+  /// Lets `ReleaseBody` return the body's bytes to the budget of the server.
+  void SetUpload(UploadBudget::Upload* upload) { upload_ = upload; }
 
   /// Adds a field to the header of the response that `Respond` or `BeginStream` sends later.
   void AddHeader(std::string name, std::string value);
@@ -62,6 +67,7 @@
 
   HttpTransport& transport_;
   HttpRequest request_;
+  UploadBudget::Upload* upload_ = nullptr;  ///< Null if the request has no body.
   HttpTarget target_;
   HttpHeaders added_headers_;
   Duration write_timeout_;
@@ -72,11 +78,23 @@
 /// Handles one request and sends its response.
 using HttpHandler = std::function<Awaitable<void>(HttpExchange&)>;
 
+/// A request whose body gets no memory.
+struct UploadRefusal {
+  int64_t held_bytes = 0;   ///< By all bodies.
+  int64_t asked_bytes = 0;  ///< Announced length of the body, or the largest that is allowed.
+  Duration waited{0};
+};
+
 struct HttpServerOptions {
   Endpoint listen;
   int64_t max_body_bytes = 8'000'000;
   int64_t max_header_bytes = 16'384;
   int64_t max_connections = 4'096;
+  /// Limit of all connections and of the bodies of their requests, until the requests have ended.
+  int64_t body_memory_bytes = 256'000'000;
+  /// Returns the response to a request whose body gets no memory; `request` has no body.
+  std::function<HttpResponse(const HttpRequest& request, const UploadRefusal& refusal)>
+      refuse_upload;
   /// Time limit from the first byte of a request to its last; also limits the TLS handshake.
   Duration read_timeout = Seconds(10);
   Duration write_timeout = Seconds(30);  ///< Time limit of each write to the client.
@@ -102,6 +120,8 @@
   Awaitable<void> Drain();
 
   int64_t active_requests() const;
+  /// The memory of request bodies.
+  const UploadBudget& uploads() const;
 
   /// Sets the size limits and timeouts of requests, effective from the next request on.
   void SetCallerLimits(int64_t max_header_bytes, int64_t max_body_bytes, Duration read_timeout,
--- a/src/net/http_transport.cc
+++ b/src/net/http_transport.cc
@@ -78,9 +78,11 @@
   tcp().socket().shutdown(asio::ip::tcp::socket::shutdown_send, failure);
   tcp().expires_after(timeout);
   buffer_.clear();
+  // Shared by all connections: nobody reads what is discarded.
+  static thread_local std::array<char, kLingerReadBytes> discarded;
   while (!failure && max_bytes > 0) {
     const size_t count = co_await tcp().async_read_some(
-        buffer_.prepare(std::min<size_t>(max_bytes, kLingerReadBytes)),
+        asio::buffer(discarded.data(), std::min<size_t>(max_bytes, kLingerReadBytes)),
         asio::redirect_error(asio::use_awaitable, failure));
     max_bytes -= count;
   }
--- a/src/net/received_body.h
+++ b/src/net/received_body.h
@@ -1,12 +1,14 @@
 #ifndef FUCHSIAWEIR_NET_RECEIVED_BODY_H_
 #define FUCHSIAWEIR_NET_RECEIVED_BODY_H_
 
+#include <algorithm>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/optional/optional.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 
 namespace fuchsiaweir {
@@ -23,7 +25,8 @@
     template <bool is_request, typename Fields>
     Reader(boost::beast::http::header<is_request, Fields>&, value_type& body) : body_(body) {}
 
-    void init(const boost::optional<uint64_t>&, boost::system::error_code& failure) {
+    void init(const boost::optional<uint64_t>& announced, boost::system::error_code& failure) {
+      if (announced) max_bytes_ = *announced;
       failure = {};
     }
 
@@ -32,6 +35,7 @@
       failure = {};
       size_t count = 0;
       for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
+        Grow(body_.size() + buffer.size());
         body_.append(static_cast<const char*>(buffer.data()), buffer.size());
         count += buffer.size();
       }
@@ -41,7 +45,15 @@
     void finish(boost::system::error_code& failure) { failure = {}; }
 
    private:
+    /// Doubles the capacity as often as needed, but not beyond the announced length.
+    void Grow(size_t bytes) {
+      if (bytes <= body_.capacity()) return;
+      const auto doubled = static_cast<uint64_t>(body_.capacity()) * 2;
+      body_.reserve(std::max<size_t>(bytes, std::min(doubled, max_bytes_)));
+    }
+
     value_type& body_;
+    uint64_t max_bytes_ = std::numeric_limits<uint64_t>::max();
   };
   using reader = Reader;  ///< The name that Beast looks for.
 };
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -137,8 +137,8 @@
           {"services", json::array{{{"name", "llm"}, {"cold_s", 3.0}, {"cold_per_s", 4.0}}}},
           {"limits",
            {{"header_bytes", 16'384},
-            {"body_bytes", 65'536},
-            {"header_timeout_ms", 3'000},
+            {"body_bytes", body_bytes_},
+            {"header_timeout_ms", read_timeout_ms_},
             {"idle_timeout_ms", 15'000}}},
           {"tenants", json::array{{{"name", "alpha"}, {"api_keys", std::move(key_list)}}}}});
 }
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -21,6 +21,13 @@
     gateways_.at(static_cast<size_t>(gateway)).second_store_port = true;
   }
 
+  /// Sets the largest body and the time limit of requests in the desired state. Call before
+  /// `Start`.
+  void SetRequestLimits(int64_t body_bytes, int64_t read_timeout_ms) {
+    body_bytes_ = body_bytes;
+    read_timeout_ms_ = read_timeout_ms;
+  }
+
   /// Starts everything and waits until the gateways are ready.
   void Start();
 
@@ -94,6 +101,8 @@
   std::vector<GatewayPorts> gateways_;
   std::vector<int> runners_;
   bool sidecars_;
+  int64_t body_bytes_ = 65'536;
+  int64_t read_timeout_ms_ = 3'000;
   int64_t revision_ = 0;
   int64_t sequence_ = 0;
 };
--- a/test/standin/fleet_runner.cc
+++ b/test/standin/fleet_runner.cc
@@ -178,6 +178,7 @@
       co_return;
     }
     if (HasFault("fail")) response.status = 500;
+    if (HasFault("short_answer")) response.body = "done";
     if (HasFault("status")) response.status = faults_.at("status").to_number<int>();
     int64_t events = 0;
     const std::string& body = exchange.request().body;
