--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -24,13 +24,17 @@
 
   /// Lets the runners log which requests they begin and how each ends. Call before `Start`.
   void RecordRuns() { record_runs_ = true; }
-  /// Sets the largest body that the desired states allow. Call before `Start`.
-  void SetBodyLimit(int64_t bytes) { body_limit_bytes_ = bytes; }
   int runner_port(int runner) const { return runners_.at(static_cast<size_t>(runner)); }
   /// Lets the system reach a runner at another port, that of a proxy. Call before `Start`.
   void SetListedPort(int runner, int port) { listed_.at(static_cast<size_t>(runner)) = port; }
   /// Limits the time of each call to the store and of each injected fault.
   void SetCallTimeout(Duration timeout) { call_timeout_ = timeout; }
+  /// Sets the largest body and the time limit of requests in the desired state. Call before
+  /// `Start`.
+  void SetRequestLimits(int64_t body_bytes, int64_t read_timeout_ms) {
+    body_bytes_ = body_bytes;
+    read_timeout_ms_ = read_timeout_ms;
+  }
 
   /// Starts everything and waits until the gateways are ready.
   void Start();
@@ -116,8 +120,9 @@
   std::vector<int> sidecar_metrics_;
   bool sidecars_;
   bool record_runs_ = false;
-  int64_t body_limit_bytes_ = 65'536;
   Duration call_timeout_ = Seconds(30);
+  int64_t body_bytes_ = 65'536;
+  int64_t read_timeout_ms_ = 3'000;
   int64_t revision_ = 0;
   int64_t sequence_ = 0;
 };
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -22,6 +22,7 @@
 constexpr Duration kProbeTimeout = Millis(300);
 constexpr Duration kProbeInterval = Millis(100);
 constexpr int64_t kBodyLimit = 1'000'000;
+constexpr int64_t kReadTimeoutMs = 3'000;
 constexpr int64_t kThrottlePeriodMs = 100;
 constexpr int64_t kThrottleRunMs = 13;
 constexpr Duration kSettingsCutFor = Millis(300);
@@ -80,7 +81,7 @@
       schedule_(DrawSchedule(options)),
       fleet_(options.gateways, options.runners, /*sidecars=*/true) {
   fleet_.RecordRuns();
-  fleet_.SetBodyLimit(kBodyLimit);
+  fleet_.SetRequestLimits(kBodyLimit, kReadTimeoutMs);
   fleet_.SetCallTimeout(kCallTimeout);
   // The other runners are reached directly, since a link accepts for a runner that is gone.
   for (int i = 1; i < options.runners; i += 2) {
--- a/test/standin/fleet_runner.h
+++ b/test/standin/fleet_runner.h
@@ -23,10 +23,10 @@
 ///
 /// POST /fault replaces the set of faults: "full" (refuse requests as not run), "cut_after" (close
 /// the connection after this number of events), "cut_head" and "cut_body" (close it within the
-/// head, or the body, of a response), "lose" (close it without a response), "silent" (never
-/// respond), "fail" (respond with status 500), "extra" (send a second response after each),
-/// "no_receipt" (omit the proof that the response comes from the runner),
-/// "unframed" (send a stream with neither a length nor chunks, of this number of events),
+/// head, or the body, of a response), "short_answer" (do not return the body), "lose" (close it
+/// without a response), "silent" (never respond), "fail" (respond with status 500), "extra" (send a
+/// second response after each), "no_receipt" (omit the proof that the response comes from the
+/// runner), "unframed" (send a stream with neither a length nor chunks, of this number of events),
 /// "limit" (name this limit of requests per second in each response), "leaving" (say in each
 /// response that the runner leaves), "pause" (refuse requests as not run for this Retry-After),
 /// "resumed" (answer a request that resumes a stream with "text", "empty" or "refusal" instead),
