Read no body behind the answer to a HEAD request

Callers saw: 504 for each HEAD request that a runner answers with a length above 0, once the caller's time was up. On a safe route a second runner was asked too; each of them then counts as silent.

Cause: the answer to HEAD gives the length of a body that does not follow, and the gateway waited for it.

Change: RunnerChannel reads the answer to a HEAD request without a body.

Result: RunnerChannels.AnAnswerToHeadHasNoBody failed on the code before and passes now.

--- a/src/gateway/runner_channel.cc
+++ b/src/gateway/runner_channel.cc
@@ -48,6 +48,7 @@
 
   HttpTransport transport;
   std::optional<Parser> parser;
+  bool head_request = false;  ///< The response has no body, whatever length it gives.
   bool complete = false;
   bool closed = false;
 };
@@ -61,6 +62,7 @@
 
 Awaitable<bool> RunnerChannel::Send(std::string header, const std::string& body) {
   impl_->complete = false;
+  impl_->head_request = header.starts_with("HEAD ");
   const auto failure = co_await impl_->transport.WriteAll(header, body);
   if (failure) failure_ = failure.message();
   co_return !failure;
@@ -73,6 +75,7 @@
     Parser& parser = *impl_->parser;
     parser.body_limit(boost::none);
     parser.header_limit(kMaxHeaderBytes);
+    parser.skip(impl_->head_request);
     const auto failure = co_await impl_->transport.ReadHeader(parser);
     if (failure) {
       failure_ = failure.message();
--- a/test/process/runner_channel.cc
+++ b/test/process/runner_channel.cc
@@ -62,7 +62,7 @@
 /// Reads the answer of a runner that sends `fields`, the rest of a header and the begin of a body,
 /// and then 'x' without end if `endless`. Appends to `body` and returns how the last read ended.
 RunnerChannel::Read ReadAnswer(const std::string& fields, bool endless, std::string& body,
-                               const char* status = "200 OK") {
+                               const char* status = "200 OK", const char* method = "GET") {
   boost::asio::io_context io(1);
   tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
   const Endpoint runner{"127.0.0.1", acceptor.local_endpoint().port()};
@@ -83,7 +83,7 @@
     RunnerChannelPool::Acquired acquired =
         co_await pool.Acquire(runner, std::move(request_id), true, Seconds(1));
     acquired.channel->ExpireAfter(Seconds(5));
-    std::string request = "GET / HTTP/1.1\r\n\r\n";
+    std::string request = absl::StrCat(method, " / HTTP/1.1\r\n\r\n");
     const std::string none;
     co_await acquired.channel->Send(std::move(request), none);
     RunnerHeader header;
@@ -114,6 +114,15 @@
   STRCMP_EQUAL("the first bytes", body.c_str());
 }
 
+// Guards against HEAD requests that time out, and whose runners count as silent: the gateway waited
+// for the body whose length the answer gives.
+TEST(RunnerChannels, AnAnswerToHeadHasNoBody) {
+  std::string body;
+  const std::string fields = "Content-Length: 5\r\n\r\n";
+  CHECK(ReadAnswer(fields, /*endless=*/false, body, "200 OK", "HEAD") == RunnerChannel::Read::kEnd);
+  STRCMP_EQUAL("", body.c_str());
+}
+
 // Guards against an interim answer with the request's id that is taken for the final one.
 TEST(RunnerChannels, AnInterimAnswerIsNotTheFinalOne) {
   std::string body;
