Try a port again that is in use, instead of ending the process

A gateway, sidecar, entry or agent ended with exit code 1 after one try when any of its ports was in use, also if the process before it needed only 0.7 s more to end. Metrics could keep callers from being served.

ListenWithRetry opens a socket again with a growing delay of at most 500 ms, with a record for each attempt, while the other sockets serve. It takes any reason: the address may not be up yet, or the process may be out of descriptors. The UDP socket of peers is opened at the start, not constructed with the component. A gateway is not ready before the port of callers is open, and a stop before that ends at once.

--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -26,6 +26,7 @@
 #include "gateway/weight_orders.h"
 #include "net/crash_handler.h"
 #include "net/http_server.h"
+#include "net/listen_retry.h"
 #include "net/log.h"
 #include "net/metrics.h"
 #include "net/process_signals.h"
@@ -121,7 +122,7 @@
             {{"in_flight", absl::StrCat(forwarder_ ? forwarder_->in_flight() : 0)}});
     const TimePoint limit =
         started_at + Micros(static_cast<int64_t>(settings_.shutdown_s * 1e6)) - kShutdownMargin;
-    if (caller_server_ != nullptr) {
+    if (callers_open_) {
       const TimePoint answer_by = limit - kLastAnswersTime;
       co_await SleepFor(std::min(kBalancerDelay, (limit - started_at) / 2));
       forwarder_->BeginDrain(answer_by);
@@ -174,14 +175,12 @@
     return {settings_.address, static_cast<uint16_t>(settings_.metrics_port)};
   }
 
-  static void StartServer(const char* socket, HttpServer& server, const Endpoint& endpoint) {
-    try {
-      server.Start();
-    } catch (const std::exception& e) {
-      LogError("listen_failed",
-               {{"socket", socket}, {"address", ToString(endpoint)}, {"reason", e.what()}});
-      throw;
-    }
+  void StartServer(const char* socket, HttpServer& server, const Endpoint& address) {
+    ListenWithRetry(
+        io_, {socket, address, [&server]() { server.Start(); }, [this]() { return !stopping_; },
+              [this, &server]() {
+                if (&server == caller_server_.get()) callers_open_ = true;
+              }});
   }
 
   LogFields CallerUsage() const {
@@ -212,7 +211,7 @@
 
   Awaitable<void> ServeReady(HttpExchange& exchange) {
     const bool known = exchange.target().path == platform::kReadyPath;
-    const bool ready = !stopping_ && fleet_view_->Ready();
+    const bool ready = !stopping_ && callers_open_ && fleet_view_->Ready();
     HttpResponse response{!known ? 404 : ready ? 200 : 503, {}, ""};
     co_await exchange.Respond(std::move(response));
   }
@@ -289,7 +288,8 @@
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> peer_server_;
   std::unique_ptr<HttpServer> metrics_server_;
-  int64_t peer_bytes_ = 0;  ///< Responses to peers that are being sent.
+  int64_t peer_bytes_ = 0;     ///< Responses to peers that are being sent.
+  bool callers_open_ = false;  ///< The port of callers is open.
   bool stopping_ = false;
   bool drained_ = false;  ///< All requests of callers have ended.
 };
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -7,6 +7,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "net/listen_retry.h"
 #include "net/log.h"
 #include "platform/field_access.h"
 
@@ -192,10 +193,10 @@
 }
 
 PeerLink::PeerLink(asio::io_context& io, const Endpoint& local)
-    : io_(io),
-      socket_(io, asio::ip::udp::endpoint(asio::ip::make_address(local.address), local.port)) {}
+    : io_(io), local_(local), socket_(io) {}
 
 void PeerLink::Send(const Endpoint& to, const PeerMessage& message) {
+  if (!socket_.is_open()) return;
   boost::system::error_code failure;
   const asio::ip::address address = asio::ip::make_address(to.address, failure);
   if (failure) return LogDebug("peer_address_malformed", {{"address", to.address}});
@@ -206,10 +207,17 @@
 }
 
 void PeerLink::Start() {
-  SpawnService(io_, "peer_link", [this]() { return ReceiveLoop(); });
+  const auto open = [this]() {
+    const asio::ip::address address = asio::ip::make_address(local_.address);
+    // An open socket that is not bound would get another port when it sends.
+    socket_ = asio::ip::udp::socket(io_, asio::ip::udp::endpoint(address, local_.port));
+    SpawnService(io_, "peer_link", [this]() { return ReceiveLoop(); });
+  };
+  ListenWithRetry(io_, {"peer_messages", local_, open, [this]() { return !stopped_; }});
 }
 
 Awaitable<void> PeerLink::Stop() {
+  stopped_ = true;
   boost::system::error_code ignored;
   socket_.close(ignored);
   co_return;
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -84,7 +84,8 @@
  public:
   using Receiver = std::function<void(const PeerMessage& message)>;
 
-  /// Binds the UDP port of `local`. Throws boost::system::system_error if it is in use.
+  /// Binds the UDP port of `local` at the start, and tries again while it is in use. Messages that
+  /// are sent before are lost.
   PeerLink(boost::asio::io_context& io, const Endpoint& local);
 
   void SetReceiver(Receiver receiver) { receiver_ = std::move(receiver); }
@@ -97,6 +98,8 @@
   Awaitable<void> ReceiveLoop();
 
   boost::asio::io_context& io_;
+  Endpoint local_;
+  bool stopped_ = false;
   boost::asio::ip::udp::socket socket_;
   Receiver receiver_;
 };
--- a/src/net/agent_service.cc
+++ b/src/net/agent_service.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "net/common_routes.h"
+#include "net/listen_retry.h"
 #include "net/metrics.h"
 #include "net/service_gate.h"
 #include "net/timer_service.h"
@@ -54,9 +55,14 @@
       });
 }
 
-void AgentService::Start() { server_.Start(); }
+void AgentService::Start() {
+  const Endpoint address{settings_.listen_address, static_cast<uint16_t>(settings_.listen_port)};
+  ListenWithRetry(components_.io(), {"requests", address, [this]() { server_.Start(); },
+                                     [this]() { return !stopping_; }});
+}
 
 Awaitable<void> AgentService::Stop() {
+  stopping_ = true;
   // The server stays open while runs drain, so that an entry that lost its connection can reattach.
   co_await runs_.Drain();
   co_await server_.Drain();
--- a/src/net/agent_service.h
+++ b/src/net/agent_service.h
@@ -39,6 +39,7 @@
   BlockMover mover_;
   AgentRuns runs_;
   HttpServer server_;
+  bool stopping_ = false;
 };
 
 }  // namespace fuchsiaweir
--- a/src/net/entry_service.cc
+++ b/src/net/entry_service.cc
@@ -8,6 +8,7 @@
 
 #include "core/digest.h"
 #include "net/common_routes.h"
+#include "net/listen_retry.h"
 #include "net/suspect_service.h"
 
 namespace fuchsiaweir {
@@ -29,9 +30,14 @@
       server_(components.io(), std::move(options),
               [this](HttpExchange& exchange) { return Handle(exchange); }) {}
 
-void EntryService::Start() { server_.Start(); }
+void EntryService::Start() {
+  const Endpoint address{settings_.listen_address, static_cast<uint16_t>(settings_.listen_port)};
+  ListenWithRetry(components_.io(), {"requests", address, [this]() { server_.Start(); },
+                                     [this]() { return !stopping_; }});
+}
 
 Awaitable<void> EntryService::Stop() {
+  stopping_ = true;
   // The load balancer opens new connections until its check of /readyz has failed.
   co_await SleepFor(Millis(settings_.shutdown_grace_ms));
   co_await server_.Drain();
--- a/src/net/entry_service.h
+++ b/src/net/entry_service.h
@@ -33,6 +33,7 @@
   ModelRouter models_;
   ServiceRouter services_;
   HttpServer server_;
+  bool stopping_ = false;
 };
 
 }  // namespace fuchsiaweir
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -190,10 +190,7 @@
 
 void HttpServer::Impl::Listen() {
   const tcp::endpoint endpoint(asio::ip::make_address(options.listen.address), options.listen.port);
-  acceptor.open(endpoint.protocol());
-  acceptor.set_option(tcp::acceptor::reuse_address(true));
-  acceptor.bind(endpoint);
-  acceptor.listen(asio::socket_base::max_listen_connections);
+  acceptor = tcp::acceptor(io, endpoint);  // Sets SO_REUSEADDR.
 }
 
 Awaitable<void> HttpServer::Impl::AcceptLoop() {
--- a/test/process/lone_process.cc
+++ b/test/process/lone_process.cc
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-HeldPort::HeldPort(int port, int type) : socket_(socket(AF_INET, type, 0)) {
+HeldPort::HeldPort(int port, int type) : socket_(socket(AF_INET, type | SOCK_CLOEXEC, 0)) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(static_cast<uint16_t>(port));
