Start with defaults for settings that cannot be used, and wait for the file

Both roles ended with exit code 2 when an optional bound was empty, 0, out of range or written as 12000.0, which the platform's description allows, when a key was unknown, and when the file was not written completely at the moment of the start.

Findings that leave a default in force, of optional and unknown keys, unknown sections and lines that cannot be read, are logged (settings_value_ignored). Required values still refuse the start, after the file was read again for three seconds; a stop meanwhile ends the process with exit code 0. A reload takes the values that can be used. The check command reports all findings as before. The IP addresses of endpoints are now checked with the settings, since listening would be tried again for ever on a malformed one.

--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -37,6 +37,7 @@
 namespace fuchsiaweir {
 namespace {
 
+constexpr int kExitFailed = 1;
 /// Exit code when the settings file is invalid.
 constexpr int kExitInvalidSettings = 2;
 /// The balancer checks readiness once a second and removes a process after two failed checks. Until
@@ -52,16 +53,36 @@
 constexpr int64_t kPeerMemoryDivisor = 8;
 /// Requests of peers, of the balancer and for metrics have no body.
 constexpr int64_t kMaxInternalBodyBytes = 4'096;
+/// Time at the start for the platform to complete the settings.
+constexpr Duration kSettingsWait = Seconds(3);
+constexpr Duration kSettingsRetryDelay = Millis(50);
 constexpr Duration kSettingsPollInterval = Millis(1000);
 constexpr Duration kDrainPollInterval = Millis(20);
 /// Caller connections that are allowed however few descriptors there are.
 constexpr int64_t kMinCallerConnections = 64;
 
+/// Reads the settings and logs the values that a default replaces.
 std::optional<GatewaySettings> LoadSettings(const std::string& file, PlatformRole role,
                                             Findings& findings) {
   const std::optional<std::string> text = ReadFileText(file, findings);
   if (!text) return std::nullopt;
-  return ParseGatewaySettings(ParseIni(*text, file, findings), role, findings);
+  Findings ignorable;
+  const IniDocument document = ParseIni(*text, file, ignorable);
+  std::optional<GatewaySettings> settings =
+      ParseGatewaySettings(document, role, findings, ignorable);
+  for (const Finding& finding : ignorable.items()) {
+    if (settings) {
+      LogWarning("settings_value_ignored",
+                 {{"finding", absl::StrCat(file, ":", finding.line, ": ", finding.message)}});
+    } else {
+      findings.Add(finding.file, finding.line, finding.message);
+    }
+  }
+  return settings;
+}
+
+const char* RoleName(PlatformRole role) {
+  return role == PlatformRole::kGateway ? "gateway" : "sidecar";
 }
 
 /// Modification time of the file in nanoseconds since the epoch; zero if it cannot be read.
@@ -136,7 +157,6 @@
     }
     LogInfo("shutdown_finished",
             {{"in_flight", absl::StrCat(forwarder_ ? forwarder_->in_flight() : 0)}});
-    io_.stop();
   }
 
  private:
@@ -294,54 +314,92 @@
   bool drained_ = false;  ///< All requests of callers have ended.
 };
 
-Awaitable<void> HandleSignals(boost::asio::signal_set& signals, Process& process) {
-  while (true) {
-    const int signal = co_await signals.async_wait(boost::asio::use_awaitable);
-    const std::string name = SignalName(signal);
-    LogInfo("signal_received", {{"signal", name}});
-    if (signal != SIGHUP) break;
-    process.Reload(name);
+/// A gateway or sidecar from the start of the program on.
+class Daemon {
+ public:
+  Daemon(boost::asio::io_context& io, PlatformRole role, std::string settings_file)
+      : io_(io), role_(role), file_(std::move(settings_file)) {}
+
+  Awaitable<void> HandleSignals(boost::asio::signal_set& signals) {
+    while (true) {
+      const int signal = co_await signals.async_wait(boost::asio::use_awaitable);
+      const std::string name = SignalName(signal);
+      LogInfo("signal_received", {{"signal", name}});
+      if (signal != SIGHUP) break;
+      if (process_ != nullptr) process_->Reload(name);
+    }
+    if (process_ != nullptr) co_await process_->ShutDown();
+    io_.stop();
+  }
+
+  Awaitable<void> Start() {
+    // The platform may still be writing the file.
+    const TimePoint give_up_at = started_at_ + kSettingsWait;
+    Findings findings;
+    std::optional<GatewaySettings> settings = LoadSettings(file_, role_, findings);
+    while (!settings && SteadyNow() < give_up_at) {
+      co_await SleepFor(kSettingsRetryDelay);
+      findings = {};
+      settings = LoadSettings(file_, role_, findings);
+    }
+    if (settings) {
+      StartProcess(*settings);
+    } else {
+      LogError("start_refused", {{"findings", findings.ToString()}});
+      std::cerr << findings.ToString();
+      End(kExitInvalidSettings);
+    }
   }
-  co_await process.ShutDown();
-}
+
+  int exit_code() const { return exit_code_; }
+
+ private:
+  void StartProcess(const GatewaySettings& settings) {
+    InitLog(settings.log_level, settings.name, LogStream::kStandardOutput);
+    InstallCrashHandler(settings.name, LogStream::kStandardOutput);
+    try {
+      process_ = std::make_unique<Process>(io_, role_, settings, file_);
+      process_->Start();
+    } catch (const std::exception& e) {
+      LogError("daemon_failed", {{"reason", e.what()}});
+      return End(kExitFailed);
+    }
+    LogInfo("daemon_started", {{"role", RoleName(role_)},
+                               {"version", kVersion},
+                               {"pid", absl::StrCat(getpid())},
+                               {"start_ms", absl::StrCat(ToMillis(SteadyNow() - started_at_))},
+                               {"peer", ToString(settings.peer_endpoint())},
+                               {"store", settings.store}});
+  }
+
+  void End(int exit_code) {
+    exit_code_ = exit_code;
+    io_.stop();
+  }
+
+  boost::asio::io_context& io_;
+  PlatformRole role_;
+  std::string file_;
+  TimePoint started_at_ = SteadyNow();
+  std::unique_ptr<Process> process_;
+  int exit_code_ = 0;
+};
 
 }  // namespace
 
 int RunGatewayOrSidecar(PlatformRole role, const std::string& settings_file) {
-  const TimePoint started_at = SteadyNow();
-  const std::string role_name = role == PlatformRole::kGateway ? "gateway" : "sidecar";
-  InitLog("info", role_name, LogStream::kStandardOutput);
-  InstallCrashHandler(role_name, LogStream::kStandardOutput);
-  Findings findings;
-  const std::optional<GatewaySettings> settings = LoadSettings(settings_file, role, findings);
-  if (!settings) {
-    LogError("start_refused", {{"findings", findings.ToString()}});
-    std::cerr << findings.ToString();
-    return kExitInvalidSettings;
-  }
-  InitLog(settings->log_level, settings->name, LogStream::kStandardOutput);
-  InstallCrashHandler(settings->name, LogStream::kStandardOutput);
+  InitLog("info", RoleName(role), LogStream::kStandardOutput);
+  InstallCrashHandler(RoleName(role), LogStream::kStandardOutput);
   boost::asio::io_context io(1);
   boost::asio::signal_set signals(io);
   ReceiveRequestSignals(signals);
-  try {
-    Process process(io, role, *settings, settings_file);
-    process.Start();
-    LogInfo("daemon_started", {{"role", role_name},
-                               {"version", kVersion},
-                               {"pid", absl::StrCat(getpid())},
-                               {"start_ms", absl::StrCat(ToMillis(SteadyNow() - started_at))},
-                               {"peer", ToString(settings->peer_endpoint())},
-                               {"store", settings->store}});
-    Spawn(io, "signals", [&]() { return HandleSignals(signals, process); });
-    RunLoop(io);
-    // Coroutines that are still suspended refer to the components, which end before the I/O loop.
-    // They are not destroyed; the system closes their connections.
-    std::_Exit(0);
-  } catch (const std::exception& e) {
-    LogError("daemon_failed", {{"reason", e.what()}});
-  }
-  return 1;
+  Daemon daemon(io, role, settings_file);
+  Spawn(io, "signals", [&]() { return daemon.HandleSignals(signals); });
+  Spawn(io, "start", [&]() { return daemon.Start(); });
+  RunLoop(io);
+  // Coroutines that are still suspended refer to the components, which end before the I/O loop.
+  // They are not destroyed; the system closes their connections.
+  std::_Exit(daemon.exit_code());
 }
 
 }  // namespace fuchsiaweir
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <boost/asio/ip/address.hpp>
 #include <set>
 
 #include "core/ini_binder.h"
@@ -48,41 +49,56 @@
 
 template <typename Table>
 void Bind(const IniDocument& document, const IniSection& section, const Table& table,
-          Settings& settings, Findings& findings) {
-  CopyMembers(BindSection<Settings>(document.file, section, table, findings), table, settings);
+          Settings& settings, Findings& findings, Findings& ignorable) {
+  CopyMembers(BindSection<Settings>(document.file, section, table, findings, ignorable), table,
+              settings);
+}
+
+bool IsAddress(const std::string& text) {
+  boost::system::error_code failure;
+  boost::asio::ip::make_address(text, failure);
+  return !failure;
 }
 
 void CheckEndpoint(const IniDocument& document, const char* key, const std::string& value,
-                   bool required, Findings& findings) {
-  if (value.empty() && !required) return;
-  if (ParseEndpoint(value).port != 0) return;
+                   Findings& findings) {
+  const Endpoint endpoint = ParseEndpoint(value);
+  if (endpoint.port != 0 && IsAddress(endpoint.address)) return;
   findings.Add(document.file, 0,
                absl::StrCat("\"", key, "\" is \"", value, "\"; allowed is ADDRESS:PORT"));
 }
 
+/// An endpoint that this role does not use may be absent or wrong.
+void CheckUnusedEndpoint(const IniDocument& document, const char* key, std::string& value,
+                         Findings& ignorable) {
+  const size_t before = ignorable.items().size();
+  if (!value.empty()) CheckEndpoint(document, key, value, ignorable);
+  if (ignorable.items().size() > before) value.clear();
+}
+
 }  // namespace
 
 std::optional<GatewaySettings> ParseGatewaySettings(const IniDocument& document, PlatformRole role,
-                                                    Findings& findings) {
+                                                    Findings& findings, Findings& ignorable) {
   const size_t before = findings.items().size();
   GatewaySettings settings;
   std::set<std::string> seen;
   for (const IniSection& section : document.sections) {
     seen.insert(section.kind);
     if (section.kind == "process") {
-      Bind(document, section, kProcessKeys, settings, findings);
+      Bind(document, section, kProcessKeys, settings, findings, ignorable);
     } else if (section.kind == "platform") {
-      Bind(document, section, kPlatformKeys, settings, findings);
+      Bind(document, section, kPlatformKeys, settings, findings, ignorable);
     } else if (section.kind == "bounds") {
-      Bind(document, section, kBoundsKeys, settings, findings);
+      Bind(document, section, kBoundsKeys, settings, findings, ignorable);
     } else if (section.kind == "log") {
-      Bind(document, section, kLogKeys, settings, findings);
+      Bind(document, section, kLogKeys, settings, findings, ignorable);
     } else if (section.kind == "regions") {
       for (const IniEntry& entry : section.entries) settings.regions[entry.key] = entry.value;
     } else {
-      findings.Add(document.file, section.line,
-                   absl::StrCat("unknown section [", section.kind,
-                                "]; allowed are process, platform, bounds, regions and log"));
+      ignorable.Add(document.file, section.line,
+                    absl::StrCat("unknown section [", section.kind,
+                                 "]; allowed are process, platform, bounds, regions and log"));
     }
   }
   for (const char* section : {"process", "platform"}) {
@@ -90,17 +106,28 @@
       findings.Add(document.file, 0, absl::StrCat("section [", section, "] is missing"));
     }
   }
-  const bool gateway = role == PlatformRole::kGateway;
-  CheckEndpoint(document, "store", settings.store, true, findings);
-  CheckEndpoint(document, "callers", settings.callers, gateway, findings);
-  CheckEndpoint(document, "readiness", settings.readiness, gateway, findings);
-  CheckEndpoint(document, "runner", settings.runner, !gateway, findings);
+  CheckEndpoint(document, "store", settings.store, findings);
+  if (role == PlatformRole::kGateway) {
+    CheckEndpoint(document, "callers", settings.callers, findings);
+    CheckEndpoint(document, "readiness", settings.readiness, findings);
+    CheckUnusedEndpoint(document, "runner", settings.runner, ignorable);
+  } else {
+    CheckEndpoint(document, "runner", settings.runner, findings);
+    CheckUnusedEndpoint(document, "callers", settings.callers, ignorable);
+    CheckUnusedEndpoint(document, "readiness", settings.readiness, ignorable);
+  }
+  if (!settings.address.empty() && !IsAddress(settings.address)) {
+    findings.Add(
+        document.file, 0,
+        absl::StrCat("\"address\" is \"", settings.address, "\"; allowed is an IP address"));
+  }
   bool known_level = false;
   for (const std::string_view level : kLogLevels) known_level |= level == settings.log_level;
   if (!known_level) {
-    findings.Add(document.file, 0,
-                 absl::StrCat("\"level\" is \"", settings.log_level,
-                              "\"; allowed are debug, info, warning and error"));
+    ignorable.Add(document.file, 0,
+                  absl::StrCat("\"level\" is \"", settings.log_level,
+                               "\"; allowed are debug, info, warning and error"));
+    settings.log_level = Settings{}.log_level;
   }
   if (findings.items().size() > before) return std::nullopt;
   return settings;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -45,9 +45,10 @@
 /// Role of a process on the platform.
 enum class PlatformRole { kGateway, kSidecar };
 
-/// Parses and validates a settings file. Returns nothing if it added a finding.
+/// Parses and validates a settings file. Returns nothing if it added to `findings`. Values that
+/// cannot be used are added to `ignorable` if a default takes their place; both may be one object.
 std::optional<GatewaySettings> ParseGatewaySettings(const IniDocument& document, PlatformRole role,
-                                                    Findings& findings);
+                                                    Findings& findings, Findings& ignorable);
 
 }  // namespace fuchsiaweir
 
--- a/src/net/command_check.cc
+++ b/src/net/command_check.cc
@@ -34,11 +34,11 @@
      [](const IniDocument& document, Findings& findings) { ParseSettings(document, findings); }},
     {"gateway",
      [](const IniDocument& document, Findings& findings) {
-       ParseGatewaySettings(document, PlatformRole::kGateway, findings);
+       ParseGatewaySettings(document, PlatformRole::kGateway, findings, findings);
      }},
     {"sidecar",
      [](const IniDocument& document, Findings& findings) {
-       ParseGatewaySettings(document, PlatformRole::kSidecar, findings);
+       ParseGatewaySettings(document, PlatformRole::kSidecar, findings, findings);
      }},
 };
 
