Open /dev/null for standard streams that are closed at the start

A process that was started with its standard streams closed gave their numbers to its next descriptors, sockets among them, so that records of the log could be written to whatever had number 1 or 2.

main opens /dev/null in their place before anything else, which takes the lowest free number.

--- a/src/main.cc
+++ b/src/main.cc
@@ -3,6 +3,8 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/reflection.h>
 #include <absl/strings/match.h>
+#include <fcntl.h>
+#include <unistd.h>
 
 #include <iostream>
 #include <string>
@@ -120,9 +122,18 @@
   return flag->ParseFrom(argument.substr(equals + 1), &error) ? "" : argument + ": " + error;
 }
 
+/// Opens /dev/null for each standard stream that is closed. Otherwise a socket would get its
+/// number, and the records of the log would be sent to a caller or a runner.
+void OpenStandardStreams() {
+  for (const int descriptor : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+    if (fcntl(descriptor, F_GETFD) < 0) open("/dev/null", O_RDWR);
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
+  OpenStandardStreams();
   const std::string name = argc > 1 ? argv[1] : "";
   const Command* command = FindCommand(name);
   if (command == nullptr || !command->is_daemon) fuchsiaweir::RestoreSignals();
--- a/test/process/lone_process.cc
+++ b/test/process/lone_process.cc
@@ -62,6 +62,12 @@
   std::ofstream(file_, std::ios::app) << text;
 }
 
+void LoneProcess::StartRedirected(const std::string& redirection) {
+  std::vector<std::string> command{"/bin/sh", "-c", "exec \"$0\" \"$@\" " + redirection};
+  command.insert(command.end(), command_.begin(), command_.end());
+  processes_.StartProcess(kName, command);
+}
+
 std::string LoneProcess::Log() const {
   return ReadText(absl::StrCat(directory(), "/", kName, ".log"));
 }
--- a/test/process/lone_process.h
+++ b/test/process/lone_process.h
@@ -37,6 +37,8 @@
   const std::string& settings() const { return settings_; }
 
   void Start() { processes_.StartProcess(kName, command_); }
+  /// Starts it with a redirection of the shell, such as ">&-".
+  void StartRedirected(const std::string& redirection);
   void Signal(int signal) { processes_.Signal(kName, signal); }
   /// Waits for the end; returns the exit code, or -1 if a signal ended the process.
   int Wait() { return processes_.Wait(kName); }
--- a/test/process/process_log.cc
+++ b/test/process/process_log.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <csignal>
+#include <filesystem>
 #include <stdexcept>
 #include <thread>
 
@@ -89,6 +90,20 @@
              log.c_str());
 }
 
+// Guards against log records that go to a caller, whose socket has the number of a standard stream
+// that was closed at the start.
+TEST(ProcessLog, NoSocketTakesTheNumberOfAStandardStream) {
+  process.StartRedirected("<&- >&- 2>&-");
+  CHECK(
+      Eventually([&]() { return Send("GET", process.metrics_port(), "/metrics").status == 200; }));
+  for (const char* descriptor : {"0", "1", "2"}) {
+    const std::string link = absl::StrCat("/proc/", process.pid(), "/fd/", descriptor);
+    STRCMP_EQUAL("/dev/null", std::filesystem::read_symlink(link).c_str());
+  }
+  process.Signal(SIGTERM);
+  LONGS_EQUAL(0, process.Wait());
+}
+
 // Guards against a process that is killed for its memory with no trace of its growth.
 TEST(ProcessLog, MemoryIsReportedAndWarnedOf) {
   process.Write(
