--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -27,6 +27,7 @@
 #include "gateway/weight_orders.h"
 #include "net/crash_handler.h"
 #include "net/http_server.h"
+#include "net/listen_retry.h"
 #include "net/log.h"
 #include "net/metrics.h"
 #include "net/process_signals.h"
@@ -37,6 +38,7 @@
 namespace fuchsiaweir {
 namespace {
 
+constexpr int kExitFailed = 1;
 /// Exit code when the settings file is invalid.
 constexpr int kExitInvalidSettings = 2;
 /// The balancer checks readiness once a second and removes a process after two failed checks. Until
@@ -56,16 +58,36 @@
 constexpr Duration kUploadReportInterval = Millis(500);
 /// Requests of peers, of the balancer and for metrics have no body.
 constexpr int64_t kMaxInternalBodyBytes = 4'096;
+/// Time at the start for the platform to complete the settings.
+constexpr Duration kSettingsWait = Seconds(3);
+constexpr Duration kSettingsRetryDelay = Millis(50);
 constexpr Duration kSettingsPollInterval = Millis(1000);
 constexpr Duration kDrainPollInterval = Millis(20);
 /// Caller connections that are allowed however few descriptors there are.
 constexpr int64_t kMinCallerConnections = 64;
 
+/// Reads the settings and logs the values that a default replaces.
 std::optional<GatewaySettings> LoadSettings(const std::string& file, PlatformRole role,
                                             Findings& findings) {
   const std::optional<std::string> text = ReadFileText(file, findings);
   if (!text) return std::nullopt;
-  return ParseGatewaySettings(ParseIni(*text, file, findings), role, findings);
+  Findings ignorable;
+  const IniDocument document = ParseIni(*text, file, ignorable);
+  std::optional<GatewaySettings> settings =
+      ParseGatewaySettings(document, role, findings, ignorable);
+  for (const Finding& finding : ignorable.items()) {
+    if (settings) {
+      LogWarning("settings_value_ignored",
+                 {{"finding", absl::StrCat(file, ":", finding.line, ": ", finding.message)}});
+    } else {
+      findings.Add(finding.file, finding.line, finding.message);
+    }
+  }
+  return settings;
+}
+
+const char* RoleName(PlatformRole role) {
+  return role == PlatformRole::kGateway ? "gateway" : "sidecar";
 }
 
 /// Modification time of the file in nanoseconds since the epoch; zero if it cannot be read.
@@ -126,7 +148,7 @@
             {{"in_flight", absl::StrCat(forwarder_ ? forwarder_->in_flight() : 0)}});
     const TimePoint limit =
         started_at + Micros(static_cast<int64_t>(settings_.shutdown_s * 1e6)) - kShutdownMargin;
-    if (caller_server_ != nullptr) {
+    if (callers_open_) {
       const TimePoint answer_by = limit - kLastAnswersTime;
       co_await SleepFor(std::min(kBalancerDelay, (limit - started_at) / 2));
       forwarder_->BeginDrain(answer_by);
@@ -141,7 +163,6 @@
     if (forwarder_ != nullptr) forwarder_->RecordCutRequests();
     LogInfo("shutdown_finished",
             {{"in_flight", absl::StrCat(forwarder_ ? forwarder_->in_flight() : 0)}});
-    io_.stop();
   }
 
  private:
@@ -181,14 +202,12 @@
     return {settings_.address, static_cast<uint16_t>(settings_.metrics_port)};
   }
 
-  static void StartServer(const char* socket, HttpServer& server, const Endpoint& endpoint) {
-    try {
-      server.Start();
-    } catch (const std::exception& e) {
-      LogError("listen_failed",
-               {{"socket", socket}, {"address", ToString(endpoint)}, {"reason", e.what()}});
-      throw;
-    }
+  void StartServer(const char* socket, HttpServer& server, const Endpoint& address) {
+    ListenWithRetry(
+        io_, {socket, address, [&server]() { server.Start(); }, [this]() { return !stopping_; },
+              [this, &server]() {
+                if (&server == caller_server_.get()) callers_open_ = true;
+              }});
   }
 
   LogFields CallerUsage() const {
@@ -226,7 +245,7 @@
 
   Awaitable<void> ServeReady(HttpExchange& exchange) {
     const bool known = exchange.target().path == platform::kReadyPath;
-    const bool ready = !stopping_ && fleet_view_->Ready();
+    const bool ready = !stopping_ && callers_open_ && fleet_view_->Ready();
     HttpResponse response{!known ? 404 : ready ? 200 : 503, {}, ""};
     co_await exchange.Respond(std::move(response));
   }
@@ -303,59 +322,98 @@
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> peer_server_;
   std::unique_ptr<HttpServer> metrics_server_;
-  int64_t peer_bytes_ = 0;  ///< Responses to peers that are being sent.
+  int64_t peer_bytes_ = 0;     ///< Responses to peers that are being sent.
+  bool callers_open_ = false;  ///< The port of callers is open.
   bool stopping_ = false;
   bool drained_ = false;  ///< All requests of callers have ended.
 };
 
-Awaitable<void> HandleSignals(boost::asio::signal_set& signals, Process& process) {
-  while (true) {
-    const int signal = co_await signals.async_wait(boost::asio::use_awaitable);
-    const std::string name = SignalName(signal);
-    LogInfo("signal_received", {{"signal", name}});
-    if (signal != SIGHUP) break;
-    process.Reload(name);
+/// A gateway or sidecar from the start of the program on.
+class Daemon {
+ public:
+  Daemon(boost::asio::io_context& io, PlatformRole role, std::string settings_file)
+      : io_(io), role_(role), file_(std::move(settings_file)) {}
+
+  Awaitable<void> HandleSignals(boost::asio::signal_set& signals) {
+    while (true) {
+      const int signal = co_await signals.async_wait(boost::asio::use_awaitable);
+      const std::string name = SignalName(signal);
+      LogInfo("signal_received", {{"signal", name}});
+      if (signal != SIGHUP) break;
+      if (process_ != nullptr) process_->Reload(name);
+    }
+    if (process_ != nullptr) co_await process_->ShutDown();
+    io_.stop();
+  }
+
+  Awaitable<void> Start() {
+    // The platform may still be writing the file.
+    const TimePoint give_up_at = started_at_ + kSettingsWait;
+    Findings findings;
+    std::optional<GatewaySettings> settings = LoadSettings(file_, role_, findings);
+    while (!settings && SteadyNow() < give_up_at) {
+      co_await SleepFor(kSettingsRetryDelay);
+      findings = {};
+      settings = LoadSettings(file_, role_, findings);
+    }
+    if (settings) {
+      StartProcess(*settings);
+    } else {
+      LogError("start_refused", {{"findings", findings.ToString()}});
+      std::cerr << findings.ToString();
+      End(kExitInvalidSettings);
+    }
   }
-  co_await process.ShutDown();
-}
+
+  int exit_code() const { return exit_code_; }
+
+ private:
+  void StartProcess(const GatewaySettings& settings) {
+    InitLog(settings.log_level, settings.name, LogStream::kStandardOutput);
+    InstallCrashHandler(settings.name, LogStream::kStandardOutput);
+    try {
+      process_ = std::make_unique<Process>(io_, role_, settings, file_);
+      process_->Start();
+    } catch (const std::exception& e) {
+      LogError("daemon_failed", {{"reason", e.what()}});
+      return End(kExitFailed);
+    }
+    LogInfo("daemon_started", {{"role", RoleName(role_)},
+                               {"version", kVersion},
+                               {"pid", absl::StrCat(getpid())},
+                               {"start_ms", absl::StrCat(ToMillis(SteadyNow() - started_at_))},
+                               {"peer", ToString(settings.peer_endpoint())},
+                               {"store", settings.store}});
+  }
+
+  void End(int exit_code) {
+    exit_code_ = exit_code;
+    io_.stop();
+  }
+
+  boost::asio::io_context& io_;
+  PlatformRole role_;
+  std::string file_;
+  TimePoint started_at_ = SteadyNow();
+  std::unique_ptr<Process> process_;
+  int exit_code_ = 0;
+};
 
 }  // namespace
 
 int RunGatewayOrSidecar(PlatformRole role, const std::string& settings_file) {
-  const TimePoint started_at = SteadyNow();
-  const std::string role_name = role == PlatformRole::kGateway ? "gateway" : "sidecar";
-  InitLog("info", role_name, LogStream::kStandardOutput);
-  InstallCrashHandler(role_name, LogStream::kStandardOutput);
-  Findings findings;
-  const std::optional<GatewaySettings> settings = LoadSettings(settings_file, role, findings);
-  if (!settings) {
-    LogError("start_refused", {{"findings", findings.ToString()}});
-    std::cerr << findings.ToString();
-    return kExitInvalidSettings;
-  }
-  InitLog(settings->log_level, settings->name, LogStream::kStandardOutput);
-  InstallCrashHandler(settings->name, LogStream::kStandardOutput);
+  InitLog("info", RoleName(role), LogStream::kStandardOutput);
+  InstallCrashHandler(RoleName(role), LogStream::kStandardOutput);
   boost::asio::io_context io(1);
   boost::asio::signal_set signals(io);
   ReceiveRequestSignals(signals);
-  try {
-    Process process(io, role, *settings, settings_file);
-    process.Start();
-    LogInfo("daemon_started", {{"role", role_name},
-                               {"version", kVersion},
-                               {"pid", absl::StrCat(getpid())},
-                               {"start_ms", absl::StrCat(ToMillis(SteadyNow() - started_at))},
-                               {"peer", ToString(settings->peer_endpoint())},
-                               {"store", settings->store}});
-    Spawn(io, "signals", [&]() { return HandleSignals(signals, process); });
-    RunLoop(io);
-    // Coroutines that are still suspended refer to the components, which end before the I/O loop.
-    // They are not destroyed; the system closes their connections.
-    std::_Exit(0);
-  } catch (const std::exception& e) {
-    LogError("daemon_failed", {{"reason", e.what()}});
-  }
-  return 1;
+  Daemon daemon(io, role, settings_file);
+  Spawn(io, "signals", [&]() { return daemon.HandleSignals(signals); });
+  Spawn(io, "start", [&]() { return daemon.Start(); });
+  RunLoop(io);
+  // Coroutines that are still suspended refer to the components, which end before the I/O loop.
+  // They are not destroyed; the system closes their connections.
+  std::_Exit(daemon.exit_code());
 }
 
 }  // namespace fuchsiaweir
--- a/test/process/lone_process.cc
+++ b/test/process/lone_process.cc
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-HeldPort::HeldPort(int port, int type) : socket_(socket(AF_INET, type, 0)) {
+HeldPort::HeldPort(int port, int type) : socket_(socket(AF_INET, type | SOCK_CLOEXEC, 0)) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(static_cast<uint16_t>(port));
@@ -62,6 +62,12 @@
   std::ofstream(file_, std::ios::app) << text;
 }
 
+void LoneProcess::StartRedirected(const std::string& redirection) {
+  std::vector<std::string> command{"/bin/sh", "-c", "exec \"$0\" \"$@\" " + redirection};
+  command.insert(command.end(), command_.begin(), command_.end());
+  processes_.StartProcess(kName, command);
+}
+
 std::string LoneProcess::Log() const {
   return ReadText(absl::StrCat(directory(), "/", kName, ".log"));
 }
