Let the last requests of a soak end before their processes stand still

The soak stopped its callers after its own loop had ended. The loop now goes on until the last caller has its answer, so more is judged, not less.

Logs that are kept have a list of all requests without a complete answer, which showed this.

--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -7,6 +7,7 @@
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <filesystem>
@@ -156,7 +157,16 @@
     const std::jthread watch([this](const std::stop_token& stopped) { WatchStarts(stopped); });
     // What was stopped last ends within its grace, and its requests with it.
     const TimePoint end = begin_ + Seconds(options_.seconds) + kGrace;
-    while (SteadyNow() < end) {
+    std::atomic<bool> callers_stopped = false;
+    std::jthread stop;
+    while (!callers_stopped) {
+      if (SteadyNow() > end && !stop.joinable()) {
+        // Processes that are held go on meanwhile, and so the last requests end.
+        stop = std::jthread([&]() {
+          callers.Stop();
+          callers_stopped = true;
+        });
+      }
       CheckProcesses();
       while (!timers_.empty() && timers_.begin()->first <= SteadyNow()) {
         const std::function<void()> action = std::move(timers_.begin()->second);
@@ -166,7 +176,6 @@
       std::this_thread::sleep_for(kTick);
     }
   }
-  callers.Stop();
   record_.attempts = callers.attempts();
 }
 
@@ -209,6 +218,16 @@
       std::filesystem::copy_options::recursive | std::filesystem::copy_options::overwrite_existing);
   std::ofstream schedule(target + "/schedule.txt");
   for (const Step& step : schedule_) schedule << Describe(step) << "\n";
+  std::ofstream unanswered(target + "/unanswered.txt");
+  for (const Attempt& attempt : record_.attempts) {
+    if (attempt.complete) continue;
+    unanswered << absl::StrFormat(
+        "%.3f-%.3f-%.3f %s %s gateway%d place=%d status=%d last_event=%d %s\n",
+        ToSeconds(attempt.begin - begin_), ToSeconds(attempt.sent - begin_),
+        ToSeconds(attempt.end - begin_), attempt.id, attempt.route->name, attempt.gateway,
+        attempt.place, attempt.status, attempt.last_event,
+        attempt.left ? "left by the caller" : attempt.error);
+  }
 }
 
 void SoakRun::At(Duration delay, std::function<void()> action) {
