--- a/test/correctness/soak_verdict.cc
+++ b/test/correctness/soak_verdict.cc
@@ -65,6 +65,11 @@
   attempt().end = start + kTimeLimit;
   STRCMP_EQUAL("", Broken().c_str());
   attempt().end = start + Millis(900);
+  Disturb(Cause::kReset, "runner0", Millis(1));
+  STRCMP_EQUAL("LOST ", Broken().c_str());
+  Disturb(Cause::kReset, "runner0", -Millis(1));
+  STRCMP_EQUAL("", Broken().c_str());
+  record.disturbances.clear();
   Disturb(Cause::kFault, "gateway1", Seconds(1));
   STRCMP_EQUAL("LOST ", Broken().c_str());
   Disturb(Cause::kFault, "gateway0", Seconds(1));
