Count the end of a pause from the caller's answer in its test

Cause: in the test. Retry-After counts from the answer, and the end of the pause was computed before the request was sent; what the call took was missing from a true Retry-After. The check is as strict: a caller that waits as told does not return before the pause ends.

--- a/test/process/runner_notices.cc
+++ b/test/process/runner_notices.cc
@@ -167,8 +167,8 @@
     Call("/unsafe/");
     SleepMillis(kCallIntervalMs);
   }
-  const double end_s = 5 - ToSeconds(SteadyNow() - asked_at);
   const Outcome refused = Call("/unsafe/");
+  const double end_s = 5 - ToSeconds(SteadyNow() - asked_at);
   LONGS_EQUAL(503, refused.status);
   CHECK(refused.took < kMaxRefusalTime);
   // The pause began with the runner's answer, up to one second after the fault was set.
