Answer connections beyond the limit, and keep descriptors for runners

Callers beyond the limit of connections had theirs closed without an answer, also while most other connections were idle. And when requests arrived on all allowed connections together, the process ran out of descriptors: the connections to runners failed with "Too many open files", which counted as the runners' failure, so that further requests found no runner.

The server now closes the connection that has been idle for longest, if it has been for half a second, in favour of a new one: its caller comes back on a new connection and loses nothing. If none is idle, up to 64 connections beyond the limit are read and refused with 503 as not run. A request also needs a descriptor for its runner, so that connections and requests together are limited by the process's descriptors.

Evidence: the two tests of ConnectionLimits failed before (connections closed without an answer) and pass now. In one of five runs of GatewayPath one test failed; which one was not recorded.

--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -43,6 +43,8 @@
 constexpr Duration kLastAnswersTime = Millis(200);
 /// File descriptors reserved for files and for connections to runners, peers and the store.
 constexpr int64_t kReservedDescriptors = 700;
+/// File descriptors reserved for files and for connections to peers and the store.
+constexpr int64_t kReservedFileDescriptors = 300;
 /// Share of the host's memory for responses to peers that are being sent.
 constexpr int64_t kPeerMemoryDivisor = 8;
 /// Percentage of the host's memory for callers' connections and the bodies of their requests.
@@ -170,7 +172,9 @@
     options.max_connections =
         std::max(kMinCallerConnections, settings_.max_descriptors - kReservedDescriptors);
     options.body_memory_bytes = settings_.memory_bytes() / 100 * kBodyMemoryPercent;
-    options.refuse_upload = RespondToRefusedUpload;
+    options.refuse = RespondToRefusedRequest;
+    options.max_descriptors =
+        std::max(2 * kMinCallerConnections, settings_.max_descriptors - kReservedFileDescriptors);
     caller_server_ = std::make_unique<HttpServer>(io_, options, [this](HttpExchange& exchange) {
       if (stopping_) exchange.CloseAfterResponse();
       return forwarder_->Handle(exchange);
--- a/src/gateway/uploads.cc
+++ b/src/gateway/uploads.cc
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-HttpResponse RespondToRefusedUpload(const HttpRequest& request, const UploadRefusal& refusal) {
+HttpResponse RespondToRefusedRequest(const HttpRequest& request, const RequestRefusal& refusal) {
   const platform::CallerRequest caller = platform::DecodeCallerRequest(request);
   const Duration time_left =
       std::max(Duration{0}, caller.time_left.value_or(kDefaultTimeLeft) - refusal.waited);
@@ -29,14 +29,18 @@
   const Duration longest =
       Micros(static_cast<int64_t>(static_cast<double>(time_left.count()) * kMaxRetryAfterShare));
   const Duration retry_after = std::min(kMinRetryAfter + spread, longest);
-  LogInfo("upload_refused", {{"request", caller.id},
-                             {"target", request.target},
-                             {"held_bytes", absl::StrCat(refusal.held_bytes)},
-                             {"asked_bytes", absl::StrCat(refusal.asked_bytes)},
-                             {"waited_ms", absl::StrCat(ToMillis(refusal.waited))},
-                             {"retry_after_ms", absl::StrCat(ToMillis(retry_after))}});
+  const bool memory = refusal.cause == RequestRefusal::Cause::kMemory;
+  LogInfo(memory ? "upload_refused" : "connection_refused",
+          {{"request", caller.id},
+           {"target", request.target},
+           {"connections", absl::StrCat(refusal.connections)},
+           {"held_bytes", absl::StrCat(refusal.held_bytes)},
+           {"asked_bytes", absl::StrCat(refusal.asked_bytes)},
+           {"waited_ms", absl::StrCat(ToMillis(refusal.waited))},
+           {"retry_after_ms", absl::StrCat(ToMillis(retry_after))}});
   HttpResponse response = ErrorResponse(
-      {ErrorCode::kOverloaded, RunState::kNotRun, "no memory for the request body", Duration{0}});
+      {ErrorCode::kOverloaded, RunState::kNotRun,
+       memory ? "no memory for the request body" : "too many connections", Duration{0}});
   response.headers = platform::RefusalHeaders(caller.id, retry_after);
   return response;
 }
--- a/src/gateway/uploads.h
+++ b/src/gateway/uploads.h
@@ -7,8 +7,9 @@
 
 namespace fuchsiaweir {
 
-/// Returns the response to a caller whose request body gets no memory, and logs it.
-HttpResponse RespondToRefusedUpload(const HttpRequest& request, const UploadRefusal& refusal);
+/// Returns the response to a caller whose request is refused before its body is received, and logs
+/// it.
+HttpResponse RespondToRefusedRequest(const HttpRequest& request, const RequestRefusal& refusal);
 
 /// Sets the metrics of request bodies.
 void ReportUploads(Metrics& metrics, const UploadBudget& uploads);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -10,8 +10,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/json.hpp>
+#include <list>
 #include <optional>
-#include <set>
 #include <utility>
 
 #include "core/utf8.h"
@@ -39,6 +39,11 @@
 constexpr Duration kMaxUploadWait = Millis(2500);
 /// Between two checks whether slower uploads have lost their claim to room.
 constexpr Duration kUploadPollInterval = Millis(250);
+/// Time that a connection is idle before it may be closed in favour of a new one. The first request
+/// on a younger one may be on the way.
+constexpr Duration kMinIdleTime = Millis(500);
+/// Connections beyond the limit that are answered. Further ones are closed.
+constexpr int64_t kMaxRefusing = 64;
 /// Memory of a connection and its request, without the body.
 constexpr int64_t kConnectionBytes = 16'384;
 constexpr Duration kUploadRetryAfter = Seconds(1);
@@ -83,12 +88,16 @@
   return std::nullopt;
 }
 
-HttpResponse RespondToRefusal(const HttpRequest& request, const UploadRefusal& refusal) {
-  LogInfo("upload_refused", {{"target", request.target},
-                             {"held_bytes", absl::StrCat(refusal.held_bytes)},
-                             {"asked_bytes", absl::StrCat(refusal.asked_bytes)},
-                             {"waited_ms", absl::StrCat(ToMillis(refusal.waited))}});
-  return ErrorResponse({ErrorCode::kOverloaded, RunState::kNotRun, "no memory for the request body",
+HttpResponse RespondToRefusal(const HttpRequest& request, const RequestRefusal& refusal) {
+  const bool memory = refusal.cause == RequestRefusal::Cause::kMemory;
+  LogInfo(memory ? "upload_refused" : "connection_refused",
+          {{"target", request.target},
+           {"connections", absl::StrCat(refusal.connections)},
+           {"held_bytes", absl::StrCat(refusal.held_bytes)},
+           {"asked_bytes", absl::StrCat(refusal.asked_bytes)},
+           {"waited_ms", absl::StrCat(ToMillis(refusal.waited))}});
+  return ErrorResponse({ErrorCode::kOverloaded, RunState::kNotRun,
+                        memory ? "no memory for the request body" : "too many connections",
                         kUploadRetryAfter});
 }
 
@@ -132,6 +141,7 @@
   RequestParser parser;
   asio::steady_timer admitted;  ///< Cancelled when the upload no longer waits.
   UploadBudget::Upload upload;
+  bool refused = false;  ///< There are too many connections.
   Duration waited{0};
 };
 
@@ -225,13 +235,18 @@
 }
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+  struct IdleConnection {
+    HttpTransport* transport;  ///< Null if it was closed.
+    TimePoint since;
+  };
+
   Impl(asio::io_context& io_context, HttpServerOptions server_options, HttpHandler request_handler)
       : io(io_context),
         options(std::move(server_options)),
         handler(std::move(request_handler)),
         acceptor(io_context),
         uploads(options.body_memory_bytes) {
-    if (!options.refuse_upload) options.refuse_upload = RespondToRefusal;
+    if (!options.refuse) options.refuse = RespondToRefusal;
   }
 
   void Listen();
@@ -240,8 +255,10 @@
   void Start(tcp::socket socket);
   /// Accepts the connections that are waiting, then no more.
   void CloseAcceptor();
-  Awaitable<void> Serve(std::shared_ptr<HttpTransport> transport);
-  Awaitable<bool> ServeOne(HttpTransport& transport);
+  /// Closes the connection that has been idle for longest. Returns whether there was one.
+  bool CloseLongestIdle();
+  Awaitable<void> Serve(std::shared_ptr<HttpTransport> transport, bool refuse);
+  Awaitable<bool> ServeOne(HttpTransport& transport, bool refuse);
   Awaitable<boost::system::error_code> ReadRequest(HttpTransport& transport, Reception& reception);
   Awaitable<boost::system::error_code> ReadHeaderAndBody(HttpTransport& transport,
                                                          Reception& reception,
@@ -257,8 +274,9 @@
   HttpHandler handler;
   tcp::acceptor acceptor;
   UploadBudget uploads;
-  std::set<HttpTransport*> idle;  ///< Connections between two requests.
+  std::list<IdleConnection> idle;  ///< Connections between two requests, the longest idle first.
   int64_t connections = 0;
+  int64_t handled = 0;  ///< Requests that the handler works on.
   int64_t active = 0;
   bool draining = false;
 };
@@ -287,16 +305,18 @@
 }
 
 void HttpServer::Impl::Start(tcp::socket socket) {
-  if (connections >= options.max_connections) return;  // The socket's destructor closes it.
+  const bool refuse = connections >= options.max_connections && !CloseLongestIdle();
+  // The socket's destructor closes it.
+  if (refuse && connections >= options.max_connections + kMaxRefusing) return;
   auto transport = std::make_shared<HttpTransport>(std::move(socket), options.tls);
   ++connections;
   uploads.AddConnectionBytes(kConnectionBytes);
-  Spawn(io, "http_connection", [self = shared_from_this(), transport]() -> Awaitable<void> {
+  Spawn(io, "http_connection", [self = shared_from_this(), transport, refuse]() -> Awaitable<void> {
     const absl::Cleanup closed = [&self]() {
       --self->connections;
       self->uploads.AddConnectionBytes(-kConnectionBytes);
     };
-    co_await self->Serve(transport);
+    co_await self->Serve(transport, refuse);
   });
 }
 
@@ -313,22 +333,35 @@
   acceptor.close(failure);
 }
 
-Awaitable<void> HttpServer::Impl::Serve(std::shared_ptr<HttpTransport> transport) {
+// Load pattern: callers that keep many connections and use few of them. Their requests come back on
+// a new connection, while one that is turned away has to wait.
+bool HttpServer::Impl::CloseLongestIdle() {
+  const TimePoint latest = SteadyNow() - kMinIdleTime;
+  for (auto entry = idle.begin(); entry != idle.end() && entry->since <= latest; ++entry) {
+    if (entry->transport == nullptr || entry->transport->HasUnexpectedInput()) continue;
+    entry->transport->Close();
+    entry->transport = nullptr;  // Its coroutine removes the entry.
+    return true;
+  }
+  return false;
+}
+
+Awaitable<void> HttpServer::Impl::Serve(std::shared_ptr<HttpTransport> transport, bool refuse) {
   transport->ExpireAfter(options.read_timeout);
   const auto failure = co_await transport->Handshake(asio::ssl::stream_base::server);
   bool open = !failure;
   while (open) {
-    transport->ExpireAfter(options.idle_timeout);
+    transport->ExpireAfter(refuse ? options.read_timeout : options.idle_timeout);
     boost::system::error_code closed;
     {
-      idle.insert(transport.get());
-      const absl::Cleanup readable = [&]() { idle.erase(transport.get()); };
+      const auto entry = idle.insert(idle.end(), {transport.get(), SteadyNow()});
+      const absl::Cleanup readable = [&]() { idle.erase(entry); };
       closed = co_await transport->WaitReadable();
     }
     if (closed) break;
     ++active;
     const absl::Cleanup served = [this]() { --active; };
-    open = co_await ServeOne(*transport);
+    open = co_await ServeOne(*transport, refuse);
     open = open && !draining;
   }
   transport->Close();
@@ -353,6 +386,7 @@
                                                                          ReadDeadline& deadline) {
   RequestParser& parser = reception.parser;
   auto failure = co_await transport.ReadHeader(parser);
+  if (!failure && reception.refused) co_return asio::error::no_memory;
   if (failure || parser.is_done()) co_return failure;
   parser.eager(true);
   const auto announced = parser.content_length();
@@ -409,18 +443,21 @@
   co_await transport.Linger(kMaxLingerBytes, linger_timeout);
 }
 
-Awaitable<bool> HttpServer::Impl::ServeOne(HttpTransport& transport) {
+Awaitable<bool> HttpServer::Impl::ServeOne(HttpTransport& transport, bool refuse) {
   std::optional<Reception> reception(std::in_place, io, transport, uploads);
+  reception->refused = refuse;
   const auto failure = co_await ReadRequest(transport, *reception);
   if (failure) {
     std::optional<HttpResponse> response = ReadFailureResponse(failure);
     Duration linger_timeout = kLingerTimeout;
     if (failure == asio::error::no_memory) {
-      const UploadRefusal refusal{uploads.used_bytes(), reception->upload.expected_bytes(),
-                                  reception->waited};
+      const auto cause =
+          reception->refused ? RequestRefusal::Cause::kConnections : RequestRefusal::Cause::kMemory;
+      const RequestRefusal refusal{cause, connections, uploads.used_bytes(),
+                                   reception->upload.expected_bytes(), reception->waited};
       HttpRequest request = ToRequest(reception->parser.release());
       request.body.clear();
-      response = options.refuse_upload(request, refusal);
+      response = options.refuse(request, refusal);
       // A caller that reads the answer only after it has sent everything would lose it earlier.
       if (!draining) linger_timeout = std::max(linger_timeout, options.read_timeout);
     }
@@ -432,7 +469,16 @@
   HttpExchange exchange(transport, ToRequest(reception->parser.release()), options.write_timeout);
   exchange.SetUpload(&reception->upload);
   if (!keep_alive || draining) exchange.CloseAfterResponse();
-  co_await Handle(exchange);
+  if (connections + handled >= options.max_descriptors) {
+    const RequestRefusal refusal{RequestRefusal::Cause::kConnections, connections,
+                                 uploads.used_bytes(), 0, Duration{0}};
+    HttpResponse response = options.refuse(exchange.request(), refusal);
+    co_await exchange.Respond(std::move(response));
+  } else {
+    ++handled;
+    const absl::Cleanup ended = [this]() { --handled; };
+    co_await Handle(exchange);
+  }
   co_return exchange.keep_alive() && exchange.answered();
 }
 
@@ -468,8 +514,9 @@
   co_await SleepFor(kDrainFirstBytes);
   // Lets connections whose request has been read leave the set of idle ones.
   co_await asio::post(impl->io, asio::use_awaitable);
-  for (HttpTransport* transport : impl->idle) {
-    if (!transport->HasUnexpectedInput()) transport->Close();
+  for (const Impl::IdleConnection& connection : impl->idle) {
+    HttpTransport* const transport = connection.transport;
+    if (transport != nullptr && !transport->HasUnexpectedInput()) transport->Close();
   }
   while (impl->active > 0 || !impl->idle.empty()) co_await SleepFor(kDrainPollInterval);
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -78,8 +78,12 @@
 /// Handles one request and sends its response.
 using HttpHandler = std::function<Awaitable<void>(HttpExchange&)>;
 
-/// A request whose body gets no memory.
-struct UploadRefusal {
+/// A request that is refused before its body is received.
+struct RequestRefusal {
+  enum class Cause { kMemory, kConnections };
+
+  Cause cause = Cause::kMemory;
+  int64_t connections = 0;
   int64_t held_bytes = 0;   ///< By all bodies.
   int64_t asked_bytes = 0;  ///< Announced length of the body, or the largest that is allowed.
   Duration waited{0};
@@ -89,12 +93,15 @@
   Endpoint listen;
   int64_t max_body_bytes = 8'000'000;
   int64_t max_header_bytes = 16'384;
+  /// Beyond it, connections that are idle are closed, and others are refused.
   int64_t max_connections = 4'096;
+  /// Limit of connections and of requests that are handled, each of which may need a connection of
+  /// its own. Further requests are refused.
+  int64_t max_descriptors = 1'000'000;
   /// Limit of all connections and of the bodies of their requests, until the requests have ended.
   int64_t body_memory_bytes = 256'000'000;
-  /// Returns the response to a request whose body gets no memory; `request` has no body.
-  std::function<HttpResponse(const HttpRequest& request, const UploadRefusal& refusal)>
-      refuse_upload;
+  /// Returns the response to a request that is refused; `request` has no body.
+  std::function<HttpResponse(const HttpRequest& request, const RequestRefusal& refusal)> refuse;
   /// Time limit from the first byte of a request to its last; also limits the TLS handshake.
   Duration read_timeout = Seconds(10);
   Duration write_timeout = Seconds(30);  ///< Time limit of each write to the client.
