Wait until stand-in runners listen before a fleet starts

Cause: in the tests. Fleet::Start waited for the store and the gateways, but not for the runners; a request that comes before a runner listens is refused, and faults that are set then are lost.

Change: Start waits for each runner's answer before it is listed.

Evidence: with runners that start 0.6 s late, AFullLogPipeHoldsNoRequestUp failed with the same 503, and GatewayPath.AnUnsafeRequestRunsOnceAndItsLossIsNoRefusal with 503 too; both pass with this change.

--- a/test/process/cut_answers.cc
+++ b/test/process/cut_answers.cc
@@ -66,11 +66,6 @@
   Fleet fleet{1, kRunners};
   int calls = 0;
 
-  void Start() {
-    fleet.Start();
-    for (int i = 0; i < kRunners; ++i) CHECK(Eventually([&]() { return fleet.Answers(i); }));
-  }
-
   void SetFault(const std::string& fault) {
     for (int i = 0; i < kRunners; ++i) fleet.InjectFault(absl::StrCat("runner", i), fault);
   }
@@ -108,7 +103,7 @@
 // Guards against a success with an empty or short body that looks complete: the end of the
 // connection was taken for the end of the answer.
 TEST(CutAnswers, AreNeverWhole) {
-  Start();
+  fleet.Start();
   for (const char* path : {"/safe/", "/unsafe/", "/stream/", "/single/"}) {
     for (const CutAnswer& answer : kCutAnswers) {
       CheckAnswer(path, answer, {{"reset", true}});
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -66,7 +66,11 @@
   }
   Eventually([&]() { return Send("GET", store_port_, "/objects/config").status == 200; });
   PutDesiredState({"key-1", "key-2"});
-  for (size_t i = 0; i < runners_.size(); ++i) ListRunner(static_cast<int>(i));
+  for (size_t i = 0; i < runners_.size(); ++i) {
+    const int runner = static_cast<int>(i);
+    Eventually([&]() { return Answers(runner); });
+    ListRunner(runner);
+  }
   for (size_t i = 0; i < gateways_.size(); ++i) {
     const std::string name = absl::StrCat("gateway", i);
     StartDaemon("gateway", name,
