Judge a lost request of the soak by the run that ended last

Their trace: the gateway had left a runner that was held by SIGSTOP, and the run in force at the next one was cut by a reset of its connections. The held runner then began the run that had been left, and ended it at once; the check took this one, the last to begin, for the run in force.

The run that ended last is now taken, and a runner that was killed ends its runs with the kill, so that an earlier run on a killed runner excuses nothing. SoakVerdict has the case: it failed before (LOST), and passes now.

--- a/test/correctness/soak_verdict.cc
+++ b/test/correctness/soak_verdict.cc
@@ -69,6 +69,11 @@
   STRCMP_EQUAL("LOST ", Broken().c_str());
   Disturb(Cause::kReset, "runner0", -Millis(1));
   STRCMP_EQUAL("", Broken().c_str());
+  route.repeatable = true;
+  const TimePoint late = start + Millis(500);
+  record.runs["c1-1"].push_back({"runner1", late, late, "left"});
+  STRCMP_EQUAL("", Broken().c_str());
+  record.runs["c1-1"].pop_back();
   record.disturbances.clear();
   Disturb(Cause::kFault, "gateway1", Seconds(1));
   STRCMP_EQUAL("LOST ", Broken().c_str());
--- a/test/soak/verdict.cc
+++ b/test/soak/verdict.cc
@@ -24,8 +24,11 @@
       : record_(record), attempt_(attempt), gateway_(GatewayName(attempt)) {
     const auto found = record.runs.find(attempt.id);
     if (found == record.runs.end()) return;
+    // A runner that was held may begin a run that the gateway has left for another one, so that the
+    // run in force is the one that ended last.
     for (const RunRecord& run : found->second) {
-      if (run.begin <= attempt.end) last_run_ = &run;
+      if (run.begin > attempt.end) continue;
+      if (last_run_ == nullptr || EndOf(run) >= EndOf(*last_run_)) last_run_ = &run;
     }
   }
 
@@ -84,6 +87,17 @@
   }
 
  private:
+  /// Returns when a run ended; for a runner that did not survive it, when that was killed.
+  TimePoint EndOf(const RunRecord& run) const {
+    TimePoint end = run.end;
+    if (end != TimePoint::max()) return end;
+    for (const Disturbance& other : record_.disturbances) {
+      if (other.cause != Cause::kFault || other.process != run.runner) continue;
+      if (other.begin >= run.begin) end = std::min(end, other.begin);
+    }
+    return end;
+  }
+
   template <typename Condition>
   bool AnyDisturbance(Condition condition) const {
     return std::any_of(record_.disturbances.begin(), record_.disturbances.end(), condition);
