Repeat writes of the soak that the store has not confirmed

Writes fell into the soak's own faults of the store and were lost: an evacuation was then never taken back, and a runner stayed listed as draining. Writes are now repeated for 5 s and more.

--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -113,8 +113,9 @@
   return Send("PUT", store_port_, path, body, {}, call_timeout_).status == 200;
 }
 
-void Fleet::Delete(const std::string& kind, const std::string& name) {
-  Send("DELETE", store_port_, absl::StrCat("/objects/", kind, "/", name), "", {}, call_timeout_);
+bool Fleet::Delete(const std::string& kind, const std::string& name) {
+  const std::string path = absl::StrCat("/objects/", kind, "/", name);
+  return Send("DELETE", store_port_, path, "", {}, call_timeout_).status == 200;
 }
 
 bool Fleet::ListRunner(int runner, const std::string& state, int cold_ms, int64_t started_ms) {
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -41,7 +41,7 @@
   /// Writes an object of the store, as an operator or a runner would. Returns whether the store has
   /// confirmed it.
   bool Put(const std::string& kind, const std::string& name, const boost::json::value& spec);
-  void Delete(const std::string& kind, const std::string& name);
+  bool Delete(const std::string& kind, const std::string& name);
   /// Writes the store's record of a runner that started at `started_ms`.
   bool ListRunner(int runner, const std::string& state = "ready", int cold_ms = 0,
                   int64_t started_ms = 1'000);
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -28,6 +28,9 @@
 constexpr Duration kSettingsCutFor = Millis(300);
 constexpr Duration kDrainBeforeLeave = Millis(2'500);
 constexpr Duration kMemoryInterval = Millis(500);
+/// Writes are repeated for longer than a fault of the store lasts.
+constexpr int kWriteAttempts = 50;
+constexpr Duration kWriteInterval = Millis(100);
 constexpr int kReloadsInSeries = 4;
 constexpr size_t kLogTail = 6;
 
@@ -451,10 +454,19 @@
   });
 }
 
+void SoakRun::WriteToStore(std::function<bool()> write) {
+  store_calls_.Add([write = std::move(write)]() {
+    for (int i = 0; i < kWriteAttempts && !write(); ++i) {
+      std::this_thread::sleep_for(kWriteInterval);
+    }
+  });
+}
+
 void SoakRun::Relist(const std::string& name, const std::string& state) {
   const int64_t started_ms = runner_starts_.at(name);
-  store_calls_.Add(
-      [this, name, state, started_ms]() { fleet_.ListRunner(Number(name), state, 0, started_ms); });
+  WriteToStore([this, name, state, started_ms]() {
+    return fleet_.ListRunner(Number(name), state, 0, started_ms);
+  });
 }
 
 void SoakRun::Drain(const Step& step) {
@@ -464,10 +476,10 @@
 }
 
 void SoakRun::Evacuate(const Step& step) {
-  store_calls_.Add(
-      [this]() { fleet_.Put(platform::kEvacuationKind, "east", boost::json::object{}); });
+  WriteToStore(
+      [this]() { return fleet_.Put(platform::kEvacuationKind, "east", boost::json::object{}); });
   At(Millis(step.amount), [this]() {
-    store_calls_.Add([this]() { fleet_.Delete(platform::kEvacuationKind, "east"); });
+    WriteToStore([this]() { return fleet_.Delete(platform::kEvacuationKind, "east"); });
   });
 }
 
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -95,6 +95,8 @@
   void BeginCap(const std::string& name);
   void EndCap(const std::string& name);
   void SetRunnerFault(const std::string& name, const std::string& fault);
+  /// Repeats a write until the store has confirmed it.
+  void WriteToStore(std::function<bool()> write);
   void Relist(const std::string& name, const std::string& state);
   void CheckProcesses();
   void OnEnd(const std::string& name, Process& process, int code);
