Refuse a reload of a file with unknown sections, and outlive an exception in it

GatewayPath.AWrongSettingsFileIsRefusedAndLeavesTheProcessRunning failed since settings that cannot be used have defaults: a reload took a file with a section of another program. At the start such a file is better than none; a process that runs keeps what it has. An exception in a reload ended the handling of signals, so that SIGTERM had no effect any more; it is logged as settings_refused now.

--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -68,15 +68,19 @@
 /// Caller connections that are allowed however few descriptors there are.
 constexpr int64_t kMinCallerConnections = 64;
 
+/// What to do about a file with sections that are not known.
+enum class UnknownSections { kIgnore, kRefuse };
+
 /// Reads the settings and logs the values that a default replaces.
 std::optional<GatewaySettings> LoadSettings(const std::string& file, PlatformRole role,
-                                            Findings& findings) {
+                                            UnknownSections unknown, Findings& findings) {
   const std::optional<std::string> text = ReadFileText(file, findings);
   if (!text) return std::nullopt;
   Findings ignorable;
   const IniDocument document = ParseIni(*text, file, ignorable);
   std::optional<GatewaySettings> settings =
       ParseGatewaySettings(document, role, findings, ignorable);
+  if (unknown == UnknownSections::kRefuse && HasUnknownSection(document)) settings.reset();
   for (const Finding& finding : ignorable.items()) {
     if (settings) {
       LogWarning("settings_value_ignored",
@@ -128,7 +132,9 @@
   void Reload(const std::string& cause) {
     modified_at_ns_ = ModifiedAtNs(file_);
     Findings findings;
-    const std::optional<GatewaySettings> loaded = LoadSettings(file_, role_, findings);
+    // The file of another program says nothing about this one, which has settings already.
+    const std::optional<GatewaySettings> loaded =
+        LoadSettings(file_, role_, UnknownSections::kRefuse, findings);
     if (!loaded) {
       LogError("settings_refused", {{"cause", cause}, {"findings", findings.ToString()}});
       return;
@@ -344,7 +350,12 @@
       const std::string name = SignalName(signal);
       LogInfo("signal_received", {{"signal", name}});
       if (signal != SIGHUP) break;
-      if (process_ != nullptr) process_->Reload(name);
+      try {
+        if (process_ != nullptr) process_->Reload(name);
+      } catch (const std::exception& e) {
+        // The next signals must still be handled.
+        LogError("settings_refused", {{"cause", name}, {"findings", e.what()}});
+      }
     }
     if (process_ != nullptr) co_await process_->ShutDown();
     io_.stop();
@@ -354,11 +365,12 @@
     // The platform may still be writing the file.
     const TimePoint give_up_at = started_at_ + kSettingsWait;
     Findings findings;
-    std::optional<GatewaySettings> settings = LoadSettings(file_, role_, findings);
+    std::optional<GatewaySettings> settings =
+        LoadSettings(file_, role_, UnknownSections::kIgnore, findings);
     while (!settings && SteadyNow() < give_up_at) {
       co_await SleepFor(kSettingsRetryDelay);
       findings = {};
-      settings = LoadSettings(file_, role_, findings);
+      settings = LoadSettings(file_, role_, UnknownSections::kIgnore, findings);
     }
     if (settings) {
       StartProcess(*settings);
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -2,7 +2,9 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
+#include <iterator>
 #include <set>
 
 #include "core/ini_binder.h"
@@ -37,6 +39,8 @@
 
 const IniKey<Settings> kLogKeys[] = {{"level", &Settings::log_level}};
 
+constexpr std::string_view kSections[] = {"process", "platform", "bounds", "regions", "log"};
+
 constexpr std::string_view kLogLevels[] = {"debug", "info", "warning", "error"};
 
 /// Copies the members that `table` names from `section` to `settings`.
@@ -133,4 +137,12 @@
   return settings;
 }
 
+bool HasUnknownSection(const IniDocument& document) {
+  return std::any_of(document.sections.begin(), document.sections.end(),
+                     [](const IniSection& section) {
+                       return std::find(std::begin(kSections), std::end(kSections), section.kind) ==
+                              std::end(kSections);
+                     });
+}
+
 }  // namespace fuchsiaweir
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -50,6 +50,9 @@
 std::optional<GatewaySettings> ParseGatewaySettings(const IniDocument& document, PlatformRole role,
                                                     Findings& findings, Findings& ignorable);
 
+/// Whether the file has a section that settings do not have.
+bool HasUnknownSection(const IniDocument& document);
+
 }  // namespace fuchsiaweir
 
 #endif  // FUCHSIAWEIR_GATEWAY_GATEWAY_SETTINGS_H_
