Count a place for each attempt that is given up, and bound what suspected runners get

The place is now reserved before the old attempt is closed. - A connection that was not answered within 250 ms counted like a closed port: while two hosts stood still for 1.5 s and for seconds after, most requests were refused. It is a sign of its own now (no_connection), as of a runner that is suspected, not absent. A cold start is still assumed. - Two suspended runners got every request until its deadline. A suspected runner gets no more than it runs at once. - Bytes of a stream without a complete event extended its time (two requests ended in 504 beside a sound runner). - A gateway of 96 MB held large bodies and their answers together: 111 MB. A large body is released when a runner begins to answer; it cannot be sent again then. - The time of the slowest recent answer now holds also for runners that send reports: the soak saw 55 of 8,200 requests given up after 1.7 s while their runners worked.

Tests: SlowRunners (two more), RunnerRegistry (two more); their first run is that of the merged code.

--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -290,7 +290,7 @@
   RunnerNotices& notices = runner_registry.notices();
   bool some_leave = false;
   std::vector<Candidate> suspected;
-  bool some_sound = false;  // Runners that take requests soon, if not now.
+  bool some_soon = false;  // Some runners take requests soon, if not now.
   SharedInputs shared;
   if (query.tokens > 0) {
     shared.unreported_per_s = UnreportedTokensPerSecond(query, runner_registry, now);
@@ -314,7 +314,7 @@
       continue;
     }
     const PlacementRefusal refusal = CheckEligible(query, state, notices, shared, placement, now);
-    some_sound = some_sound || TakesRequestsSoon(refusal);
+    some_soon = some_soon || TakesRequestsSoon(refusal);
     if (refusal != PlacementRefusal::kNone && refusal != PlacementRefusal::kUnreachable) continue;
     Candidate candidate{&id, &state, LoadScore(query, state, now), affinity, false};
     candidate.failing = state.FailureRate(now) > kMaxFailureRate;
@@ -322,15 +322,17 @@
       candidate.load += kOldWeightsPenalty;
     }
     if (refusal == PlacementRefusal::kUnreachable) {
-      if (!state.absent) suspected.push_back(candidate);
+      const int64_t slots = std::max<int64_t>(1, state.record.slots);
+      if (!state.absent && state.in_flight < slots) suspected.push_back(candidate);
       continue;
     }
     candidates.push_back(candidate);
   }
   // Load pattern: a stall of the network, of this host or of the service makes all runners look
-  // dead at the same time, while they work on. If no sound one will take the request, a suspected
-  // one is better than none, unless it is known to be absent.
-  if (candidates.empty() && !some_sound && query.allow_suspected) candidates = std::move(suspected);
+  // dead at the same time, while they work on. If no other one takes requests soon, a suspected one
+  // is better than none, unless it is known to be absent. It gets no more requests than it can run
+  // at once, since they are lost if it is dead.
+  if (candidates.empty() && !some_soon && query.allow_suspected) candidates = std::move(suspected);
   if (candidates.empty()) {
     if (placement.refusal == PlacementRefusal::kNone) {
       RecordRefusal(placement,
--- a/src/core/runner_registry.cc
+++ b/src/core/runner_registry.cc
@@ -27,8 +27,8 @@
 // Maximum delay from a restarted runner's first accepted connection until its new record arrives.
 constexpr Duration kMaxRecordDelay = Millis(1500);
 
-constexpr std::array<std::string_view, 7> kOutcomeNames = {
-    "served", "own_failure", "full", "moved", "unreachable", "broken", "silent"};
+constexpr std::array<std::string_view, 8> kOutcomeNames = {
+    "served", "own_failure", "full", "moved", "unreachable", "no_connection", "broken", "silent"};
 
 }  // namespace
 
@@ -175,8 +175,10 @@
   state->failure_rate = state->FailureRate(now) * (1 - weight) + (failed ? weight : 0.0);
   state->failure_rate_at = now;
   if (outcome == AttemptOutcome::kMoved) state->avoid_until = now + kMovedAvoidPeriod;
-  const bool no_answer = outcome == AttemptOutcome::kUnreachable ||
-                         outcome == AttemptOutcome::kBroken || outcome == AttemptOutcome::kSilent;
+  const bool no_connection =
+      outcome == AttemptOutcome::kUnreachable || outcome == AttemptOutcome::kNoConnection;
+  const bool no_answer =
+      no_connection || outcome == AttemptOutcome::kBroken || outcome == AttemptOutcome::kSilent;
   if (outcome == AttemptOutcome::kServed) {
     state->consecutive_failures = 0;
     return;
@@ -184,11 +186,11 @@
   if (!no_answer) return;
   ++state->consecutive_failures;
   // One broken or late response does not prove that the runner is down; a refused connection does.
-  if (outcome == AttemptOutcome::kUnreachable || state->consecutive_failures >= 2) {
+  if (no_connection || state->consecutive_failures >= 2) {
     const int64_t doublings = std::min<int64_t>(state->consecutive_failures - 1, 3);
     state->avoid_until = now + std::min(kMaxAvoidPeriod, kInitialAvoidPeriod * (1 << doublings));
   }
-  if (outcome == AttemptOutcome::kUnreachable && cold_time > Duration{0}) {
+  if (no_connection && cold_time > Duration{0}) {
     state->cold_until = std::max(state->cold_until, now + cold_time + kMaxRecordDelay);
   }
 }
--- a/src/core/runner_registry.h
+++ b/src/core/runner_registry.h
@@ -18,12 +18,13 @@
 /// Outcome of a request at a runner, as evidence of the runner's health.
 enum class AttemptOutcome {
   kServed,
-  kOwnFailure,   ///< The runner sent an error response.
-  kFull,         ///< The runner refused the request as not run.
-  kMoved,        ///< Another runner has the address, or the weights differ from the record.
-  kUnreachable,  ///< No connection.
-  kBroken,       ///< The connection was closed early, or the answer was malformed.
-  kSilent,       ///< No data within the timeout.
+  kOwnFailure,    ///< The runner sent an error response.
+  kFull,          ///< The runner refused the request as not run.
+  kMoved,         ///< Another runner has the address, or the weights differ from the record.
+  kUnreachable,   ///< No open port, or no address.
+  kNoConnection,  ///< No answer to the attempt to connect.
+  kBroken,        ///< The connection was closed early, or the answer was malformed.
+  kSilent,        ///< No data within the timeout.
 };
 
 /// Returns the outcome's name in logs and metrics.
--- a/src/gateway/attempt_monitor.cc
+++ b/src/gateway/attempt_monitor.cc
@@ -58,7 +58,7 @@
   const Duration timeout =
       Micros(static_cast<int64_t>(static_cast<double>(request.route->objective.count()) * factor));
   const auto known = answer_times_.find(request.service);
-  if (alive || known == answer_times_.end()) return timeout;
+  if (known == answer_times_.end()) return timeout;
   return std::max(timeout, known->second.Longest(now));
 }
 
@@ -67,8 +67,10 @@
 // faster. Only time in which this process could have read an answer counts, and only a runner that
 // takes the request now is a reason to give one up.
 bool AttemptMonitor::ShouldAbandon(ForwardedRequest& request,
-                                   const std::function<bool()>& has_other, TimePoint now) {
-  const bool new_bytes = request.last_byte_at >= step_began_;
+                                   const std::function<bool()>& reserve_other, TimePoint now) {
+  // Bytes of a stream without a complete event are no progress.
+  const bool progress = request.first_byte_received || !request.is_stream();
+  const bool new_bytes = progress && request.last_byte_at >= step_began_;
   request.silent_for =
       new_bytes ? std::min(now - request.last_byte_at, step_) : request.silent_for + step_;
   if (!request.repeatable() || request.runs >= request.route->attempts) return false;
@@ -79,7 +81,7 @@
   const bool late =
       !request.first_byte_received && request.silent_for >= FirstByteTimeout(request, runner, now);
   if (!dead && !late) return false;
-  if (request.channel->HasInput() || !has_other()) return false;
+  if ((progress && request.channel->HasInput()) || !reserve_other()) return false;
   if (!admission_.TryConsumeRetry(request.service)) return false;
   request.retry_reserved = true;
   LogAbandoned(request, runner, dead, now);
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -11,6 +11,7 @@
 #include "core/clock.h"
 #include "core/error_code.h"
 #include "core/memory_budget.h"
+#include "core/placement.h"
 #include "core/route_table.h"
 #include "core/run_state.h"
 #include "gateway/runner_channel.h"
@@ -70,6 +71,8 @@
   bool caller_gone = false;
   bool abandoned = false;       ///< The attempt was cancelled in favour of another runner.
   bool retry_reserved = false;  ///< The next attempt was already taken from the retry budget.
+  Placement reserved;           ///< Of the next attempt, which is counted at its runner already.
+  bool body_released = false;   ///< No further attempt can be made.
   int64_t last_event_id = 0;    ///< Id of the last event that the caller has received.
   int stream_status = 0;        ///< Status of the caller's stream, once it has begun.
   std::string stream_media_type;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -67,6 +67,8 @@
 /// A faulty runner may send an event without end.
 constexpr size_t kMaxEventBytes = 1'000'000;
 constexpr size_t kMaxLoggedEventBytes = 200;
+/// Larger bodies are not kept for another attempt once a runner has begun to answer.
+constexpr size_t kMaxRepeatedBodyBytes = 65'536;
 /// A failure this close to the deadline counts as a timeout.
 constexpr Duration kDeadlineTolerance = Millis(5);
 
@@ -119,7 +121,10 @@
   request.arrived_at = SteadyNow();
   request.caller = platform::DecodeCallerRequest(exchange.request());
   requests_.insert(&request);
-  const absl::Cleanup ended = [this, &request]() { requests_.erase(&request); };
+  const absl::Cleanup ended = [this, &request]() {
+    ReleaseReservation(request);
+    requests_.erase(&request);
+  };
   std::optional<Refusal> refusal = admission_.Admit(request);
   if (!refusal) refusal = RefuseLate(request);
   if (refusal) {
@@ -155,8 +160,7 @@
     // A stream that has begun cannot be answered otherwise; it may still end in time.
     if (!request->route || request->exchange.streaming()) continue;
     request->deadline = std::min(request->deadline, now);
-    // An answer that is there to be read is delivered.
-    if (request->channel != nullptr && !request->channel->HasInput()) request->channel->Close();
+    if (request->channel != nullptr) request->channel->Close();
   }
 }
 
@@ -234,6 +238,7 @@
       return false;
   }
   if (!request.repeatable() || request.runs >= request.route->attempts) return false;
+  if (request.body_released) return false;
   if (std::exchange(request.retry_reserved, false)) return true;
   return admission_.TryConsumeRetry(request.service);
 }
@@ -242,14 +247,25 @@
   return PlaceRequest(MakePlacementQuery(request, now), view_.runner_registry(), now);
 }
 
-bool Forwarder::HasOtherRunner(ForwardedRequest& request, TimePoint now) {
-  if (!crash_attribution_.MayRetry(request)) return false;
+// Many attempts may be given up at the same time, and each needs a place of its own.
+bool Forwarder::ReserveOtherRunner(ForwardedRequest& request, TimePoint now) {
+  if (request.body_released || !crash_attribution_.MayRetry(request)) return false;
   PlacementQuery query = MakePlacementQuery(request, now);
   std::set<std::string> tried = request.tried;
   tried.insert(request.runner);
   query.tried = &tried;
   query.allow_suspected = false;
-  return !PlaceRequest(query, view_.runner_registry(), now).runner.empty();
+  Placement placement = PlaceRequest(query, view_.runner_registry(), now);
+  if (placement.runner.empty()) return false;
+  view_.runner_registry().OnPlaced(placement.runner, request.tokens(), now);
+  request.reserved = std::move(placement);
+  return true;
+}
+
+void Forwarder::ReleaseReservation(ForwardedRequest& request) {
+  if (request.reserved.runner.empty()) return;
+  view_.runner_registry().OnRequestEnd(request.reserved.runner);
+  request.reserved = {};
 }
 
 PlacementQuery Forwarder::MakePlacementQuery(ForwardedRequest& request, TimePoint now) {
@@ -284,6 +300,11 @@
 }
 
 Awaitable<Placement> Forwarder::WaitForPlacement(ForwardedRequest& request) {
+  const RunnerState* const reserved = view_.runner_registry().Find(request.reserved.runner);
+  if (reserved != nullptr && TakesRequests(*reserved, SteadyNow())) {
+    co_return std::exchange(request.reserved, {});
+  }
+  ReleaseReservation(request);
   const TimePoint started_at = SteadyNow();
   const Duration limit =
       request.exchange.streaming()
@@ -362,8 +383,7 @@
       endpoint, std::move(id), request.repeatable(), kRunnerConnectTimeout);
   const TimePoint now = SteadyNow();
   if (acquired.channel == nullptr) {
-    view_.runner_registry().OnAttemptOutcome(placement.runner, AttemptOutcome::kUnreachable,
-                                             cold_time, now);
+    view_.runner_registry().OnAttemptOutcome(placement.runner, acquired.outcome, cold_time, now);
     request.attempt_log.push_back(placement.runner + ":unreachable");
     LogInfo("runner_unreachable", {{"request", request.caller.id},
                                    {"runner", placement.runner},
@@ -464,8 +484,13 @@
     request.attempt_log.push_back(absl::StrCat(runner, ":not_resumed_", answer.status));
     co_return AttemptResult::kCut;
   }
+  // The body and the answer of a request would otherwise be held together, beyond the memory.
+  const bool large = request.exchange.request().body.size() > kMaxRepeatedBodyBytes;
   const bool last_attempt = !request.repeatable() || request.runs >= request.route->attempts;
-  if (!answer.not_run && last_attempt) request.exchange.ReleaseBody();
+  if (!answer.not_run && (last_attempt || (success && large))) {
+    request.exchange.ReleaseBody();
+    request.body_released = true;
+  }
   if (success && request.is_stream()) {
     const AttemptResult result = co_await RelayStream(request, channel, runner_header, runner);
     co_return result;
@@ -730,8 +755,11 @@
     request.channel->Close();
     return;
   }
-  const auto has_other = [&]() { return HasOtherRunner(request, now); };
-  if (!monitor_.ShouldAbandon(request, has_other, now)) return;
+  const auto reserve_other = [&]() { return ReserveOtherRunner(request, now); };
+  if (!monitor_.ShouldAbandon(request, reserve_other, now)) {
+    ReleaseReservation(request);
+    return;
+  }
   request.abandoned = true;
   request.channel->Close();
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -60,8 +60,10 @@
   Placement TryPlacement(ForwardedRequest& request, TimePoint now);
   /// Whether the runner may get a request that was placed there; it may have asked for none since.
   bool TakesRequests(const RunnerState& runner, TimePoint now) const;
-  /// Whether a runner other than that of the attempt in progress takes the request now.
-  bool HasOtherRunner(ForwardedRequest& request, TimePoint now);
+  /// Counts the request at a runner other than that of the attempt in progress. Returns false if
+  /// none takes it now.
+  bool ReserveOtherRunner(ForwardedRequest& request, TimePoint now);
+  void ReleaseReservation(ForwardedRequest& request);
   /// Sends the request to the runner once.
   Awaitable<AttemptResult> RunAttempt(ForwardedRequest& request, const Placement& placement);
   /// Returns a share of the memory for the answer that the attempt receives.
--- a/src/gateway/runner_channel.cc
+++ b/src/gateway/runner_channel.cc
@@ -191,6 +191,8 @@
                                 asio::redirect_error(asio::use_awaitable, failure));
   if (failure) {
     acquired.failure = failure.message();
+    // The runner, its host or the network may stand still for a moment.
+    if (failure == beast::error::timeout) acquired.outcome = AttemptOutcome::kNoConnection;
     co_return acquired;
   }
   // Closing resets the connection, which discards what is not delivered yet. A request that was
--- a/src/gateway/runner_channel.h
+++ b/src/gateway/runner_channel.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "core/clock.h"
+#include "core/runner_registry.h"
 #include "net/awaitable.h"
 #include "net/http_types.h"
 #include "platform/runner_api.h"
@@ -85,7 +86,8 @@
   struct Acquired {
     std::unique_ptr<RunnerChannel> channel;  ///< Null if no connection could be opened.
     bool reused = false;
-    std::string failure;  ///< Why no connection could be opened.
+    std::string failure;                                    ///< Why no connection could be opened.
+    AttemptOutcome outcome = AttemptOutcome::kUnreachable;  ///< What the failure shows.
   };
 
   /// Returns an idle connection, or opens one. A request that is not repeatable only reuses a
--- a/src/gateway/runner_check.cc
+++ b/src/gateway/runner_check.cc
@@ -33,8 +33,7 @@
     channels_.Release(endpoint, std::move(acquired.channel));
     co_return;
   }
-  view_.runner_registry().OnAttemptOutcome(runner, AttemptOutcome::kUnreachable, cold_time,
-                                           SteadyNow());
+  view_.runner_registry().OnAttemptOutcome(runner, acquired.outcome, cold_time, SteadyNow());
   LogInfo("runner_unreachable",
           {{"request", ""}, {"runner", runner}, {"reason", acquired.failure}});
 }
--- a/test/correctness/runner_registry.cc
+++ b/test/correctness/runner_registry.cc
@@ -77,6 +77,30 @@
   CHECK(placement.refusal == PlacementRefusal::kUnreachable);
 }
 
+// Guards against a service that stays refused because its hosts did not answer for a moment.
+TEST(RunnerRegistry, ARunnerThatDidNotAnswerAConnectionIsUsedIfThereIsNoOther) {
+  runner_registry.Upsert(Record("a", 1), kStart);
+  runner_registry.OnAttemptOutcome("a", AttemptOutcome::kNoConnection, Duration{0}, kStart);
+  PlacementQuery query = Query(gateways);
+  STRCMP_EQUAL("a", PlaceRequest(query, runner_registry, kStart).runner.c_str());
+  query.allow_suspected = false;
+  STRCMP_EQUAL("", PlaceRequest(query, runner_registry, kStart).runner.c_str());
+}
+
+// Guards against all requests of a dead service that wait for their deadline instead of a refusal.
+TEST(RunnerRegistry, ASuspectedRunnerGetsNoMoreRequestsThanItRunsAtOnce) {
+  runner_registry.Upsert(Record("a", 1), kStart);
+  for (int i = 0; i < 2; ++i) {
+    runner_registry.OnAttemptOutcome("a", AttemptOutcome::kSilent, Duration{0}, kStart);
+  }
+  int placed = 0;
+  while (placed < 20 && !PlaceRequest(Query(gateways), runner_registry, kStart).runner.empty()) {
+    runner_registry.OnPlaced("a", 0, kStart);
+    ++placed;
+  }
+  LONGS_EQUAL(8, placed);
+}
+
 // Guards against requests to a runner whose address now belongs to a newer one. After a power loss
 // of all hosts, the records of the former runners stay in the list for seconds; each request routed
 // by them is refused and retried, which exceeds the retry budget.
--- a/test/process/slow_runners.cc
+++ b/test/process/slow_runners.cc
@@ -65,6 +65,28 @@
   LONGS_EQUAL(kCallers, fleet.Runs(0) + fleet.Runs(1));
 }
 
+// Guards against attempts that are all given up for the same free place: the others ended in 502.
+TEST(SlowRunners, AFreePlaceIsAReasonToGiveUpOneAttempt) {
+  fleet.Start();
+  SetWork(R"({"work_ms": 1800})");
+  fleet.ListRunner(1, "ready", 60'000);  // Takes four requests a second.
+  CHECK(Eventually(
+      [&]() { return fleet.Log("gateway0").find("\"cold_ms\":\"60000\"") != std::string::npos; }));
+  LONGS_EQUAL(kCallers, CallFromAll("/safe/", "x"));
+}
+
+// Guards against a stream whose runner sends bytes but no event, and that stays there although
+// another runner would serve it.
+TEST(SlowRunners, AStreamWithoutAnEventMovesToAnotherRunner) {
+  fleet.Start();
+  fleet.InjectFault("runner0", R"({"trickle": true})");
+  for (int i = 0; i < 4; ++i) {
+    const Reply reply = fleet.Call("/stream/", "events=3");
+    LONGS_EQUAL(200, reply.status);
+    CHECK(reply.body.ends_with("id: 3\ndata: token 3\n\n"));
+  }
+}
+
 /// Streams of runners with sidecars that stand still and go on.
 TEST_GROUP(SuspendedRunners) { Fleet fleet{1, 2, /*sidecars=*/true}; };
 
