Let the soak excuse a stop that comes while libraries are linked

Seen: processes that got SIGTERM within milliseconds of their start end by the signal, before the first instruction of the executable can hold it. The soak called this FAULT, because it asked for exit code 0. Only processes that have not served since their start, stopped within 4 s of it, are excused, and only for the exit by SIGTERM; SIGHUP stays a violation.

--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -277,6 +277,7 @@
   process.killed = false;
   process.stopping.reset();
   process.started = SteadyNow();
+  process.served = false;
   process.watched = process.daemon;
   if (process.daemon) return fleet_.Restart(name);
   runner_starts_[name] = UnixMillis();
@@ -321,6 +322,10 @@
                  absl::StrFormat("it ended by itself %.3f s after its start: %d",
                                  ToSeconds(SteadyNow() - process.started), code));
     process.on_end = [this, name]() { StartLater(name, 200); };
+  } else if (code == -SIGTERM && !process.served &&
+             *process.stopping - process.started < kStartBound) {
+    // The rules count processes that end by themselves. This one was asked to stop before its
+    // first instruction, while its libraries were linked, and has accepted nothing.
   } else if (code != 0) {
     AddViolation("FAULT", name,
                  absl::StrFormat("it ended %.3f s after SIGTERM and %.3f s after its start: %d",
@@ -348,6 +353,7 @@
       if (late && store_calm_since_ <= started) {
         AddViolation("FAULT", name, "it does not serve 4 s after its start");
       }
+      process.served = process.served || serves;
       if (serves || late) process.watched = false;
     }
     std::this_thread::sleep_for(kProbeInterval);
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -62,6 +62,7 @@
     std::optional<TimePoint> stopping;  ///< Time of the SIGTERM that has not ended it yet.
     std::function<void()> on_end;
     TimePoint started;
+    bool served = false;   ///< Since its last start.
     bool watched = false;  ///< Whether it has to serve in time: nothing else has happened to it.
   };
 
