Share the text of milliseconds, and return a refusal where it is recorded

CheckEligible named each refusal twice, once to record and once to return it; RecordRefusal returns it now. Behaviour is as before.

--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -73,12 +73,14 @@
   bool failing = false;  ///< Its failure rate exceeds `kMaxFailureRate`.
 };
 
-// Keeps the refusal that ends first, because the caller may retry then.
-void RecordRefusal(Placement& placement, PlacementRefusal refusal, Duration retry_after) {
+// Keeps the refusal that ends first, because the caller may retry then. Returns `refusal`.
+PlacementRefusal RecordRefusal(Placement& placement, PlacementRefusal refusal,
+                               Duration retry_after) {
   if (placement.refusal == PlacementRefusal::kNone || retry_after < placement.retry_after) {
     placement.refusal = refusal;
     placement.retry_after = retry_after;
   }
+  return refusal;
 }
 
 double LoadScore(const PlacementQuery& query, const RunnerState& state, TimePoint now) {
@@ -174,50 +176,42 @@
                                Placement& placement, TimePoint now) {
   if (query.closed_data_centres != nullptr &&
       query.closed_data_centres->count(state.record.data_centre) > 0) {
-    RecordRefusal(placement, PlacementRefusal::kClosed, kUnreachableRetryAfter);
-    return PlacementRefusal::kClosed;
+    return RecordRefusal(placement, PlacementRefusal::kClosed, kUnreachableRetryAfter);
   }
   if (state.record.draining || state.replaced || notices.Leaving(state.record.id)) {
     return PlacementRefusal::kLeaving;
   }
   const Duration paused_for = notices.PauseLeft(state.record.id, now);
   if (paused_for > Duration{0}) {
-    RecordRefusal(placement, PlacementRefusal::kPaused, paused_for);
-    return PlacementRefusal::kPaused;
+    return RecordRefusal(placement, PlacementRefusal::kPaused, paused_for);
   }
   if (state.record.weights_version < query.min_weights_version) {
-    RecordRefusal(placement, PlacementRefusal::kLoading, kLoadingRetryAfter);
-    return PlacementRefusal::kLoading;
+    return RecordRefusal(placement, PlacementRefusal::kLoading, kLoadingRetryAfter);
   }
   // Late in a weight rollout, a request queued at a runner with old weights could start only after
   // the deadline for the new ones.
   if (state.record.weights_version < query.min_weights_version_if_queued &&
       state.ReportFresh(now) && state.report->waiting > 0) {
-    RecordRefusal(placement, PlacementRefusal::kLoading, kLoadingRetryAfter);
-    return PlacementRefusal::kLoading;
+    return RecordRefusal(placement, PlacementRefusal::kLoading, kLoadingRetryAfter);
   }
   const WeightLoadPhase phase =
       state.ReportFresh(now) ? state.report->phase : WeightLoadPhase::kServing;
   if (phase == WeightLoadPhase::kLoading ||
       (phase == WeightLoadPhase::kFinishing && !query.repeatable)) {
-    RecordRefusal(placement, PlacementRefusal::kLoading, kLoadingRetryAfter);
-    return PlacementRefusal::kLoading;
+    return RecordRefusal(placement, PlacementRefusal::kLoading, kLoadingRetryAfter);
   }
   if (query.tokens > 0 && !FitsMemory(query, state, shared.unreported_per_s, now)) {
-    RecordRefusal(placement, PlacementRefusal::kFull, kFullRetryAfter);
-    return PlacementRefusal::kFull;
+    return RecordRefusal(placement, PlacementRefusal::kFull, kFullRetryAfter);
   }
   if (shared.first_pause_end && !BearsMore(query, state, now)) {
-    RecordRefusal(placement, PlacementRefusal::kFull, *shared.first_pause_end);
-    return PlacementRefusal::kFull;
+    return RecordRefusal(placement, PlacementRefusal::kFull, *shared.first_pause_end);
   }
   // Without the list of gateways, this gateway's shares are unknown.
   const std::vector<std::string> unknown;
   const std::vector<std::string>& gateways = query.gateways == nullptr ? unknown : *query.gateways;
   const Duration limited_for = notices.WaitTime(state.record.id, query.self, gateways, now);
   if (limited_for > Duration{0}) {
-    RecordRefusal(placement, PlacementRefusal::kLimited, limited_for);
-    return PlacementRefusal::kLimited;
+    return RecordRefusal(placement, PlacementRefusal::kLimited, limited_for);
   }
   if (state.Cold(now) && query.cold_requests_per_second > 0) {
     const int64_t share = gateways.empty()
@@ -225,15 +219,13 @@
                               : RequestShare(static_cast<int64_t>(query.cold_requests_per_second),
                                              state.record.id, query.self, gateways);
     if (!state.cold_requests.HasCapacity(share, kColdWindow, now)) {
-      RecordRefusal(placement, PlacementRefusal::kCold,
-                    std::min(kColdRetryAfter, state.cold_until - now));
-      return PlacementRefusal::kCold;
+      return RecordRefusal(placement, PlacementRefusal::kCold,
+                           std::min(kColdRetryAfter, state.cold_until - now));
     }
   }
   if (state.Suspected(now)) {
-    RecordRefusal(placement, PlacementRefusal::kUnreachable,
-                  std::max(kUnreachableRetryAfter / 2, state.avoid_until - now));
-    return PlacementRefusal::kUnreachable;
+    return RecordRefusal(placement, PlacementRefusal::kUnreachable,
+                         std::max(kUnreachableRetryAfter / 2, state.avoid_until - now));
   }
   return PlacementRefusal::kNone;
 }
--- a/src/gateway/attempt_monitor.cc
+++ b/src/gateway/attempt_monitor.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <string>
 
+#include "core/millis_text.h"
 #include "net/log.h"
 
 namespace fuchsiaweir {
@@ -26,8 +27,6 @@
 /// Periods of the timer that one call counts for at most. The rest of a longer time is a stall.
 constexpr int64_t kMaxPeriodsPerStep = 2;
 
-std::string Ms(Duration duration) { return absl::StrCat(ToMillis(duration)); }
-
 }  // namespace
 
 AttemptMonitor::AttemptMonitor(FleetView& view, AdmissionController& admission, Metrics& metrics)
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -3,14 +3,10 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
+#include "core/millis_text.h"
 #include "net/log.h"
 
 namespace fuchsiaweir {
-namespace {
-
-std::string Ms(Duration duration) { return absl::StrCat(ToMillis(duration)); }
-
-}  // namespace
 
 std::vector<std::string> ForwardedRequest::SharedParts() const {
   std::vector<std::string> ids;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "core/error_code.h"
+#include "core/millis_text.h"
 #include "core/rendezvous.h"
 #include "core/unix_time.h"
 #include "core/urgency.h"
@@ -72,8 +73,6 @@
 /// A failure this close to the deadline counts as a timeout.
 constexpr Duration kDeadlineTolerance = Millis(5);
 
-std::string Ms(Duration duration) { return absl::StrCat(ToMillis(duration)); }
-
 /// Returns the content type in lower case and without parameters; empty if there is none.
 std::string MediaType(const HttpHeaders& headers) {
   const std::string type = HeaderValue(headers, "Content-Type");
--- a/src/gateway/weight_orders.cc
+++ b/src/gateway/weight_orders.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "core/load_rollout.h"
+#include "core/millis_text.h"
 #include "core/unix_time.h"
 #include "net/log.h"
 #include "platform/runner_api.h"
@@ -35,8 +36,6 @@
 /// Consecutive failed reads of the report after which the runner counts as silent.
 constexpr int64_t kMaxMissedReports = 3;
 
-std::string Ms(Duration duration) { return absl::StrCat(ToMillis(duration)); }
-
 }  // namespace
 
 WeightOrders::WeightOrders(ComponentRegistry& components, FleetView& view)
--- a/src/net/command_version.cc
+++ b/src/net/command_version.cc
@@ -5,6 +5,7 @@
 #include "core/version.h"
 
 namespace fuchsiaweir {
+
 ExitCode RunVersion(const Operands& operands) {
   if (!operands.empty()) return ExitCode::kUsage;
   if (JsonOutput()) {
