Log and answer a refused request in one place

The gateway's answer to a request without room or connection repeated the record and the error of the HTTP server's own. RespondToRefusal takes the fields that the gateway adds; the gateway only replaces the headers.

--- a/src/gateway/uploads.cc
+++ b/src/gateway/uploads.cc
@@ -6,7 +6,6 @@
 
 #include "core/rendezvous.h"
 #include "gateway/forwarded_request.h"
-#include "net/log.h"
 #include "platform/runner_api.h"
 
 namespace fuchsiaweir {
@@ -29,18 +28,9 @@
   const Duration longest =
       Micros(static_cast<int64_t>(static_cast<double>(time_left.count()) * kMaxRetryAfterShare));
   const Duration retry_after = std::min(kMinRetryAfter + spread, longest);
-  const bool memory = refusal.cause == RequestRefusal::Cause::kMemory;
-  LogInfo(memory ? "upload_refused" : "connection_refused",
-          {{"request", caller.id},
-           {"target", request.target},
-           {"connections", absl::StrCat(refusal.connections)},
-           {"held_bytes", absl::StrCat(refusal.held_bytes)},
-           {"asked_bytes", absl::StrCat(refusal.asked_bytes)},
-           {"waited_ms", absl::StrCat(ToMillis(refusal.waited))},
-           {"retry_after_ms", absl::StrCat(ToMillis(retry_after))}});
-  HttpResponse response = ErrorResponse(
-      {ErrorCode::kOverloaded, RunState::kNotRun,
-       memory ? "no memory for the request body" : "too many connections", Duration{0}});
+  HttpResponse response = RespondToRefusal(
+      request, refusal,
+      {{"request", caller.id}, {"retry_after_ms", absl::StrCat(ToMillis(retry_after))}});
   response.headers = platform::RefusalHeaders(caller.id, retry_after);
   return response;
 }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -87,19 +87,6 @@
   return std::nullopt;
 }
 
-HttpResponse RespondToRefusal(const HttpRequest& request, const RequestRefusal& refusal) {
-  const bool memory = refusal.cause == RequestRefusal::Cause::kMemory;
-  LogInfo(memory ? "upload_refused" : "connection_refused",
-          {{"target", request.target},
-           {"connections", absl::StrCat(refusal.connections)},
-           {"held_bytes", absl::StrCat(refusal.held_bytes)},
-           {"asked_bytes", absl::StrCat(refusal.asked_bytes)},
-           {"waited_ms", absl::StrCat(ToMillis(refusal.waited))}});
-  return ErrorResponse({ErrorCode::kOverloaded, RunState::kNotRun,
-                        memory ? "no memory for the request body" : "too many connections",
-                        kUploadRetryAfter});
-}
-
 /// Cancels the operations of a connection whose request takes too long to arrive.
 class ReadDeadline {
  public:
@@ -233,6 +220,21 @@
   return response;
 }
 
+HttpResponse RespondToRefusal(const HttpRequest& request, const RequestRefusal& refusal,
+                              const LogFields& fields) {
+  const bool memory = refusal.cause == RequestRefusal::Cause::kMemory;
+  LogFields all = fields;
+  all.insert(all.end(), {{"target", request.target},
+                         {"connections", absl::StrCat(refusal.connections)},
+                         {"held_bytes", absl::StrCat(refusal.held_bytes)},
+                         {"asked_bytes", absl::StrCat(refusal.asked_bytes)},
+                         {"waited_ms", absl::StrCat(ToMillis(refusal.waited))}});
+  LogInfo(memory ? "upload_refused" : "connection_refused", all);
+  return ErrorResponse({ErrorCode::kOverloaded, RunState::kNotRun,
+                        memory ? "no memory for the request body" : "too many connections",
+                        kUploadRetryAfter});
+}
+
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
   struct IdleConnection {
     HttpTransport* transport;  ///< Null if it was closed.
@@ -245,7 +247,11 @@
         handler(std::move(request_handler)),
         acceptor(io_context),
         uploads(options.body_memory_bytes) {
-    if (!options.refuse) options.refuse = RespondToRefusal;
+    if (!options.refuse) {
+      options.refuse = [](const HttpRequest& request, const RequestRefusal& refusal) {
+        return RespondToRefusal(request, refusal);
+      };
+    }
   }
 
   void Listen();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -12,6 +12,7 @@
 #include "core/upload_budget.h"
 #include "net/awaitable.h"
 #include "net/http_types.h"
+#include "net/log.h"
 #include "net/tls_context.h"
 
 namespace fuchsiaweir {
@@ -89,6 +90,10 @@
   Duration waited{0};
 };
 
+/// Logs the refusal, with `fields` besides its own, and returns its response.
+HttpResponse RespondToRefusal(const HttpRequest& request, const RequestRefusal& refusal,
+                              const LogFields& fields = {});
+
 struct HttpServerOptions {
   Endpoint listen;
   int64_t max_body_bytes = 8'000'000;
