Read the sections of settings by one table

HasUnknownSection listed the sections again that ParseGatewaySettings told apart in a chain of conditions. Both look them up in one table now, whose rows name how a section is read. Findings and defaults are as before.

Measured: StartSettings (6), GatewayOperation (4) and GatewayPath.AWrongSettingsFileIsRefusedAndLeavesTheProcessRunning pass; lint and format pass.

--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -39,8 +39,6 @@
 
 const IniKey<Settings> kLogKeys[] = {{"level", &Settings::log_level}};
 
-constexpr std::string_view kSections[] = {"process", "platform", "bounds", "regions", "log"};
-
 constexpr std::string_view kLogLevels[] = {"debug", "info", "warning", "error"};
 
 /// Copies the members that `table` names from `section` to `settings`.
@@ -51,13 +49,39 @@
   }
 }
 
-template <typename Table>
-void Bind(const IniDocument& document, const IniSection& section, const Table& table,
-          Settings& settings, Findings& findings, Findings& ignorable) {
-  CopyMembers(BindSection<Settings>(document.file, section, table, findings, ignorable), table,
+template <const auto& kTable>
+void Bind(const IniDocument& document, const IniSection& section, Settings& settings,
+          Findings& findings, Findings& ignorable) {
+  CopyMembers(BindSection<Settings>(document.file, section, kTable, findings, ignorable), kTable,
               settings);
 }
 
+void BindRegions(const IniDocument&, const IniSection& section, Settings& settings, Findings&,
+                 Findings&) {
+  for (const IniEntry& entry : section.entries) settings.regions[entry.key] = entry.value;
+}
+
+/// A section of the file, and how it is read.
+struct SectionKind {
+  std::string_view kind;
+  void (*bind)(const IniDocument& document, const IniSection& section, Settings& settings,
+               Findings& findings, Findings& ignorable);
+};
+
+constexpr SectionKind kSections[] = {{"process", &Bind<kProcessKeys>},
+                                     {"platform", &Bind<kPlatformKeys>},
+                                     {"bounds", &Bind<kBoundsKeys>},
+                                     {"regions", &BindRegions},
+                                     {"log", &Bind<kLogKeys>}};
+
+/// Returns null for a section that settings do not have.
+const SectionKind* FindSection(const IniSection& section) {
+  const auto* const found =
+      std::find_if(std::begin(kSections), std::end(kSections),
+                   [&section](const SectionKind& known) { return known.kind == section.kind; });
+  return found == std::end(kSections) ? nullptr : found;
+}
+
 bool IsAddress(const std::string& text) {
   boost::system::error_code failure;
   boost::asio::ip::make_address(text, failure);
@@ -89,16 +113,8 @@
   std::set<std::string> seen;
   for (const IniSection& section : document.sections) {
     seen.insert(section.kind);
-    if (section.kind == "process") {
-      Bind(document, section, kProcessKeys, settings, findings, ignorable);
-    } else if (section.kind == "platform") {
-      Bind(document, section, kPlatformKeys, settings, findings, ignorable);
-    } else if (section.kind == "bounds") {
-      Bind(document, section, kBoundsKeys, settings, findings, ignorable);
-    } else if (section.kind == "log") {
-      Bind(document, section, kLogKeys, settings, findings, ignorable);
-    } else if (section.kind == "regions") {
-      for (const IniEntry& entry : section.entries) settings.regions[entry.key] = entry.value;
+    if (const SectionKind* const known = FindSection(section)) {
+      known->bind(document, section, settings, findings, ignorable);
     } else {
       ignorable.Add(document.file, section.line,
                     absl::StrCat("unknown section [", section.kind,
@@ -139,10 +155,7 @@
 
 bool HasUnknownSection(const IniDocument& document) {
   return std::any_of(document.sections.begin(), document.sections.end(),
-                     [](const IniSection& section) {
-                       return std::find(std::begin(kSections), std::end(kSections), section.kind) ==
-                              std::end(kSections);
-                     });
+                     [](const IniSection& section) { return FindSection(section) == nullptr; });
 }
 
 }  // namespace fuchsiaweir
