Count the place of a given-up attempt only once it is given up

Found by reading: while the retry budget was spent, each late request counted one more request at another runner with each call of the timer, 150 ms apart, and only its number in flight was taken back. The runner looked busier than it was, and its share of a limit or of a cold start was used up by requests that nobody sent. Reserving came before the budget was asked. The other runner is now looked for first, and counted after the budget has granted the attempt. Placements are counted in one function, which a reserved one had passed by, so that the demand of its tokens is counted, too.

No test has a spent budget beside a slow runner.

--- a/src/gateway/attempt_monitor.cc
+++ b/src/gateway/attempt_monitor.cc
@@ -66,7 +66,7 @@
 // faster. Only time in which this process could have read an answer counts, and only a runner that
 // takes the request now is a reason to give one up.
 bool AttemptMonitor::ShouldAbandon(ForwardedRequest& request,
-                                   const std::function<bool()>& reserve_other, TimePoint now) {
+                                   const std::function<bool()>& has_other, TimePoint now) {
   // Bytes of a stream without a complete event are no progress.
   const bool progress = request.first_byte_received || !request.is_stream();
   const bool new_bytes = progress && request.last_byte_at >= step_began_;
@@ -80,7 +80,7 @@
   const bool late =
       !request.first_byte_received && request.silent_for >= FirstByteTimeout(request, runner, now);
   if (!dead && !late) return false;
-  if ((progress && request.channel->HasInput()) || !reserve_other()) return false;
+  if ((progress && request.channel->HasInput()) || !has_other()) return false;
   if (!admission_.TryConsumeRetry(request.service)) return false;
   request.retry_reserved = true;
   LogAbandoned(request, runner, dead, now);
--- a/src/gateway/attempt_monitor.h
+++ b/src/gateway/attempt_monitor.h
@@ -21,9 +21,8 @@
   /// Called by the timer, whose period is `period`. Records how late it is.
   void OnTimer(TimePoint now, Duration period);
   /// Whether the attempt in progress is to be given up. If so, the next one has been taken from the
-  /// retry budget. `reserve_other` counts the request at another runner and returns whether one
-  /// takes it; the caller releases the reservation if the attempt is not given up.
-  bool ShouldAbandon(ForwardedRequest& request, const std::function<bool()>& reserve_other,
+  /// retry budget. `has_other` tells whether another runner takes the request.
+  bool ShouldAbandon(ForwardedRequest& request, const std::function<bool()>& has_other,
                      TimePoint now);
   /// Records that a runner of the service has begun to answer `after` a request was sent.
   void OnAnswer(const std::string& service, Duration after, TimePoint now);
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -246,19 +246,21 @@
   return PlaceRequest(MakePlacementQuery(request, now), view_.runner_registry(), now);
 }
 
-// Many attempts may be given up at the same time, and each needs a place of its own.
-bool Forwarder::ReserveOtherRunner(ForwardedRequest& request, TimePoint now) {
-  if (request.body_released || !crash_attribution_.MayRetry(request)) return false;
+Placement Forwarder::FindOtherRunner(ForwardedRequest& request, TimePoint now) {
+  if (request.body_released || !crash_attribution_.MayRetry(request)) return {};
   PlacementQuery query = MakePlacementQuery(request, now);
   std::set<std::string> tried = request.tried;
   tried.insert(request.runner);
   query.tried = &tried;
   query.allow_suspected = false;
-  Placement placement = PlaceRequest(query, view_.runner_registry(), now);
-  if (placement.runner.empty()) return false;
-  view_.runner_registry().OnPlaced(placement.runner, request.tokens(), now);
-  request.reserved = std::move(placement);
-  return true;
+  return PlaceRequest(query, view_.runner_registry(), now);
+}
+
+void Forwarder::CountPlacement(const ForwardedRequest& request, const std::string& runner,
+                               TimePoint now) {
+  view_.runner_registry().OnPlaced(runner, request.tokens(), now);
+  if (request.caller.parts.empty()) return;
+  token_demands_[request.service].OnSent(request.tokens(), request.caller.output_tokens, now);
 }
 
 void Forwarder::ReleaseReservation(ForwardedRequest& request) {
@@ -315,10 +317,7 @@
     Placement placement = TryPlacement(request, now);
     if (request.caller_gone) co_return placement;
     if (!placement.runner.empty()) {
-      view_.runner_registry().OnPlaced(placement.runner, request.tokens(), now);
-      if (!request.caller.parts.empty()) {
-        token_demands_[request.service].OnSent(request.tokens(), request.caller.output_tokens, now);
-      }
+      CountPlacement(request, placement.runner, now);
       co_return placement;
     }
     const bool timed_out = now - started_at + kPlacementPollInterval > limit ||
@@ -754,11 +753,15 @@
     request.channel->Close();
     return;
   }
-  const auto reserve_other = [&]() { return ReserveOtherRunner(request, now); };
-  if (!monitor_.ShouldAbandon(request, reserve_other, now)) {
-    ReleaseReservation(request);
-    return;
-  }
+  Placement other;
+  const auto has_other = [&]() {
+    other = FindOtherRunner(request, now);
+    return !other.runner.empty();
+  };
+  if (!monitor_.ShouldAbandon(request, has_other, now)) return;
+  // Many attempts may be given up at the same time, and each needs a place of its own.
+  CountPlacement(request, other.runner, now);
+  request.reserved = std::move(other);
   request.abandoned = true;
   request.channel->Close();
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -60,9 +60,11 @@
   Placement TryPlacement(ForwardedRequest& request, TimePoint now);
   /// Whether the runner may get a request that was placed there; it may have asked for none since.
   bool TakesRequests(const RunnerState& runner, TimePoint now) const;
-  /// Counts the request at a runner other than that of the attempt in progress. Returns false if
-  /// none takes it now.
-  bool ReserveOtherRunner(ForwardedRequest& request, TimePoint now);
+  /// Returns a runner other than that of the attempt in progress that takes the request now, or an
+  /// empty placement.
+  Placement FindOtherRunner(ForwardedRequest& request, TimePoint now);
+  /// Counts the request at the runner, and in the demand for its service.
+  void CountPlacement(const ForwardedRequest& request, const std::string& runner, TimePoint now);
   void ReleaseReservation(ForwardedRequest& request);
   /// Sends the request to the runner once.
   Awaitable<AttemptResult> RunAttempt(ForwardedRequest& request, const Placement& placement);
