Split placement, refusals and planned stops off the forwarder

Change: RequestPlacer owns the demand for tokens and the wait for a runner, RefusalWriter the estimates of Retry-After, PlannedStop the durations of requests; one RandomSequence serves both. The functions only move; their bodies are unchanged.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -6,8 +6,6 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
-#include <boost/json.hpp>
-#include <limits>
 #include <utility>
 
 #include "core/error_code.h"
@@ -21,14 +19,6 @@
 namespace fuchsiaweir {
 namespace {
 
-/// Share of the objective that a request may wait for a runner before it is refused.
-constexpr double kPlacementWaitShare = 0.125;
-constexpr Duration kPlacementPollInterval = Millis(10);
-/// A request does not wait if the expected time until a runner accepts it exceeds this multiple of
-/// its limit.
-constexpr int64_t kMaxExpectedWaitFactor = 4;
-/// A stream that has begun waits longer, since its caller already has part of the response.
-constexpr Duration kResumePlacementTimeout = Millis(1200);
 constexpr Duration kTickPeriod = Millis(150);
 /// Failed connections after which a request is refused. They cost the caller little time, but one
 /// request must not try all runners.
@@ -41,17 +31,6 @@
 /// Each request that waits at the runner extends the fetch deadline by one share, up to this
 /// number.
 constexpr double kMaxFetchExtensions = 8;
-/// Share of the deadline for new weights after which runners with replaced weights get no requests.
-/// The rest covers the time that a request waits at its runner before it starts.
-constexpr double kReplacedWeightsShare = 0.75;
-/// Share of that deadline after which they get only requests that they start at once.
-constexpr double kIdleOnlyWeightsShare = 0.6;
-/// Retry-After times are extended by a random share up to this one, so that refused callers do not
-/// return together.
-constexpr double kRetryAfterJitter = 0.6;
-/// Upper bound of a Retry-After as a share of the caller's remaining time. Callers honour at most a
-/// third of that time.
-constexpr double kMaxRetryAfterShare = 0.3;
 
 /// Retry-After when runners refused the request or accepted no connection.
 constexpr Duration kRejectedRetryAfter = Millis(300);
@@ -61,17 +40,11 @@
 /// Share of the host's memory for answers that are held until they are complete. The rest is for
 /// the desired state, requests and connections.
 constexpr int64_t kAnswerMemoryDivisor = 4;
-/// Window over which the longest request of a service is remembered.
-constexpr Duration kDurationWindow = Seconds(20);
-/// A stopping gateway gets no new connections, so a refused caller reaches another one at once.
-constexpr Duration kDrainRetryAfter = Millis(50);
 /// A faulty runner may send an event without end.
 constexpr size_t kMaxEventBytes = 1'000'000;
 constexpr size_t kMaxLoggedEventBytes = 200;
 /// Larger bodies are not kept for another attempt once a runner has begun to answer.
 constexpr size_t kMaxRepeatedBodyBytes = 65'536;
-/// A failure this close to the deadline counts as a timeout.
-constexpr Duration kDeadlineTolerance = Millis(5);
 
 /// Returns the content type in lower case and without parameters; empty if there is none.
 std::string MediaType(const HttpHeaders& headers) {
@@ -96,6 +69,7 @@
     : view_(view),
       parts_(parts),
       metrics_(components.Find<Metrics>("metrics")),
+      random_(RendezvousHash(view.settings().name) ^ static_cast<uint64_t>(UnixMillis())),
       channels_(components.io()),
       answer_memory_(view.settings().memory_bytes() / kAnswerMemoryDivisor),
       runner_check_(components.io(), view, channels_),
@@ -103,54 +77,31 @@
       notice_reports_(view, metrics_),
       admission_(view, crash_attribution_, metrics_),
       monitor_(view, admission_, metrics_),
-      random_state_(RendezvousHash(view.settings().name) ^ static_cast<uint64_t>(UnixMillis())) {
+      placer_(view, crash_attribution_, random_),
+      refusals_(view, metrics_, random_) {
   components.Find<TimerService>("timer").Subscribe("forwarder", kTickPeriod,
                                                    [this](TimePoint now) { Tick(now); });
 }
 
 Forwarder::~Forwarder() = default;
 
-double Forwarder::NextRandom() {
-  random_state_ = RendezvousMix(random_state_, 0x632BE59BD9B4E019);
-  return static_cast<double>(random_state_ >> 11) * 0x1.0p-53;
-}
-
 Awaitable<void> Forwarder::Handle(HttpExchange& exchange) {
   ForwardedRequest request(exchange);
   request.arrived_at = SteadyNow();
   request.caller = platform::DecodeCallerRequest(exchange.request());
   requests_.insert(&request);
   const absl::Cleanup ended = [this, &request]() {
-    ReleaseReservation(request);
+    placer_.ReleaseReservation(request);
     requests_.erase(&request);
   };
   std::optional<Refusal> refusal = admission_.Admit(request);
-  if (!refusal) refusal = RefuseLate(request);
+  if (!refusal) refusal = planned_stop_.RefuseLate(request);
   if (refusal) {
-    co_await SendRefusal(request, *refusal);
+    co_await refusals_.Send(request, *refusal);
     co_return;
   }
   co_await ProcessRequest(request);
-  if (request.runs == 0) co_return;
-  const TimePoint now = SteadyNow();
-  durations_.try_emplace(request.service, kDurationWindow)
-      .first->second.Add(now - request.arrived_at, now);
-}
-
-void Forwarder::BeginDrain(TimePoint end) { drain_end_ = end; }
-
-// Load pattern: a planned stop beside slow uploads and open connections. A request that arrives
-// late would be cut at the end of the stop, perhaps after it has run; here it costs its caller a
-// moment.
-std::optional<Refusal> Forwarder::RefuseLate(const ForwardedRequest& request) const {
-  if (!drain_end_) return std::nullopt;
-  const TimePoint now = SteadyNow();
-  const auto known = durations_.find(request.service);
-  const Duration longest = known == durations_.end() ? Duration{0} : known->second.Longest(now);
-  const Duration expected = std::max(longest, request.route->objective);
-  if (now + expected < *drain_end_ || request.deadline < *drain_end_) return std::nullopt;
-  return Refusal{503, ErrorCode::kOutOfService, RunState::kNotRun,
-                 "the gateway stops before the request can end", kDrainRetryAfter};
+  planned_stop_.OnRequestEnd(request, SteadyNow());
 }
 
 void Forwarder::EndRequests() {
@@ -172,7 +123,7 @@
 
 Awaitable<void> Forwarder::ProcessRequest(ForwardedRequest& request) {
   while (true) {
-    const Placement placement = co_await WaitForPlacement(request);
+    const Placement placement = co_await placer_.Wait(request);
     if (request.caller_gone) co_return RecordRequestEnd(metrics_, request, "caller_gone", 0);
     if (placement.runner.empty()) {
       if (request.exchange.streaming()) {
@@ -180,8 +131,8 @@
         co_return RecordRequestEnd(metrics_, request, "cut", 0);
       }
       if (request.failure_status != 0) break;
-      Refusal refusal = MakeRefusal(request, placement);
-      co_return co_await SendRefusal(request, std::move(refusal));
+      Refusal refusal = refusals_.Make(request, placement);
+      co_return co_await refusals_.Send(request, std::move(refusal));
     }
     const AttemptResult result = co_await RunAttempt(request, placement);
     view_.runner_registry().OnRequestEnd(placement.runner);
@@ -199,17 +150,17 @@
     }
     if (request.failure_status != 0 && result == AttemptResult::kOwnFailure) break;
     if (request.runs == 0) {
-      Placement none = TryPlacement(request, SteadyNow());
+      Placement none = placer_.Try(request, SteadyNow());
       if (none.refusal != PlacementRefusal::kPaused) {
         none.refusal = result == AttemptResult::kNotRun ? PlacementRefusal::kFull
                                                         : PlacementRefusal::kUnreachable;
         none.retry_after = kRejectedRetryAfter;
       }
-      Refusal refusal = MakeRefusal(request, none);
-      co_return co_await SendRefusal(request, std::move(refusal));
+      Refusal refusal = refusals_.Make(request, none);
+      co_return co_await refusals_.Send(request, std::move(refusal));
     }
-    Refusal refusal = MakeFailure(request);
-    co_return co_await SendRefusal(request, std::move(refusal));
+    Refusal refusal = refusals_.MakeFailure(request);
+    co_return co_await refusals_.Send(request, std::move(refusal));
   }
   // The caller gets the last runner's error response.
   const int status = request.failure_status;
@@ -242,96 +193,6 @@
   return admission_.TryConsumeRetry(request.service);
 }
 
-Placement Forwarder::TryPlacement(ForwardedRequest& request, TimePoint now) {
-  return PlaceRequest(MakePlacementQuery(request, now), view_.runner_registry(), now);
-}
-
-Placement Forwarder::FindOtherRunner(ForwardedRequest& request, TimePoint now) {
-  if (request.body_released || !crash_attribution_.MayRetry(request)) return {};
-  PlacementQuery query = MakePlacementQuery(request, now);
-  std::set<std::string> tried = request.tried;
-  tried.insert(request.runner);
-  query.tried = &tried;
-  query.allow_suspected = false;
-  return PlaceRequest(query, view_.runner_registry(), now);
-}
-
-void Forwarder::CountPlacement(const ForwardedRequest& request, const std::string& runner,
-                               TimePoint now) {
-  view_.runner_registry().OnPlaced(runner, request.tokens(), now);
-  if (request.caller.parts.empty()) return;
-  token_demands_[request.service].OnSent(request.tokens(), request.caller.output_tokens, now);
-}
-
-void Forwarder::ReleaseReservation(ForwardedRequest& request) {
-  if (request.reserved.runner.empty()) return;
-  view_.runner_registry().OnRequestEnd(request.reserved.runner);
-  request.reserved = {};
-}
-
-PlacementQuery Forwarder::MakePlacementQuery(ForwardedRequest& request, TimePoint now) {
-  PlacementQuery query;
-  query.service = request.service;
-  query.data_centre = view_.settings().data_centre;
-  query.prefix_hash = request.prefix_hash;
-  query.closed_data_centres = &request.closed_data_centres;
-  query.tried = &request.tried;
-  query.self = view_.settings().name;
-  query.gateways = &view_.gateways();
-  if (!request.caller.parts.empty()) {
-    query.tokens = request.tokens();
-  }
-  query.priority = request.priority();
-  query.repeatable = request.repeatable();
-  query.random = NextRandom();
-  query.demand = token_demands_[request.service].Estimate(now);
-  if (const ServiceSpec* service = view_.Service(request.service)) {
-    query.cold_requests_per_second = service->cold_requests_per_second;
-  }
-  if (const WeightsHistory* weights = view_.weights(request.caller.model)) {
-    const double bound_us = static_cast<double>(view_.settings().weights_ms) * 1e3;
-    const Duration max_lag = Micros(static_cast<int64_t>(bound_us * kReplacedWeightsShare));
-    const Duration max_lag_if_queued =
-        Micros(static_cast<int64_t>(bound_us * kIdleOnlyWeightsShare));
-    query.preferred_weights_version = weights->newest();
-    query.min_weights_version = weights->RequiredVersion(max_lag, now);
-    query.min_weights_version_if_queued = weights->RequiredVersion(max_lag_if_queued, now);
-  }
-  return query;
-}
-
-Awaitable<Placement> Forwarder::WaitForPlacement(ForwardedRequest& request) {
-  const RunnerState* const reserved = view_.runner_registry().Find(request.reserved.runner);
-  if (reserved != nullptr && TakesRequests(*reserved, SteadyNow())) {
-    co_return std::exchange(request.reserved, {});
-  }
-  ReleaseReservation(request);
-  const TimePoint started_at = SteadyNow();
-  const Duration limit =
-      request.exchange.streaming()
-          ? kResumePlacementTimeout
-          : Micros(static_cast<int64_t>(static_cast<double>(request.route->objective.count()) *
-                                        kPlacementWaitShare));
-  while (true) {
-    const TimePoint now = SteadyNow();
-    Placement placement = TryPlacement(request, now);
-    if (request.caller_gone) co_return placement;
-    if (!placement.runner.empty()) {
-      CountPlacement(request, placement.runner, now);
-      co_return placement;
-    }
-    const bool timed_out = now - started_at + kPlacementPollInterval > limit ||
-                           now + kPlacementPollInterval > request.deadline;
-    if (timed_out || placement.retry_after > limit * kMaxExpectedWaitFactor) co_return placement;
-    // The end of a pause is known, unlike that of an overload.
-    if (placement.refusal == PlacementRefusal::kPaused &&
-        now + placement.retry_after > started_at + limit) {
-      co_return placement;
-    }
-    co_await SleepFor(kPlacementPollInterval);
-  }
-}
-
 std::string Forwarder::EncodeRunnerRequest(ForwardedRequest& request, const RunnerState& runner) {
   platform::RunnerRequestFields fields;
   fields.runner_id = runner.record.id;
@@ -395,7 +256,7 @@
     co_return AttemptResult::kCallerGone;
   }
   if (now >= request.deadline) co_return AttemptResult::kDeadlineExceeded;
-  if (chosen == nullptr || !TakesRequests(*chosen, now)) {
+  if (chosen == nullptr || !placer_.TakesRequests(*chosen, now)) {
     channels_.Release(endpoint, std::move(acquired.channel));
     co_return AttemptResult::kNotSent;
   }
@@ -440,13 +301,6 @@
   co_return result;
 }
 
-bool Forwarder::TakesRequests(const RunnerState& runner, TimePoint now) const {
-  const RunnerNotices& notices = view_.runner_registry().notices();
-  return !runner.record.draining && !notices.Leaving(runner.record.id) &&
-         notices.PauseLeft(runner.record.id, now) == Duration{0} &&
-         view_.evacuated().count(runner.record.data_centre) == 0;
-}
-
 std::unique_ptr<MemoryBudget::Share> Forwarder::ReserveAnswer(const ForwardedRequest& request,
                                                               RunnerChannel& channel) {
   return std::make_unique<MemoryBudget::Share>(answer_memory_, [this, &request, &channel]() {
@@ -665,61 +519,6 @@
   return request.exchange.streaming() ? AttemptResult::kCut : AttemptResult::kUnknown;
 }
 
-Refusal Forwarder::MakeRefusal(const ForwardedRequest& request, const Placement& placement) {
-  if (request.runs > 0) return MakeFailure(request);
-  Refusal refusal;
-  refusal.code = placement.refusal == PlacementRefusal::kCold      ? ErrorCode::kCold
-                 : placement.refusal == PlacementRefusal::kFull    ? ErrorCode::kOverloaded
-                 : placement.refusal == PlacementRefusal::kLimited ? ErrorCode::kOverloaded
-                 : placement.refusal == PlacementRefusal::kPaused  ? ErrorCode::kOverloaded
-                                                                   : ErrorCode::kNoTarget;
-  refusal.reason = "no runner takes the request: " + std::string(Name(placement.refusal));
-  refusal.retry_after = placement.retry_after;
-  refusal.earliest = placement.refusal == PlacementRefusal::kPaused;
-  if (placement.refusal == PlacementRefusal::kFull) {
-    const Duration estimate = retry_after_estimators_[request.service].OnRefused(SteadyNow());
-    refusal.retry_after = std::max(refusal.retry_after, estimate);
-  }
-  return refusal;
-}
-
-Refusal Forwarder::MakeFailure(const ForwardedRequest& request) const {
-  const bool late = SteadyNow() >= request.deadline - kDeadlineTolerance;
-  return {late ? 504 : 502, ErrorCode::kTargetFailed, RunState::kUnknown,
-          late ? "the runner did not answer in time" : "the runner did not complete its answer",
-          Duration{0}};
-}
-
-Awaitable<void> Forwarder::SendRefusal(ForwardedRequest& request, Refusal refusal) {
-  const Duration time_left =
-      request.caller.time_left.value_or(kDefaultTimeLeft) - (SteadyNow() - request.arrived_at);
-  if (refusal.retry_after > Duration{0}) {
-    const double spread = 1 + kRetryAfterJitter * NextRandom();
-    const double max_us = refusal.earliest
-                              ? std::numeric_limits<double>::max()
-                              : static_cast<double>(time_left.count()) * kMaxRetryAfterShare;
-    refusal.retry_after = Micros(static_cast<int64_t>(
-        std::min(static_cast<double>(refusal.retry_after.count()) * spread, max_us)));
-  }
-  const boost::json::object body{{"error",
-                                  {{"code", std::string(Name(refusal.code))},
-                                   {"message", refusal.reason},
-                                   {"run_state", std::string(Name(refusal.run_state))}}}};
-  HttpResponse response{refusal.status,
-                        platform::RefusalHeaders(request.caller.id, refusal.retry_after),
-                        boost::json::serialize(body)};
-  co_await request.exchange.Respond(std::move(response));
-  LogInfo("request_refused", {{"request", request.caller.id},
-                              {"route", !request.route ? "" : request.route->name},
-                              {"status", absl::StrCat(refusal.status)},
-                              {"reason", refusal.reason},
-                              {"retry_after_ms", Ms(refusal.retry_after)},
-                              {"revision", absl::StrCat(request.revision)},
-                              {"authority_age_ms", absl::StrCat(view_.AuthorityAgeMs())},
-                              {"attempts", absl::StrJoin(request.attempt_log, ",")}});
-  RecordRequestEnd(metrics_, request, "refused", refusal.status);
-}
-
 void Forwarder::Tick(TimePoint now) {
   monitor_.OnTimer(now, kTickPeriod);
   for (ForwardedRequest* request : requests_) CheckAttempt(*request, now);
@@ -755,12 +554,12 @@
   }
   Placement other;
   const auto has_other = [&]() {
-    other = FindOtherRunner(request, now);
+    other = placer_.FindOther(request, now);
     return !other.runner.empty();
   };
   if (!monitor_.ShouldAbandon(request, has_other, now)) return;
   // Many attempts may be given up at the same time, and each needs a place of its own.
-  CountPlacement(request, other.runner, now);
+  placer_.Count(request, other.runner, now);
   request.reserved = std::move(other);
   request.abandoned = true;
   request.channel->Close();
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -11,10 +11,7 @@
 #include "core/event_check.h"
 #include "core/event_splitter.h"
 #include "core/memory_budget.h"
-#include "core/placement.h"
-#include "core/recent_maximum.h"
-#include "core/retry_after_estimator.h"
-#include "core/token_demand.h"
+#include "core/random_sequence.h"
 #include "gateway/admission.h"
 #include "gateway/attempt_monitor.h"
 #include "gateway/crash_attribution.h"
@@ -22,6 +19,9 @@
 #include "gateway/forwarded_request.h"
 #include "gateway/notice_reports.h"
 #include "gateway/part_watch.h"
+#include "gateway/planned_stop.h"
+#include "gateway/refusal_writer.h"
+#include "gateway/request_placer.h"
 #include "gateway/runner_channel.h"
 #include "gateway/runner_check.h"
 #include "net/http_server.h"
@@ -40,7 +40,7 @@
   /// Receives the other gateways' reports of what runners said.
   NoticeReports& notice_reports() { return notice_reports_; }
   /// From now on only requests that are expected to end before `end` are taken: the process stops.
-  void BeginDrain(TimePoint end);
+  void BeginDrain(TimePoint end) { planned_stop_.Begin(end); }
   /// Cancels the attempts of all requests whose callers have no part of an answer yet, and answers
   /// these requests.
   void EndRequests();
@@ -52,20 +52,7 @@
  private:
   enum class AttemptResult;
 
-  /// Returns the refusal of a request that arrives too late in a planned stop.
-  std::optional<Refusal> RefuseLate(const ForwardedRequest& request) const;
   Awaitable<void> ProcessRequest(ForwardedRequest& request);
-  Awaitable<Placement> WaitForPlacement(ForwardedRequest& request);
-  PlacementQuery MakePlacementQuery(ForwardedRequest& request, TimePoint now);
-  Placement TryPlacement(ForwardedRequest& request, TimePoint now);
-  /// Whether the runner may get a request that was placed there; it may have asked for none since.
-  bool TakesRequests(const RunnerState& runner, TimePoint now) const;
-  /// Returns a runner other than that of the attempt in progress that takes the request now, or an
-  /// empty placement.
-  Placement FindOtherRunner(ForwardedRequest& request, TimePoint now);
-  /// Counts the request at the runner, and in the demand for its service.
-  void CountPlacement(const ForwardedRequest& request, const std::string& runner, TimePoint now);
-  void ReleaseReservation(ForwardedRequest& request);
   /// Sends the request to the runner once.
   Awaitable<AttemptResult> RunAttempt(ForwardedRequest& request, const Placement& placement);
   /// Returns a share of the memory for the answer that the attempt receives.
@@ -87,20 +74,14 @@
                                     const std::string& runner);
   std::string EncodeRunnerRequest(ForwardedRequest& request, const RunnerState& runner);
   bool MayRetry(ForwardedRequest& request, AttemptResult result);
-  Awaitable<void> SendRefusal(ForwardedRequest& request, Refusal refusal);
-  /// Returns the error response for a request that no runner accepts.
-  Refusal MakeRefusal(const ForwardedRequest& request, const Placement& placement);
-  /// Returns the error response for a request that may have run.
-  Refusal MakeFailure(const ForwardedRequest& request) const;
   void Tick(TimePoint now);
   /// Cancels the attempt if the caller has disconnected, or if a retry at another runner is due.
   void CheckAttempt(ForwardedRequest& request, TimePoint now);
-  /// Returns a pseudo-random number in [0, 1).
-  double NextRandom();
 
   FleetView& view_;
   PartWatch& parts_;
   Metrics& metrics_;
+  RandomSequence random_;
   RunnerChannelPool channels_;
   MemoryBudget answer_memory_;  ///< Answers that are held until they are complete.
   RunnerCheck runner_check_;
@@ -109,11 +90,9 @@
   AdmissionController admission_;
   AttemptMonitor monitor_;
   std::set<ForwardedRequest*> requests_;
-  std::map<std::string, RetryAfterEstimator> retry_after_estimators_;  ///< By service.
-  std::map<std::string, TokenDemand> token_demands_;                   ///< By service.
-  std::map<std::string, RecentMaximum> durations_;  ///< Of requests that ran, by service.
-  std::optional<TimePoint> drain_end_;              ///< Set once the process stops.
-  uint64_t random_state_;
+  RequestPlacer placer_;
+  RefusalWriter refusals_;
+  PlannedStop planned_stop_;
 };
 
 }  // namespace fuchsiaweir
