Split the directory of peers off the fleet view

Change: PeerDirectory owns the registered gateways and sidecars, which of them are alive and which relay the store's contents. The functions only move; the name and the data centre of the process are taken at its start, as they do not change while it runs.

--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -8,7 +8,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
-#include "core/relay_choice.h"
 #include "gateway/peer_registration.h"
 #include "gateway/relay_client.h"
 #include "net/log.h"
@@ -19,7 +18,6 @@
 namespace fuchsiaweir {
 namespace {
 
-namespace json = boost::json;
 using platform::StoredObject;
 using platform::StoreOutcome;
 using platform::StoreResult;
@@ -34,11 +32,6 @@
 constexpr Duration kMaxRelayWait = Seconds(5);
 /// A relay whose contents are older than one watch timeout plus this cannot reach the store.
 constexpr Duration kMaxRelayLag = Millis(1200);
-/// A gateway with an older desired state is asked only if there is no other. Longer than a watch of
-/// the desired state and a hello period together.
-constexpr Duration kMaxRelayStateAge = Millis(2200);
-/// A gateway without a hello for this long counts as down and gets no calls.
-constexpr Duration kPeerTimeout = Seconds(6);
 
 }  // namespace
 
@@ -71,17 +64,17 @@
       settings_(settings),
       role_(role),
       client_(components.Find<HttpClients>("http_clients").external()),
-      link_(components.Find<PeerLink>("peer_link")),
       metrics_(components.Find<Metrics>("metrics")),
       store_(client_, settings.store_endpoint()),
-      authority_(Millis(0)) {
+      authority_(Millis(0)),
+      peers_(settings, role, components.Find<PeerLink>("peer_link")) {
   SetSettings(settings);
 
   components.Find<TimerService>("timer").Subscribe("fleet_view", kTickPeriod,
                                                    [this](TimePoint now) { Tick(now); });
   if (role == PlatformRole::kGateway) {
     components.Find<TimerService>("timer").Subscribe(
-        "hello", kHelloPeriod, [this](TimePoint) { BroadcastToGateways(MakeHello()); });
+        "hello", kHelloPeriod, [this](TimePoint) { peers_.BroadcastToGateways(MakeHello()); });
   }
 }
 
@@ -256,52 +249,17 @@
                           {"own_revision", absl::StrCat(kind_states_[kind.name].log.revision())}});
 }
 
-std::vector<std::string> FleetView::Relays() const {
-  std::vector<std::string> names;
-  const TimePoint now = SteadyNow();
-  for (const auto& [name, peer] : peers_) {
-    // Hellos go to gateways only, so a sidecar cannot tell which gateways are alive.
-    const bool live = role_ == PlatformRole::kSidecar || now - peer.last_seen < kPeerTimeout;
-    if (peer.gateway && live) names.push_back(name);
-  }
-  return names;
-}
-
-std::optional<Endpoint> FleetView::PreferredRelayEndpoint(const WatchedKind& kind) const {
-  std::vector<std::string> names = Relays();
-  std::erase_if(names, [&](const std::string& name) {
-    return peers_.at(name).data_centre != settings_.data_centre;
-  });
-  if (role_ == PlatformRole::kGateway) names.insert(names.begin(), settings_.name);
-  const std::optional<std::string> relay = PreferredRelay(kind.name, settings_.name, names);
-  if (!relay) return std::nullopt;
-  return peers_.at(*relay).endpoint;
-}
-
-std::optional<Endpoint> FleetView::NextRelay() {
-  const TimePoint now = SuspendAwareNow();
-  std::vector<FallbackRelay> gateways;
-  for (const std::string& name : Relays()) {
-    const std::optional<TimePoint> as_of = peers_.at(name).state_as_of;
-    gateways.push_back({name, as_of ? std::optional<Duration>(now - *as_of) : std::nullopt});
-  }
-  const std::optional<std::string> relay =
-      ChooseFallbackRelay(gateways, kMaxRelayStateAge, ++next_relay_);
-  if (!relay) return std::nullopt;
-  return peers_.at(*relay).endpoint;
-}
-
 std::optional<Endpoint> FleetView::ChooseRelay(const WatchedKind& kind, int64_t failures) {
   std::optional<Endpoint> preferred =
-      kind.prefer_relay ? PreferredRelayEndpoint(kind) : std::nullopt;
+      kind.prefer_relay ? peers_.PreferredRelay(kind.name) : std::nullopt;
   // While calls fail, the store and any gateway take the place of the preferred source in turn.
   switch (failures % 3) {
     case 0:
       return preferred;
     case 1:
-      return preferred ? std::nullopt : NextRelay();
+      return preferred ? std::nullopt : peers_.NextRelay();
     default:
-      return NextRelay();
+      return peers_.NextRelay();
   }
 }
 
@@ -353,8 +311,7 @@
 void FleetView::MarkListed(const WatchedKind& kind) {
   if (kind.apply == &FleetView::ApplyRunner) runners_listed_ = true;
   if (kind.apply == &FleetView::ApplyPeer) {
-    peers_listed_ = true;
-    UpdateGateways(SteadyNow());
+    peers_.MarkListed(SteadyNow());
   }
 }
 
@@ -432,6 +389,8 @@
   for (const auto& listener : table_listeners_) listener(*table_);
 }
 
+void FleetView::ApplyPeer(const StoredObject& object) { peers_.Apply(object); }
+
 void FleetView::ApplyRunner(const StoredObject& object) {
   const TimePoint now = SteadyNow();
   std::optional<RunnerRecord> record;
@@ -515,49 +474,11 @@
                             {"replaces", absl::StrCat(replaced)}});
 }
 
-void FleetView::ApplyPeer(const StoredObject& object) {
-  if (object.name == settings_.name) return;
-  if (object.removed) {
-    peers_.erase(object.name);
-  } else if (object.content.is_object()) {
-    const json::object& spec = object.content.as_object();
-    const json::value* address = spec.if_contains("address");
-    const json::value* role = spec.if_contains("role");
-    if (address == nullptr || !address->is_string() || role == nullptr) return;
-    if (ParseEndpoint(std::string(address->as_string())).port == 0) {
-      return LogWarning("peer_address_malformed", {{"peer", object.name}});
-    }
-    Peer& peer = peers_[object.name];
-    peer.endpoint = ParseEndpoint(std::string(address->as_string()));
-    peer.gateway = role->is_string() && role->as_string() == "gateway";
-    const json::value* data_centre = spec.if_contains("data_centre");
-    if (data_centre != nullptr && data_centre->is_string()) {
-      peer.data_centre = std::string(data_centre->as_string());
-    }
-    peer.last_seen = SteadyNow();
-  }
-}
-
-void FleetView::UpdateGateways(TimePoint now) {
-  gateways_.clear();
-  live_gateways_.clear();
-  if (!peers_listed_) return;
-  if (role_ == PlatformRole::kGateway) {
-    gateways_.push_back(settings_.name);
-    live_gateways_.push_back(settings_.name);
-  }
-  for (const auto& [name, peer] : peers_) {
-    if (!peer.gateway) continue;
-    gateways_.push_back(name);
-    if (now - peer.last_seen < kPeerTimeout) live_gateways_.push_back(name);
-  }
-}
-
 void FleetView::Tick(TimePoint now) {
   for (const std::string& id : runner_registry_.Expire(now)) {
     LogInfo("runner_gone", {{"runner", id}, {"reason", "not listed again after an outage"}});
   }
-  UpdateGateways(now);
+  peers_.Update(now);
   UpdateGauges(now);
   const bool holds = HoldsAuthority();
   if (holds != authority_held_) {
@@ -605,32 +526,16 @@
   }
 }
 
-void FleetView::BroadcastToGateways(const PeerMessage& message) {
-  for (const auto& [name, peer] : peers_) {
-    if (peer.gateway) link_.Send(peer.endpoint, message);
-  }
-}
-
-void FleetView::BroadcastToSidecars(const PeerMessage& message) {
-  for (const auto& [name, peer] : peers_) {
-    if (!peer.gateway) link_.Send(peer.endpoint, message);
-  }
-}
-
 void FleetView::OnHello(const HelloMessage& message) {
-  const auto found = peers_.find(message.name);
-  if (found == peers_.end()) return;
-  found->second.last_seen = SteadyNow();
-  if (message.confirmed_age) {
-    found->second.state_as_of = SuspendAwareNow() - *message.confirmed_age;
-  }
+  const Peer* const sender = peers_.OnHello(message);
+  if (sender == nullptr) return;
   for (const HelloMessage::Change& change : message.changes) {
     for (const WatchedKind& kind : kWatchedKinds) {
       KindState& state = kind_states_[kind.name];
       if (kind.name != change.kind || state.catching_up) continue;
       if (change.revision <= state.log.revision()) continue;
       state.catching_up = true;
-      const Endpoint peer = found->second.endpoint;
+      const Endpoint peer = sender->endpoint;
       Spawn(io_, "catch_up", [this, &kind, peer]() { return CatchUp(kind, peer); });
     }
   }
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -17,6 +17,7 @@
 #include "core/weights_history.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/object_log.h"
+#include "gateway/peer_directory.h"
 #include "gateway/peer_link.h"
 #include "net/component_registry.h"
 #include "net/http_client.h"
@@ -27,16 +28,6 @@
 
 namespace fuchsiaweir {
 
-/// Another registered gateway or sidecar.
-struct Peer {
-  Endpoint endpoint;
-  bool gateway = false;
-  std::string data_centre;
-  TimePoint last_seen;  ///< Last hello or change of its entry in the store.
-  /// When its desired state was last known to be the newest, by `SuspendAwareNow`.
-  std::optional<TimePoint> state_as_of;
-};
-
 /// This process's view of the fleet: desired state, runners, evacuated data centres, named weights
 /// and peers. It is read from the platform's store, or from a relay: a gateway that serves the
 /// store's contents to other processes.
@@ -55,13 +46,9 @@
   /// Weights versions that the operator named for the model, or null.
   const WeightsHistory* weights(const std::string& model) const;
   const std::map<std::string, WeightsHistory>& all_weights() const { return weights_; }
-  /// Names of all registered gateways, including this process if it is one. Fleet-wide limits are
-  /// divided by their number, so gateways without a recent hello count too: they may be
-  /// unreachable only from here. Empty until the peers have been listed.
-  const std::vector<std::string>& gateways() const { return gateways_; }
-  /// Names of the gateways with a recent hello, including this process if it is one.
-  const std::vector<std::string>& live_gateways() const { return live_gateways_; }
-  const std::map<std::string, Peer>& peers() const { return peers_; }
+  const std::vector<std::string>& gateways() const { return peers_.gateways(); }
+  const std::vector<std::string>& live_gateways() const { return peers_.live_gateways(); }
+  const std::map<std::string, Peer>& peers() const { return peers_.peers(); }
   const GatewaySettings& settings() const { return settings_; }
 
   /// Whether API keys may be accepted: the desired state was recently confirmed as the newest.
@@ -70,7 +57,7 @@
   int64_t AuthorityAgeMs() const;
   /// Whether callers can be served.
   bool Ready() const {
-    return table_ != nullptr && runners_listed_ && peers_listed_ && HoldsAuthority();
+    return table_ != nullptr && runners_listed_ && peers_.listed() && HoldsAuthority();
   }
 
   /// Data centres that may not serve a request with these home regions.
@@ -80,9 +67,9 @@
   Duration ColdTime(const std::string& service) const;
 
   /// Sends the message to all other gateways.
-  void BroadcastToGateways(const PeerMessage& message);
+  void BroadcastToGateways(const PeerMessage& message) { peers_.BroadcastToGateways(message); }
   /// Sends the message to all other sidecars.
-  void BroadcastToSidecars(const PeerMessage& message);
+  void BroadcastToSidecars(const PeerMessage& message) { peers_.BroadcastToSidecars(message); }
   /// Processes a gateway's hello.
   void OnHello(const HelloMessage& message);
   /// Serves the store's contents to another process. The target's query names the object kind, the
@@ -112,11 +99,6 @@
   /// Returns the relay to read from, or nothing to read from the store itself. `failures` counts
   /// the failed or stale reads since the last good one.
   std::optional<Endpoint> ChooseRelay(const WatchedKind& kind, int64_t failures);
-  /// Returns the names of the other gateways that are believed to be alive.
-  std::vector<std::string> Relays() const;
-  std::optional<Endpoint> PreferredRelayEndpoint(const WatchedKind& kind) const;
-  /// Returns another live gateway, a different one at each call.
-  std::optional<Endpoint> NextRelay();
   void MarkListed(const WatchedKind& kind);
   /// Reads a change that a peer knows and this process does not.
   Awaitable<void> CatchUp(const WatchedKind& kind, Endpoint peer);
@@ -134,7 +116,6 @@
   void ApplyWeights(const platform::StoredObject& object);
   void ApplyPeer(const platform::StoredObject& object);
   void RecordStoreCall(const WatchedKind& kind, const platform::StoreResult& result);
-  void UpdateGateways(TimePoint now);
   /// Records whether a kind could be read, and logs when that changes.
   void RecordHealth(const WatchedKind& kind, bool succeeded, const std::string& reason);
   void Tick(TimePoint now);
@@ -155,7 +136,6 @@
   GatewaySettings settings_;
   PlatformRole role_;
   HttpClient& client_;
-  PeerLink& link_;
   Metrics& metrics_;
   platform::ObjectStore store_;
   std::map<std::string, KindState> kind_states_;  ///< By kind name.
@@ -170,15 +150,11 @@
   std::map<std::string, int64_t> unreadable_revisions_;  ///< By runner.
   std::set<std::string> evacuated_;
   std::map<std::string, WeightsHistory> weights_;
-  std::map<std::string, Peer> peers_;
-  std::vector<std::string> gateways_;
-  std::vector<std::string> live_gateways_;
+  PeerDirectory peers_;
   StoreHealth health_;
-  bool peers_listed_ = false;
   bool first_listing_ = false;  ///< The changes being applied are the kind's first listing.
   std::string source_;          ///< Where the changes being applied were read.
 
-  size_t next_relay_ = 0;
   bool stopping_ = false;
 };
 
