--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -37,7 +37,7 @@
   }
   const HttpTarget& target = request.exchange.target();
   request.revision = table->revision;
-  const Route* const found = FindRoute(*table, request.caller.host, target.path);
+  const Route* const found = FindRoute(*table, request.caller.host, target.routed_path);
   if (found == nullptr) {
     return Refusal{404, ErrorCode::kNotFound, RunState::kNotRun, "no route matches", Duration{0}};
   }
--- a/src/net/http_types.cc
+++ b/src/net/http_types.cc
@@ -17,7 +17,13 @@
   return -1;
 }
 
-std::string PercentDecode(std::string_view text) {
+bool IsUnreserved(char c) {
+  return absl::ascii_isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '.' || c == '_' ||
+         c == '~';
+}
+
+/// Replaces the escapes of the bytes for which `decodes` holds, and keeps the others as they are.
+std::string PercentDecode(std::string_view text, bool (*decodes)(char)) {
   std::string decoded;
   for (size_t i = 0; i < text.size(); ++i) {
     const bool escape = text[i] == '%' && i + 2 < text.size() && HexDigitValue(text[i + 1]) >= 0 &&
@@ -26,13 +32,22 @@
       decoded.push_back(text[i]);
       continue;
     }
-    decoded.push_back(
-        static_cast<char>(HexDigitValue(text[i + 1]) * 16 + HexDigitValue(text[i + 2])));
+    const auto byte =
+        static_cast<char>(HexDigitValue(text[i + 1]) * 16 + HexDigitValue(text[i + 2]));
+    if (decodes(byte)) {
+      decoded.push_back(byte);
+    } else {
+      decoded.append(text.substr(i, 3));
+    }
     i += 2;
   }
   return decoded;
 }
 
+std::string PercentDecode(std::string_view text) {
+  return PercentDecode(text, [](char) { return true; });
+}
+
 }  // namespace
 
 std::string HeaderValue(const HttpHeaders& headers, std::string_view name) {
@@ -72,6 +87,7 @@
   HttpTarget parsed;
   const size_t question = target.find('?');
   parsed.path = PercentDecode(target.substr(0, question));
+  parsed.routed_path = PercentDecode(target.substr(0, question), IsUnreserved);
   if (question == std::string_view::npos) return parsed;
   const std::string query(target.substr(question + 1));
   for (const std::string& pair : std::vector<std::string>(absl::StrSplit(query, '&'))) {
@@ -86,8 +102,7 @@
 std::string PercentEncode(std::string_view text) {
   std::string encoded;
   for (const char c : text) {
-    if (absl::ascii_isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '.' || c == '_' ||
-        c == '~') {
+    if (IsUnreserved(c)) {
       encoded.push_back(c);
     } else {
       absl::StrAppend(&encoded, "%", absl::Hex(static_cast<unsigned char>(c), absl::kZeroPad2));
--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -44,7 +44,10 @@
 
 /// Path and decoded query parameters of a request target.
 struct HttpTarget {
-  std::string path;
+  std::string path;  ///< Decoded.
+  /// The path with only the escapes of unreserved bytes decoded. An escaped separator is data
+  /// within a segment (RFC 3986, 2.2), so it must not choose another route.
+  std::string routed_path;
   std::vector<std::pair<std::string, std::string>> query;
 
   /// Returns the parameter's value, or `fallback` when it is absent.
--- a/test/process/bad_input.cc
+++ b/test/process/bad_input.cc
@@ -138,6 +138,21 @@
   CheckStillServes();
 }
 
+// Guards against a request behind the body of another one that runs as a request of its own,
+// because the end of that body cannot be found.
+TEST(BadInput, UnknownTransferCodingsAreRefused) {
+  for (const char* coding : {"gzip", "chunked, gzip", "gzip, chunked", "identity"}) {
+    RawConnection connection(deployment.port("entry0"));
+    connection.Write(absl::StrCat("POST /v1/completions HTTP/1.1\r\nHost: test\r\n",
+                                  "Authorization: Bearer key-alpha\r\nTransfer-Encoding: ", coding,
+                                  "\r\n\r\n", Request(2, "{}")));
+    connection.EndWriting();
+    CHECK(absl::StartsWith(connection.ReadHeader(), "HTTP/1.1 400"));
+    STRCMP_EQUAL("", connection.ReadHeader().c_str());
+  }
+  CheckStillServes();
+}
+
 // Guards against a slow sender that occupies a connection indefinitely or delays other callers.
 TEST(BadInput, SlowSenderIsRefusedWhileOthersAreServed) {
   std::string header;
