Read urgent kinds from relays in large data centres, and back off from a store that rejects

Change: with six live gateways or more in a data centre, its gateways read both kinds from its relays. A relay tells the age of its contents at the time of the call, holds such a read for 0.7 s only, and is passed over for the store after one failure.

--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -32,6 +32,14 @@
 constexpr Duration kMaxRelayWait = Seconds(5);
 /// A relay whose contents are older than one watch timeout plus this cannot reach the store.
 constexpr Duration kMaxRelayLag = Millis(1200);
+/// The same for kinds whose changes must take effect within one or two seconds.
+constexpr Duration kMaxUrgentRelayLag = Millis(500);
+/// How long a relay holds a read of such a kind. A relay that stands still is noticed after this
+/// time and the margin of the call.
+constexpr Duration kUrgentRelayWait = Millis(700);
+/// Live gateways of the data centre from which on such kinds are read from relays. Below, the store
+/// has few callers, and a relay that stands still would delay a large share of them.
+constexpr size_t kMinGatewaysForUrgentRelays = 6;
 
 }  // namespace
 
@@ -41,21 +49,23 @@
   Duration watch_timeout;  ///< Longest time that one watch call stays open.
   Duration watch_delay;    ///< Between two watch calls, so that one call returns several changes.
   Duration sidecar_watch_delay;  ///< Same for sidecars; zero: they do not watch the kind.
-  bool prefer_relay;             ///< Read from a relay first; otherwise only when the store fails.
+  /// Changes must take effect within one or two seconds: gateways tell each other of them, and only
+  /// large data centres read them from relays.
+  bool urgent;
   void (FleetView::*apply)(const StoredObject& object);
 };
 
 // Short watch timeouts for the desired state and the runners detect a dead connection early, and
-// each response for the desired state renews the authority to accept keys. Kinds whose changes must
-// take effect within one or two seconds are read from the store itself, since a stalled relay would
-// delay them.
+// each response for the desired state renews the authority to accept keys. A relay of an urgent
+// kind that stalls is passed over: hellos of other gateways name the newest change, and the next
+// read goes to the store.
 const FleetView::WatchedKind FleetView::kWatchedKinds[] = {
-    {platform::kConfigKind, Millis(1000), Millis(0), Millis(0), false, &FleetView::ApplyConfig},
-    {platform::kRunnerKind, Millis(500), Millis(400), Millis(1500), true, &FleetView::ApplyRunner},
-    {platform::kEvacuationKind, Millis(2500), Millis(50), Millis(0), false,
+    {platform::kConfigKind, Millis(1000), Millis(0), Millis(0), true, &FleetView::ApplyConfig},
+    {platform::kRunnerKind, Millis(500), Millis(400), Millis(1500), false, &FleetView::ApplyRunner},
+    {platform::kEvacuationKind, Millis(2500), Millis(50), Millis(0), true,
      &FleetView::ApplyEvacuation},
-    {platform::kVersionKind, Millis(2500), Millis(50), Millis(50), true, &FleetView::ApplyWeights},
-    {kPeerKind, Millis(4000), Millis(500), Millis(1000), true, &FleetView::ApplyPeer},
+    {platform::kVersionKind, Millis(2500), Millis(50), Millis(50), false, &FleetView::ApplyWeights},
+    {kPeerKind, Millis(4000), Millis(500), Millis(1000), false, &FleetView::ApplyPeer},
 };
 
 FleetView::FleetView(ComponentRegistry& components, const GatewaySettings& settings,
@@ -90,7 +100,7 @@
   }
   for (const WatchedKind& kind : kWatchedKinds) {
     const auto state = kind_states_.find(kind.name);
-    if (kind.prefer_relay || state == kind_states_.end()) continue;
+    if (!kind.urgent || state == kind_states_.end()) continue;
     hello.changes.push_back({kind.name, state->second.log.changed_revision()});
   }
   return hello;
@@ -191,7 +201,8 @@
     std::optional<Endpoint> relay = ChooseRelay(kind, failures);
     // After a failure the sources are polled until one is current. A watch would last for its whole
     // timeout at each source that does not reach the store either.
-    const Duration wait = failures == 0 ? kind.watch_timeout : Duration{0};
+    const Duration longest = relay && kind.urgent ? kUrgentRelayWait : kind.watch_timeout;
+    const Duration wait = failures == 0 ? longest : Duration{0};
     const TimePoint sent = SuspendAwareNow();
     KindRead read;
     if (relay) {
@@ -208,7 +219,8 @@
     }
     backoff = kInitialBackoff;
     // A relay that cannot reach the store counts as a failed source.
-    const bool stale = read.age > kind.watch_timeout + kMaxRelayLag;
+    const Duration max_lag = kind.urgent ? kMaxUrgentRelayLag : kMaxRelayLag;
+    const bool stale = read.age > kind.watch_timeout + max_lag;
     failures = stale ? failures + 1 : 0;
     if (stale) LogStaleRelay(kind, read);
     // No store call would clear an earlier failure of a kind that is now read from a relay.
@@ -250,9 +262,11 @@
 }
 
 std::optional<Endpoint> FleetView::ChooseRelay(const WatchedKind& kind, int64_t failures) {
-  std::optional<Endpoint> preferred =
-      kind.prefer_relay ? peers_.PreferredRelay(kind.name) : std::nullopt;
+  const bool use_relays = !kind.urgent || peers_.LocalGateways() >= kMinGatewaysForUrgentRelays;
+  std::optional<Endpoint> preferred = use_relays ? peers_.PreferredRelay(kind.name) : std::nullopt;
   // While calls fail, the store and any gateway take the place of the preferred source in turn.
+  const bool store_is_next = failures % 3 == 0 ? !preferred : failures % 3 == 1 && preferred;
+  if (store_is_next && store_backoff_.Active(SteadyNow())) return peers_.NextRelay();
   switch (failures % 3) {
     case 0:
       return preferred;
@@ -321,6 +335,7 @@
     co_return HttpResponse{503, {}, ""};
   }
   KindState& state = found->second;
+  const TimePoint received_at = SuspendAwareNow();
   const int64_t since = target.QueryInteger("since", 0);
   const Duration wait =
       Millis(std::clamp<int64_t>(target.QueryInteger("wait_ms", 0), 0, ToMillis(kMaxRelayWait)));
@@ -333,7 +348,9 @@
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
   }
   ObjectChanges changes = state.log.ChangesSince(since);
-  changes.age = SuspendAwareNow() - state.as_of;
+  // The reader subtracts the age from the time of its call, so the wait for changes is no part of
+  // it.
+  changes.age = std::max(Duration{0}, received_at - state.as_of);
   changes.outage = health_.runner_outage();
   co_return JsonResponse(200, EncodeObjectChanges(changes));
 }
@@ -345,7 +362,10 @@
       .Counter("fuchsiaweir_store_calls_total", "Calls to the platform's store by outcome.",
                {{"kind", kind.name}, {"outcome", std::string(Name(result.outcome))}})
       .Increment();
-  if (!succeeded) {
+  if (succeeded) {
+    store_backoff_.OnExecuted();
+  } else {
+    store_backoff_.OnRejected(SteadyNow());
     LogInfo("store_call_failed", {{"kind", kind.name},
                                   {"outcome", std::string(Name(result.outcome))},
                                   {"reason", result.failure},
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -13,6 +13,7 @@
 #include "core/authority_lease.h"
 #include "core/route_table.h"
 #include "core/runner_registry.h"
+#include "core/store_backoff.h"
 #include "core/store_health.h"
 #include "core/weights_history.h"
 #include "gateway/gateway_settings.h"
@@ -152,6 +153,7 @@
   std::map<std::string, WeightsHistory> weights_;
   PeerDirectory peers_;
   StoreHealth health_;
+  StoreBackoff store_backoff_;
   bool first_listing_ = false;  ///< The changes being applied are the kind's first listing.
   std::string source_;          ///< Where the changes being applied were read.
 
--- a/src/gateway/peer_directory.cc
+++ b/src/gateway/peer_directory.cc
@@ -96,6 +96,14 @@
   return peers_.at(*relay).endpoint;
 }
 
+size_t PeerDirectory::LocalGateways() const {
+  const std::vector<std::string> names = Relays();
+  const auto count = std::count_if(names.begin(), names.end(), [&](const std::string& name) {
+    return peers_.at(name).data_centre == data_centre_;
+  });
+  return static_cast<size_t>(count) + (role_ == PlatformRole::kGateway ? 1 : 0);
+}
+
 std::optional<Endpoint> PeerDirectory::NextRelay() {
   const TimePoint now = SuspendAwareNow();
   std::vector<FallbackRelay> gateways;
--- a/src/gateway/peer_directory.h
+++ b/src/gateway/peer_directory.h
@@ -49,6 +49,8 @@
 
   /// Returns the gateway of this data centre that relays the kind; nothing if it is this process.
   std::optional<Endpoint> PreferredRelay(const std::string& kind) const;
+  /// Number of live gateways of this data centre, including this process if it is one.
+  size_t LocalGateways() const;
   /// Returns another live gateway, a different one at each call.
   std::optional<Endpoint> NextRelay();
 
