--- a/src/core/load_rollout.cc
+++ b/src/core/load_rollout.cc
@@ -17,6 +17,9 @@
 constexpr Duration kReportTimeout = Seconds(3);
 // Time between the loads of two runners that do not hear each other; a load takes less.
 constexpr Duration kBlindLoadSpacing = Seconds(2);
+// After this time the runner is ordered to load even if it still has runs that cannot continue
+// elsewhere; it then finishes them before it loads.
+constexpr Duration kFinishTimeout = Millis(2500);
 
 /// Whether the rollout has to finish soon, at the cost of capacity.
 bool Overdue(const LoadRollout& rollout) { return rollout.elapsed > rollout.window * 4 / 3; }
@@ -31,6 +34,15 @@
 
 }  // namespace
 
+RolloutRunner DescribeRunner(const std::string& id, const RunnerState& state, TimePoint now) {
+  RolloutRunner runner;
+  runner.id = id;
+  runner.weights_version = state.record.weights_version;
+  if (state.ReportFresh(now)) runner.phase = state.report->phase;
+  runner.heard = state.ReportFresh(now) || state.ReportFailed(now);
+  return runner;
+}
+
 bool LoadRollout::MayStartFinishing(const std::string& runner) const {
   const std::string salt = absl::StrCat(version);
   const uint64_t own_score = RendezvousScore(salt, runner);
@@ -81,4 +93,19 @@
   return ahead < MaxConcurrentLoads(*this);
 }
 
+LoadTurn::Step LoadTurn::Advance(const LoadRollout& rollout, const std::string& runner,
+                                 int64_t unrepeatable_runs, TimePoint now) {
+  if (phase_ == WeightLoadPhase::kServing) {
+    if (!rollout.MayStartFinishing(runner)) return Step::kWait;
+    phase_ = WeightLoadPhase::kFinishing;
+    finishing_since_ = now;
+    return Step::kAnnounceFinishing;
+  }
+  const bool finished = unrepeatable_runs == 0 && now - finishing_since_ > kPhaseChangeDelay;
+  if (!finished && now - finishing_since_ < kFinishTimeout) return Step::kWait;
+  if (!rollout.MayStartLoading(runner)) return Step::kWait;
+  phase_ = WeightLoadPhase::kLoading;
+  return Step::kOrder;
+}
+
 }  // namespace fuchsiaweir
--- a/src/core/load_rollout.h
+++ b/src/core/load_rollout.h
@@ -7,6 +7,7 @@
 
 #include "core/clock.h"
 #include "core/runner_record.h"
+#include "core/runner_registry.h"
 
 namespace fuchsiaweir {
 
@@ -19,6 +20,9 @@
   bool heard = true;
 };
 
+/// Returns the runner as described by the last messages of its sidecar.
+RolloutRunner DescribeRunner(const std::string& id, const RunnerState& state, TimePoint now);
+
 /// Decides when a runner of a service loads new weights. All processes compute the same order of
 /// runners by rendezvous hashing, without further coordination.
 ///
@@ -46,6 +50,32 @@
   bool MissesReports(const std::string& runner) const;
 };
 
+/// Delay between a phase change that is reported to the gateways and the next step, so that few
+/// requests reach a loading runner.
+inline constexpr Duration kPhaseChangeDelay = Millis(150);
+
+/// Progress of one runner towards its load, as decided and announced by its sidecar.
+class LoadTurn {
+ public:
+  /// What the sidecar has to do after a call of `Advance`.
+  enum class Step {
+    kWait,
+    kAnnounceFinishing,
+    kOrder,  ///< Order the load after `kPhaseChangeDelay`.
+  };
+
+  /// Phase that the sidecar announces if it is later than the one in the runner's report.
+  WeightLoadPhase phase() const { return phase_; }
+  Step Advance(const LoadRollout& rollout, const std::string& runner, int64_t unrepeatable_runs,
+               TimePoint now);
+  /// Starts anew after an order, or while no newer weights are named.
+  void Reset() { *this = LoadTurn(); }
+
+ private:
+  WeightLoadPhase phase_ = WeightLoadPhase::kServing;
+  TimePoint finishing_since_;
+};
+
 }  // namespace fuchsiaweir
 
 #endif  // FUCHSIAWEIR_CORE_LOAD_ROLLOUT_H_
--- a/src/gateway/weight_orders.cc
+++ b/src/gateway/weight_orders.cc
@@ -18,12 +18,6 @@
 constexpr char kFenceKind[] = "fuchsiaweir-fences";
 constexpr Duration kReportPeriod = Millis(120);
 constexpr Duration kOrderPeriod = Millis(100);
-/// Delay between a phase change that is reported to the gateways and the next step, so that few
-/// requests reach a loading runner.
-constexpr Duration kPhaseChangeDelay = Millis(150);
-/// After this time the runner is ordered to load even if it still has runs that cannot continue
-/// elsewhere; it then finishes them before it loads.
-constexpr Duration kFinishTimeout = Millis(2500);
 /// Share of the deadline for new weights within which the last runner starts to load.
 constexpr double kRolloutShare = 0.55;
 /// Time after new weights were named during which sidecars exchange reports.
@@ -83,7 +77,7 @@
       }
       if (report->running > 0) last_busy_at_ = SteadyNow();
       report_ = report;
-      report->phase = std::max(report->phase, announced_phase_);
+      report->phase = std::max(report->phase, turn_.phase());
       SendReport(LoadMessage{view_.settings().runner_endpoint(), report});
     } else if (++missed >= kMaxMissedReports) {
       if (missed == kMaxMissedReports) {
@@ -102,10 +96,7 @@
   for (const auto& [id, state] : view_.runner_registry().runners()) {
     if (state.record.service != runner->record.service) continue;
     if (state.record.draining || state.replaced) continue;
-    const WeightLoadPhase phase =
-        state.ReportFresh(now) ? state.report->phase : WeightLoadPhase::kServing;
-    const bool heard = state.ReportFresh(now) || state.ReportFailed(now);
-    rollout.runners.push_back({id, state.record.weights_version, phase, heard});
+    rollout.runners.push_back(DescribeRunner(id, state, now));
   }
   rollout.version = history.newest();
   if (watched_version_ != rollout.version) {
@@ -141,27 +132,30 @@
                      history->newest() > report_->weights_version &&
                      report_->phase != WeightLoadPhase::kLoading;
     if (!due) {
-      announced_phase_ = WeightLoadPhase::kServing;
+      turn_.Reset();
       continue;
     }
-    const TimePoint now = SteadyNow();
-    const LoadRollout rollout = CurrentRollout(*history);
-    if (announced_phase_ == WeightLoadPhase::kServing) {
-      if (!rollout.MayStartFinishing(runner->record.id)) continue;
-      announced_phase_ = WeightLoadPhase::kFinishing;
-      finishing_since_ = now;
-      LogInfo("weights_finishing", {{"runner", runner->record.id},
-                                    {"version", absl::StrCat(history->newest())},
-                                    {"elapsed_ms", Ms(rollout.elapsed)}});
+    // Read before the turn to load, since the store may answer late and the turn is announced.
+    if (fence_ == 0 && turn_.phase() == WeightLoadPhase::kFinishing) {
+      const bool has_token = co_await AcquireFencingToken();
+      if (!has_token) continue;
     }
-    const bool finished =
-        report_->unrepeatable_runs == 0 && now - finishing_since_ > kPhaseChangeDelay;
-    if (!finished && now - finishing_since_ < kFinishTimeout) continue;
-    if (!rollout.MayStartLoading(runner->record.id)) continue;
-    bool has_token = fence_ != 0;
-    if (!has_token) has_token = co_await AcquireFencingToken();
-    if (!has_token) continue;
-    co_await SendOrder(*history);
+    co_await TakeTurn(*history);
+  }
+}
+
+Awaitable<void> WeightOrders::TakeTurn(const WeightsHistory& history) {
+  const RunnerState* runner = FindRunner();
+  if (runner == nullptr || !report_) co_return;
+  const LoadRollout rollout = CurrentRollout(history);
+  const LoadTurn::Step step =
+      turn_.Advance(rollout, runner->record.id, report_->unrepeatable_runs, SteadyNow());
+  if (step == LoadTurn::Step::kAnnounceFinishing) {
+    LogInfo("weights_finishing", {{"runner", runner->record.id},
+                                  {"version", absl::StrCat(history.newest())},
+                                  {"elapsed_ms", Ms(rollout.elapsed)}});
+  } else if (step == LoadTurn::Step::kOrder) {
+    co_await SendOrder(history);
   }
 }
 
@@ -188,7 +182,6 @@
 }
 
 Awaitable<void> WeightOrders::SendOrder(const WeightsHistory& history) {
-  announced_phase_ = WeightLoadPhase::kLoading;
   co_await SleepFor(kPhaseChangeDelay);
   const RunnerState* runner = FindRunner();
   if (runner == nullptr || !report_) co_return;
@@ -223,7 +216,7 @@
          report_->phase != WeightLoadPhase::kLoading) {
     co_await SleepFor(kReportPeriod);
   }
-  announced_phase_ = WeightLoadPhase::kServing;
+  turn_.Reset();
 }
 
 }  // namespace fuchsiaweir
--- a/src/gateway/weight_orders.h
+++ b/src/gateway/weight_orders.h
@@ -21,6 +21,8 @@
  private:
   Awaitable<void> ReportLoop();
   Awaitable<void> OrderLoop();
+  /// Announces the next step towards the load of the newest weights, or orders the load.
+  Awaitable<void> TakeTurn(const WeightsHistory& history);
   Awaitable<void> SendOrder(const WeightsHistory& history);
   /// Returns whether this process now has a fencing token that is higher than all earlier ones.
   Awaitable<bool> AcquireFencingToken();
@@ -38,9 +40,7 @@
   int64_t fence_ = 0;       ///< Fencing token of this process; 0 while it has no valid one.
   TimePoint ordered_at_;    ///< Time of the last order.
   TimePoint last_busy_at_;  ///< When the runner last reported runs.
-  /// Phase that is reported to the gateways if it is later than the one in the runner's report.
-  WeightLoadPhase announced_phase_ = WeightLoadPhase::kServing;
-  TimePoint finishing_since_;
+  LoadTurn turn_;
   int64_t watched_version_ = 0;  ///< Newest weights version that this process knows.
   TimePoint watched_since_;
   bool stopping_ = false;
