Keep a runner in service until its sidecar has a fencing token

A sidecar without a token announced that its runner finishes, and then waited for the store with the runner half out of service; failed attempts were repeated every 100 ms. The token is now read before the first step, and again after 500 ms.

Run: groups LoadRollout and WeightLoads and GatewayPath.NamedWeightsAreLoadedEverywhere pass.

--- a/src/core/load_rollout.cc
+++ b/src/core/load_rollout.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 #include "core/rendezvous.h"
@@ -38,6 +39,9 @@
 // once the others know it, which takes two reports if one is lost.
 constexpr Duration kOrderNotice = Millis(250);
 
+constexpr std::array<std::string_view, 6> kStepNames = {"wait",  "withdrawn", "finishing",
+                                                        "ready", "loading",   "ordered"};
+
 /// Whether the rollout has to finish soon, at the cost of capacity.
 bool Overdue(const LoadRollout& rollout) { return rollout.elapsed > rollout.window * 4 / 3; }
 
@@ -255,4 +259,6 @@
   return ready_ != was_ready ? Step::kAnnounceReady : Step::kWait;
 }
 
+std::string_view Name(LoadTurn::Step step) { return kStepNames[static_cast<size_t>(step)]; }
+
 }  // namespace fuchsiaweir
--- a/src/core/load_rollout.h
+++ b/src/core/load_rollout.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/clock.h"
@@ -112,6 +113,9 @@
   TimePoint long_runs_since_;
 };
 
+/// Returns the step's name in metrics.
+std::string_view Name(LoadTurn::Step step);
+
 }  // namespace fuchsiaweir
 
 #endif  // FUCHSIAWEIR_CORE_LOAD_ROLLOUT_H_
--- a/src/gateway/weight_orders.cc
+++ b/src/gateway/weight_orders.cc
@@ -32,6 +32,9 @@
 constexpr Duration kUnansweredOrderTimeout = Seconds(3);
 /// Maximum wait for the runner's report to show an order that got a response.
 constexpr Duration kAnsweredOrderTimeout = Millis(400);
+/// Minimum interval of attempts to get a fencing token. All sidecars try at once when weights are
+/// named, and each failed attempt is logged.
+constexpr Duration kFenceRetryPeriod = Millis(500);
 /// Consecutive failed reads of the report after which the runner counts as silent.
 constexpr int64_t kMaxMissedReports = 3;
 
@@ -42,6 +45,7 @@
       view_(view),
       report_timer_(components.io()),
       order_timer_(components.io()),
+      metrics_(components.Find<Metrics>("metrics")),
       client_(components.Find<HttpClients>("http_clients").external()) {}
 
 void WeightOrders::Start() {
@@ -184,8 +188,10 @@
       turn_.Reset();
       continue;
     }
-    // Read before the turn to load, since the store may answer late and the turn is announced.
-    if (fence_ == 0 && turn_.phase() == WeightLoadPhase::kFinishing) {
+    // Without a token the runner cannot be ordered to load, so it stays in service until then.
+    if (fence_ == 0) {
+      if (SteadyNow() < next_fence_at_) continue;
+      next_fence_at_ = SteadyNow() + kFenceRetryPeriod;
       const bool has_token = co_await AcquireFencingToken();
       if (!has_token) continue;
     }
@@ -199,11 +205,22 @@
   const LoadRollout rollout = CurrentRollout(history);
   const LoadTurn::Step step =
       turn_.Advance(rollout, runner->record.id, !report_->unrepeatable_runs.empty(), SteadyNow());
-  if (step != LoadTurn::Step::kWait) AnnounceTurn();
+  if (step != LoadTurn::Step::kWait) {
+    metrics_
+        .Counter("fuchsiaweir_weight_load_steps_total", "Steps of the runner towards a load.",
+                 {{"step", std::string(Name(step))}})
+        .Increment();
+    AnnounceTurn();
+  }
   if (step == LoadTurn::Step::kAnnounceFinishing) {
     LogInfo("weights_finishing", {{"runner", runner->record.id},
                                   {"version", absl::StrCat(history.newest())},
                                   {"elapsed_ms", Ms(rollout.elapsed)}});
+  } else if (step == LoadTurn::Step::kAnnounceServing) {
+    LogInfo("weights_withdrawn", {{"runner", runner->record.id},
+                                  {"version", absl::StrCat(history.newest())},
+                                  {"runs", absl::StrCat(report_->unrepeatable_runs.size())},
+                                  {"elapsed_ms", Ms(rollout.elapsed)}});
   } else if (step == LoadTurn::Step::kOrder) {
     co_await SendOrder(history);
   }
--- a/src/gateway/weight_orders.h
+++ b/src/gateway/weight_orders.h
@@ -8,6 +8,7 @@
 #include "core/load_rollout.h"
 #include "core/run_ages.h"
 #include "gateway/fleet_view.h"
+#include "net/metrics.h"
 
 namespace fuchsiaweir {
 
@@ -45,9 +46,11 @@
   FleetView& view_;
   boost::asio::steady_timer report_timer_;  ///< Time of the next report.
   boost::asio::steady_timer order_timer_;   ///< Time of the next decision.
+  Metrics& metrics_;
   HttpClient& client_;
   std::optional<EngineReport> report_;
-  int64_t fence_ = 0;       ///< Fencing token of this process; 0 while it has no valid one.
+  int64_t fence_ = 0;  ///< Fencing token of this process; 0 while it has no valid one.
+  TimePoint next_fence_at_;
   TimePoint ordered_at_;    ///< Time of the last order.
   TimePoint last_busy_at_;  ///< When the runner last reported runs.
   LoadTurn turn_;
