Roll out versions of a service from the gateways

New software versions of a service were served as soon as their runners were listed, whatever their answers were. Where the settings have a canary share, gateways now follow the orders of kind 'rollouts': each keeps its own share of requests to the new version, the leader of the service collects counts by route, compares the versions by an exact test, and moves all gateways from canary over shift to finish, or stops the version; the result is written as the order's status. Without a canary share nothing changes.

--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -290,6 +290,7 @@
   shared.first_pause_end = FirstPauseEnd(query, runner_registry, now);
   for (auto& [id, state] : runner_registry.runners()) {
     if (state.record.service != query.service) continue;
+    if (query.version_rule != nullptr && !query.version_rule->Allows(state.record)) continue;
     const uint64_t affinity = RendezvousMix(query.prefix_hash, RendezvousHash(id));
     const bool leaving = state.record.draining || state.replaced || notices.Leaving(id);
     some_leave = some_leave || leaving;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -11,6 +11,7 @@
 #include "core/clock.h"
 #include "core/runner_registry.h"
 #include "core/token_demand.h"
+#include "core/version_rule.h"
 
 namespace fuchsiaweir {
 
@@ -29,6 +30,7 @@
   bool allow_suspected = true;
   const std::set<std::string>* closed_data_centres = nullptr;  ///< Evacuated, or no home region.
   const std::set<std::string>* tried = nullptr;  ///< Runners of earlier attempts, not eligible.
+  const VersionRule* version_rule = nullptr;     ///< Runners that a rollout allows; null: all.
   std::string self;                              ///< Name of this gateway.
   const std::vector<std::string>* gateways = nullptr;  ///< Names of all gateways.
   /// Maximum requests per second to a cold runner, from all gateways together; 0: no limit.
--- a/src/core/runner_record.h
+++ b/src/core/runner_record.h
@@ -12,6 +12,7 @@
 struct RunnerRecord {
   std::string id;  ///< Changes on most restarts, not on all; see `started_ms`.
   std::string service;
+  std::string version;  ///< Of the software that the runner runs; may be empty.
   std::string address;
   uint16_t port = 0;
   std::string data_centre;
--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -54,6 +54,7 @@
     {platform::kRunnerKind, Millis(500), Millis(400), Millis(1500), true, &FleetView::ApplyRunner},
     {platform::kEvacuationKind, Millis(2500), Millis(50), Millis(0), false,
      &FleetView::ApplyEvacuation},
+    {platform::kRolloutKind, Millis(2500), Millis(50), Millis(0), false, &FleetView::ApplyRollout},
     {platform::kVersionKind, Millis(2500), Millis(50), Millis(50), true, &FleetView::ApplyWeights},
     {kPeerKind, Millis(4000), Millis(500), Millis(1000), true, &FleetView::ApplyPeer},
 };
@@ -105,7 +106,7 @@
 
 void FleetView::Start() {
   for (const WatchedKind& kind : kWatchedKinds) {
-    if (role_ == PlatformRole::kSidecar && kind.sidecar_watch_delay == Duration{0}) continue;
+    if (!Watches(kind)) continue;
     SpawnService(io_, absl::StrCat("watch_", kind.name),
                  [this, &kind]() { return WatchKind(kind); });
   }
@@ -115,6 +116,11 @@
   });
 }
 
+bool FleetView::Watches(const WatchedKind& kind) const {
+  if (role_ == PlatformRole::kSidecar && kind.sidecar_watch_delay == Duration{0}) return false;
+  return kind.apply != &FleetView::ApplyRollout || settings_.rollouts_enabled();
+}
+
 Awaitable<void> FleetView::Stop() {
   stopping_ = true;
   co_return;
@@ -310,6 +316,7 @@
 
 void FleetView::MarkListed(const WatchedKind& kind) {
   if (kind.apply == &FleetView::ApplyRunner) runners_listed_ = true;
+  if (kind.apply == &FleetView::ApplyRollout) rollouts_listed_ = true;
   if (kind.apply == &FleetView::ApplyPeer) {
     peers_.MarkListed(SteadyNow());
   }
@@ -391,6 +398,10 @@
 
 void FleetView::ApplyPeer(const StoredObject& object) { peers_.Apply(object); }
 
+void FleetView::ApplyRollout(const StoredObject& object) {
+  if (rollout_listener_) rollout_listener_(object, first_listing_);
+}
+
 void FleetView::ApplyRunner(const StoredObject& object) {
   const TimePoint now = SteadyNow();
   std::optional<RunnerRecord> record;
@@ -531,8 +542,9 @@
   if (sender == nullptr) return;
   for (const HelloMessage::Change& change : message.changes) {
     for (const WatchedKind& kind : kWatchedKinds) {
+      if (kind.name != change.kind || !Watches(kind)) continue;
       KindState& state = kind_states_[kind.name];
-      if (kind.name != change.kind || state.catching_up) continue;
+      if (state.catching_up) continue;
       if (change.revision <= state.log.revision()) continue;
       state.catching_up = true;
       const Endpoint peer = sender->endpoint;
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -83,6 +83,14 @@
     table_listeners_.push_back(std::move(listener));
   }
 
+  /// Registers the listener that is called with each change of an order to roll out a version.
+  /// `first_listing`: the order may be from long before this process started.
+  using RolloutListener =
+      std::function<void(const platform::StoredObject& object, bool first_listing)>;
+  void SetRolloutListener(RolloutListener listener) { rollout_listener_ = std::move(listener); }
+  /// Whether the orders to roll out versions have been read.
+  bool rollouts_listed() const { return rollouts_listed_; }
+
   platform::ObjectStore& store() { return store_; }
 
   void Start() override;
@@ -92,6 +100,8 @@
   struct WatchedKind;
   struct KindRead;
 
+  /// Whether this process follows the kind.
+  bool Watches(const WatchedKind& kind) const;
   Awaitable<void> WatchKind(const WatchedKind& kind);
   /// Waits at most `wait` for changes.
   Awaitable<KindRead> ReadStore(const WatchedKind& kind, Duration wait);
@@ -115,6 +125,7 @@
   void ApplyEvacuation(const platform::StoredObject& object);
   void ApplyWeights(const platform::StoredObject& object);
   void ApplyPeer(const platform::StoredObject& object);
+  void ApplyRollout(const platform::StoredObject& object);
   void RecordStoreCall(const WatchedKind& kind, const platform::StoreResult& result);
   /// Records whether a kind could be read, and logs when that changes.
   void RecordHealth(const WatchedKind& kind, bool succeeded, const std::string& reason);
@@ -145,6 +156,8 @@
   std::shared_ptr<const RouteTable> table_;
 
   std::vector<std::function<void(const RouteTable&)>> table_listeners_;
+  RolloutListener rollout_listener_;
+  bool rollouts_listed_ = false;
   RunnerRegistry runner_registry_;
   bool runners_listed_ = false;
   std::map<std::string, int64_t> unreadable_revisions_;  ///< By runner.
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -14,6 +14,7 @@
 #include "core/placement.h"
 #include "core/route_table.h"
 #include "core/run_state.h"
+#include "gateway/rollout_attempt.h"
 #include "gateway/runner_channel.h"
 #include "net/http_server.h"
 #include "net/metrics.h"
@@ -76,6 +77,7 @@
   int64_t last_event_id = 0;    ///< Id of the last event that the caller has received.
   int stream_status = 0;        ///< Status of the caller's stream, once it has begun.
   std::string stream_media_type;
+  RolloutAttempt rollout;
   Duration time_to_first_byte{0};
   int failure_status = 0;  ///< Error response of the last runner that sent one; 0: none.
   HttpHeaders failure_headers;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -69,6 +69,7 @@
     : view_(view),
       parts_(parts),
       metrics_(components.Find<Metrics>("metrics")),
+      rollouts_(components.Find<RolloutControl>("rollout_control")),
       random_(RendezvousHash(view.settings().name) ^ static_cast<uint64_t>(UnixMillis())),
       channels_(components.io()),
       answer_memory_(view.settings().memory_bytes() / kAnswerMemoryDivisor),
@@ -77,7 +78,7 @@
       notice_reports_(view, metrics_),
       admission_(view, crash_attribution_, metrics_),
       monitor_(view, admission_, metrics_),
-      placer_(view, crash_attribution_, random_),
+      placer_(view, rollouts_, crash_attribution_, random_),
       refusals_(view, metrics_, random_) {
   components.Find<TimerService>("timer").Subscribe("forwarder", kTickPeriod,
                                                    [this](TimePoint now) { Tick(now); });
@@ -136,6 +137,7 @@
     }
     const AttemptResult result = co_await RunAttempt(request, placement);
     view_.runner_registry().OnRequestEnd(placement.runner);
+    rollouts_.OnAttemptEnd(request, placement.runner, OutcomeFor(result));
     if (result == AttemptResult::kDelivered) {
       co_return RecordRequestEnd(metrics_, request, "delivered", 200);
     }
@@ -193,6 +195,20 @@
   return admission_.TryConsumeRetry(request.service);
 }
 
+RolloutOutcome Forwarder::OutcomeFor(AttemptResult result) {
+  switch (result) {
+    case AttemptResult::kDelivered:
+      return RolloutOutcome::kServed;
+    case AttemptResult::kOwnFailure:
+    case AttemptResult::kUnknown:
+    case AttemptResult::kCut:
+    case AttemptResult::kDeadlineExceeded:
+      return RolloutOutcome::kFailed;
+    default:
+      return RolloutOutcome::kNone;
+  }
+}
+
 std::string Forwarder::EncodeRunnerRequest(ForwardedRequest& request, const RunnerState& runner) {
   platform::RunnerRequestFields fields;
   fields.runner_id = runner.record.id;
@@ -284,6 +300,7 @@
   request.answer_recorded = false;
   request.channel->ExpireAfter(request.deadline - now);
   crash_attribution_.OnSent(request);
+  rollouts_.OnSent(request, *chosen, now);
   const AttemptResult result =
       co_await ExchangeMessages(request, *request.channel, placement.runner, std::move(header));
   request.channel = nullptr;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -22,6 +22,7 @@
 #include "gateway/planned_stop.h"
 #include "gateway/refusal_writer.h"
 #include "gateway/request_placer.h"
+#include "gateway/rollout_control.h"
 #include "gateway/runner_channel.h"
 #include "gateway/runner_check.h"
 #include "net/http_server.h"
@@ -74,6 +75,7 @@
                                     const std::string& runner);
   std::string EncodeRunnerRequest(ForwardedRequest& request, const RunnerState& runner);
   bool MayRetry(ForwardedRequest& request, AttemptResult result);
+  static RolloutOutcome OutcomeFor(AttemptResult result);
   void Tick(TimePoint now);
   /// Cancels the attempt if the caller has disconnected, or if a retry at another runner is due.
   void CheckAttempt(ForwardedRequest& request, TimePoint now);
@@ -81,6 +83,7 @@
   FleetView& view_;
   PartWatch& parts_;
   Metrics& metrics_;
+  RolloutControl& rollouts_;
   RandomSequence random_;
   RunnerChannelPool channels_;
   MemoryBudget answer_memory_;  ///< Answers that are held until they are complete.
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -23,6 +23,7 @@
 #include "gateway/part_watch.h"
 #include "gateway/peer_link.h"
 #include "gateway/relay_client.h"
+#include "gateway/rollout_control.h"
 #include "gateway/uploads.h"
 #include "gateway/weight_orders.h"
 #include "net/crash_handler.h"
@@ -184,6 +185,7 @@
     PeerLink& link = components_.Add<PeerLink>("peer_link", io_, settings_.peer_endpoint());
     fleet_view_ = &components_.Add<FleetView>("fleet_view", components_, settings_, role_);
     if (role_ == PlatformRole::kGateway) {
+      rollouts_ = &components_.Add<RolloutControl>("rollout_control", components_, *fleet_view_);
       part_watch_ = &components_.Add<PartWatch>("part_watch", components_, *fleet_view_);
       forwarder_ =
           &components_.Add<Forwarder>("forwarder", components_, *fleet_view_, *part_watch_);
@@ -314,6 +316,10 @@
       if (forwarder_ != nullptr) forwarder_->crash_attribution().OnTrial(*trial);
     } else if (const auto* limit = std::get_if<LimitMessage>(&message)) {
       if (forwarder_ != nullptr) forwarder_->notice_reports().OnMessage(*limit);
+    } else if (const auto* evidence = std::get_if<RolloutEvidenceMessage>(&message)) {
+      if (rollouts_ != nullptr) rollouts_->OnMessage(*evidence);
+    } else if (const auto* step = std::get_if<RolloutStepMessage>(&message)) {
+      if (rollouts_ != nullptr) rollouts_->OnMessage(*step);
     } else if (const auto* cleared = std::get_if<ClearMessage>(&message)) {
       if (forwarder_ != nullptr) forwarder_->crash_attribution().OnCleared(*cleared);
     }
@@ -326,6 +332,7 @@
   std::string file_;
   int64_t modified_at_ns_ = 0;
   FleetView* fleet_view_ = nullptr;
+  RolloutControl* rollouts_ = nullptr;
   PartWatch* part_watch_ = nullptr;
   Forwarder* forwarder_ = nullptr;
   std::unique_ptr<HttpServer> caller_server_;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -35,6 +35,9 @@
     {"retry_ratio", &Settings::retry_ratio, Presence::kOptional, 0},
     {"retry_slack", &Settings::retry_slack, Presence::kOptional, 0},
     {"weights_ms", &Settings::weights_ms, Presence::kOptional, 1'000},
+    {"canary_share", &Settings::canary_share, Presence::kOptional, 0, 1},
+    {"canary_slack", &Settings::canary_slack, Presence::kOptional, 0},
+    {"rollback_ms", &Settings::rollback_ms, Presence::kOptional, 100},
 };
 
 const IniKey<Settings> kLogKeys[] = {{"level", &Settings::log_level}};
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -31,10 +31,16 @@
   double retry_ratio = 0.2;           ///< Retries per request, over all gateways.
   double retry_slack = 100;           ///< Retries beyond the ratio, over all gateways.
   int64_t weights_ms = 12'000;        ///< Longest time until no request starts on replaced weights.
+  double canary_share =
+      0;  ///< Share of a service's requests for a version on trial; 0: no rollouts.
+  double canary_slack = 50;     ///< Requests beyond the share, over all gateways.
+  int64_t rollback_ms = 5'000;  ///< Longest time that a bad version gets requests once it shows.
   std::string log_level = "info";
   std::map<std::string, std::string> regions;  ///< Region of each data centre.
 
   int64_t memory_bytes() const { return memory_mb * 1'000'000; }
+  /// Whether versions of a service are rolled out by this process.
+  bool rollouts_enabled() const { return canary_share > 0; }
   Endpoint callers_endpoint() const { return ParseEndpoint(callers); }
   Endpoint readiness_endpoint() const { return ParseEndpoint(readiness); }
   Endpoint runner_endpoint() const { return ParseEndpoint(runner); }
--- a/src/gateway/object_log.cc
+++ b/src/gateway/object_log.cc
@@ -32,6 +32,7 @@
   object.revision = platform::IntegerAt(fields, "revision");
   object.removed = platform::BooleanAt(fields, "removed");
   platform::DecodeContent(platform::FindMember(members, "content"), object);
+  platform::DecodeStatus(platform::FindMember(members, "status"), object);
   // Processes of an earlier version do not send this field.
   const std::string_view reason = platform::FindMember(members, "unreadable");
   if (object.unreadable.empty() && !reason.empty()) {
@@ -62,6 +63,7 @@
     text.pop_back();
     text += ",\"content\":";
     text += json::serialize(object.content);
+    if (!object.status.is_null()) text += ",\"status\":" + json::serialize(object.status);
     text += '}';
   }
   text += "]}";
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -101,6 +101,10 @@
   return object;
 }
 
+json::object Encode(const RolloutEvidenceMessage& message) { return EncodeMessage(message); }
+
+json::object Encode(const RolloutStepMessage& message) { return EncodeMessage(message); }
+
 EngineReport DecodeReport(const json::object& object) {
   EngineReport report;
   report.running = DecodeInteger(object.at("running"));
@@ -164,6 +168,8 @@
     }
     return message;
   }
+  if (type == "rollout_evidence") return DecodeRolloutEvidence(object);
+  if (type == "rollout_step") return DecodeRolloutStep(object);
   if (type != "crashed") throw std::invalid_argument("unknown type of peer message");
   CrashMessage message;
   message.service = std::string(object.at("service").as_string());
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -12,6 +12,7 @@
 
 #include "core/clock.h"
 #include "core/runner_record.h"
+#include "gateway/rollout_messages.h"
 #include "net/component_registry.h"
 #include "net/http_types.h"
 
@@ -72,7 +73,8 @@
 };
 
 using PeerMessage =
-    std::variant<HelloMessage, LoadMessage, CrashMessage, ClearMessage, TrialMessage, LimitMessage>;
+    std::variant<HelloMessage, LoadMessage, CrashMessage, ClearMessage, TrialMessage, LimitMessage,
+                 RolloutEvidenceMessage, RolloutStepMessage>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 /// Returns nothing for a malformed datagram.
--- a/src/gateway/request_placer.cc
+++ b/src/gateway/request_placer.cc
@@ -25,7 +25,14 @@
 }  // namespace
 
 Placement RequestPlacer::Try(ForwardedRequest& request, TimePoint now) {
-  return PlaceRequest(MakeQuery(request, now), view_.runner_registry(), now);
+  PlacementQuery query = MakeQuery(request, now);
+  if (const VersionRule* const first = rollouts_.FirstChoice(request, now)) {
+    const VersionRule* const all = std::exchange(query.version_rule, first);
+    Placement placement = PlaceRequest(query, view_.runner_registry(), now);
+    if (!placement.runner.empty()) return placement;
+    query.version_rule = all;
+  }
+  return PlaceRequest(query, view_.runner_registry(), now);
 }
 
 Placement RequestPlacer::FindOther(ForwardedRequest& request, TimePoint now) {
@@ -41,6 +48,7 @@
 void RequestPlacer::Count(const ForwardedRequest& request, const std::string& runner,
                           TimePoint now) {
   view_.runner_registry().OnPlaced(runner, request.tokens(), now);
+  rollouts_.OnPlaced(request, runner);
   if (request.caller.parts.empty()) return;
   token_demands_[request.service].OnSent(request.tokens(), request.caller.output_tokens, now);
 }
@@ -54,6 +62,7 @@
 PlacementQuery RequestPlacer::MakeQuery(ForwardedRequest& request, TimePoint now) {
   PlacementQuery query;
   query.service = request.service;
+  query.version_rule = rollouts_.Rule(request.service, now);
   query.data_centre = view_.settings().data_centre;
   query.prefix_hash = request.prefix_hash;
   query.closed_data_centres = &request.closed_data_centres;
@@ -116,7 +125,8 @@
 
 bool RequestPlacer::TakesRequests(const RunnerState& runner, TimePoint now) const {
   const RunnerNotices& notices = view_.runner_registry().notices();
-  return !runner.record.draining && !notices.Leaving(runner.record.id) &&
+  return !runner.record.draining && rollouts_.MayReceive(runner.record, now) &&
+         !notices.Leaving(runner.record.id) &&
          notices.PauseLeft(runner.record.id, now) == Duration{0} &&
          view_.evacuated().count(runner.record.data_centre) == 0;
 }
--- a/src/gateway/request_placer.h
+++ b/src/gateway/request_placer.h
@@ -10,14 +10,16 @@
 #include "gateway/crash_attribution.h"
 #include "gateway/fleet_view.h"
 #include "gateway/forwarded_request.h"
+#include "gateway/rollout_control.h"
 
 namespace fuchsiaweir {
 
 /// Finds runners for requests, and counts the requests that are placed.
 class RequestPlacer {
  public:
-  RequestPlacer(FleetView& view, CrashAttribution& crash_attribution, RandomSequence& random)
-      : view_(view), crash_attribution_(crash_attribution), random_(random) {}
+  RequestPlacer(FleetView& view, RolloutControl& rollouts, CrashAttribution& crash_attribution,
+                RandomSequence& random)
+      : view_(view), rollouts_(rollouts), crash_attribution_(crash_attribution), random_(random) {}
 
   /// Waits for a runner that takes the request, at most for a share of its objective, and counts
   /// the request there. The placement is empty if there is none.
@@ -37,6 +39,7 @@
   PlacementQuery MakeQuery(ForwardedRequest& request, TimePoint now);
 
   FleetView& view_;
+  RolloutControl& rollouts_;
   CrashAttribution& crash_attribution_;
   RandomSequence& random_;
   std::map<std::string, TokenDemand> token_demands_;  ///< By service.
--- /dev/null
+++ b/src/gateway/rollout_control.cc
@@ -0,0 +1,464 @@
+#include "gateway/rollout_control.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "core/millis_text.h"
+#include "core/rendezvous.h"
+#include "core/unix_time.h"
+#include "net/log.h"
+#include "net/timer_service.h"
+#include "platform/decode.h"
+#include "platform/names.h"
+
+namespace fuchsiaweir {
+namespace {
+
+constexpr Duration kTickPeriod = Millis(100);
+/// Between two reports, and two messages of the leader.
+constexpr Duration kReportPeriod = Millis(500);
+/// Time without a hello from which a gateway is not chosen as leader: three hellos. Shorter than
+/// the time in which the members of a rollout must stop a bad version.
+constexpr Duration kLeaderTimeout = Millis(2500);
+constexpr Duration kWriteRetryDelay = Millis(300);
+/// Time for the desired state to name a service after the order for it.
+constexpr Duration kServiceWait = Seconds(3);
+
+RolloutState FinalStateOr(const std::optional<RolloutState>& state) {
+  return state.value_or(RolloutState::kRunning);
+}
+
+bool IsFinal(const std::optional<RolloutState>& state) {
+  return FinalStateOr(state) != RolloutState::kRunning;
+}
+
+}  // namespace
+
+RolloutControl::RolloutControl(ComponentRegistry& components, FleetView& view)
+    : io_(components.io()),
+      view_(view),
+      link_(components.Find<PeerLink>("peer_link")),
+      metrics_(components.Find<Metrics>("metrics")),
+      enabled_(view.settings().rollouts_enabled()),
+      start_(UnixMillis()) {
+  if (!enabled_) return;
+  view_.SetRolloutListener([this](const platform::StoredObject& object, bool first_listing) {
+    OnObject(object, first_listing);
+  });
+  components.Find<TimerService>("timer").Subscribe("rollouts", kTickPeriod,
+                                                   [this](TimePoint now) { Tick(now); });
+}
+
+const VersionRule* RolloutControl::Rule(const std::string& service, TimePoint now) {
+  if (!enabled_) return nullptr;
+  if (services_.count(service) == 0) Refresh(now);
+  const auto found = services_.find(service);
+  if (found == services_.end()) return nullptr;
+  const Service& state = found->second;
+  const VersionAccess access =
+      state.rollout ? state.rollout->member.Access(now) : VersionAccess::kPresent;
+  switch (access) {
+    case VersionAccess::kPreferTarget:
+      return &state.both;
+    case VersionAccess::kTarget:
+      return &state.target;
+    default:
+      return &state.present;
+  }
+}
+
+const VersionRule* RolloutControl::FirstChoice(const ForwardedRequest& request, TimePoint now) {
+  const auto found = services_.find(request.service);
+  if (found == services_.end() || !found->second.rollout) return nullptr;
+  const Service& state = found->second;
+  const RolloutMember& member = state.rollout->member;
+  if (member.Access(now) == VersionAccess::kPreferTarget) return &state.target;
+  // A request that failed on trial is not put on trial again.
+  const bool first_attempt = request.tried.empty() && !request.rollout.sent_before;
+  if (!first_attempt || !state.target_listed) return nullptr;
+  return member.TakesTrial(request.route->name, now) ? &state.trial : nullptr;
+}
+
+bool RolloutControl::MayReceive(const RunnerRecord& runner, TimePoint now) {
+  const VersionRule* const rule = Rule(runner.service, now);
+  if (rule == nullptr || rule->Allows(runner)) return true;
+  const Service& state = services_.at(runner.service);
+  return state.rollout && state.rollout->member.Access(now) == VersionAccess::kTrial &&
+         state.target.Allows(runner);
+}
+
+void RolloutControl::OnPlaced(const ForwardedRequest& request, const std::string& runner) {
+  const auto found = services_.find(request.service);
+  if (found == services_.end() || !found->second.rollout) return;
+  const RunnerState* const state = view_.runner_registry().Find(runner);
+  if (state == nullptr || !found->second.target.Allows(state->record)) return;
+  found->second.rollout->member.OnPlacedOnTarget(request.route->name);
+}
+
+void RolloutControl::OnSent(ForwardedRequest& request, const RunnerState& runner, TimePoint now) {
+  if (!enabled_) return;
+  const bool first = !std::exchange(request.rollout.sent_before, true);
+  request.rollout.sent = true;
+  request.rollout.version = runner.record.version;
+  request.rollout.cold = runner.Cold(now);
+  const auto found = services_.find(request.service);
+  if (found == services_.end() || !found->second.rollout || !first) return;
+  found->second.rollout->member.OnSent(request.route->name);
+}
+
+void RolloutControl::OnAttemptEnd(ForwardedRequest& request, const std::string& runner,
+                                  RolloutOutcome outcome) {
+  if (!std::exchange(request.rollout.sent, false)) return;
+  if (outcome == RolloutOutcome::kNone || request.withdrawn) return;
+  const auto found = services_.find(request.service);
+  if (found == services_.end()) return;
+  Service& service = found->second;
+  const RunnerState* const state = view_.runner_registry().Find(runner);
+  // A load of weights breaks runs off on purpose.
+  const bool failed = outcome == RolloutOutcome::kFailed;
+  if (failed && state != nullptr && state->ReportFresh(SteadyNow()) &&
+      state->report->phase != WeightLoadPhase::kServing) {
+    return;
+  }
+  RolloutAnswer answer;
+  answer.route = request.route->name;
+  answer.failed = failed;
+  answer.cold = request.rollout.cold;
+  const TimePoint end = request.first_byte_received ? request.first_byte_at : request.last_byte_at;
+  answer.time = end - request.sent_at;
+  AnswerTimes& times = service.present_times[answer.route];
+  answer.present_median = times.Median();
+  const std::string& version = request.rollout.version;
+  const bool present = service.versions.accepted().count(version) > 0;
+  if (present && !failed && !answer.cold) times.Add(answer.time);
+  if (!service.rollout) return;
+  answer.by_target = version == service.record->target;
+  if (answer.by_target || present) service.rollout->member.OnAnswer(answer);
+}
+
+void RolloutControl::OnMessage(const RolloutEvidenceMessage& message) {
+  const auto found = services_.find(message.service);
+  if (found == services_.end() || !found->second.rollout) return;
+  Service& service = found->second;
+  if (service.record->target != message.target) return;
+  service.rollout->leader.OnReport(message.report, service.rollout->member, SteadyNow());
+}
+
+void RolloutControl::OnMessage(const RolloutStepMessage& message) {
+  const auto found = services_.find(message.service);
+  if (found == services_.end() || !found->second.rollout) return;
+  Service& service = found->second;
+  if (service.record->target != message.target) return;
+  const TimePoint now = SteadyNow();
+  service.rollout->member.OnStep(message.step, message.elapsed, now);
+  service.rollout->member.OnLeader(message.elapsed, now);
+  LogStep(message.service, service, absl::StrCat("told by ", message.sender), now);
+}
+
+void RolloutControl::OnObject(const platform::StoredObject& object, bool first_listing) {
+  Service& service = services_[object.name];
+  if (object.removed) return OnRemoved(service);
+  if (object.revision <= service.revision) return;
+  service.revision = object.revision;
+  RolloutRecord record = platform::DecodeRollout(object.name, object.content, object.status);
+  if (!record.unusable_status.empty()) {
+    LogWarning("rollout_status_unusable",
+               {{"service", object.name}, {"status", record.unusable_status}});
+  }
+  OnRecord(std::move(record), service, first_listing);
+}
+
+void RolloutControl::OnRemoved(Service& service) {
+  if (!service.record) return;
+  LogInfo("rollout_removed", {{"service", service.record->service},
+                              {"target", service.record->target},
+                              {"in_progress", service.rollout ? "yes" : "no"}});
+  if (service.rollout) service.versions.OnReverted(service.record->target);
+  service.rollout.reset();
+  service.result.reset();
+  service.record.reset();
+}
+
+void RolloutControl::OnRecord(RolloutRecord record, Service& service, bool first_listing) {
+  const std::optional<RolloutRecord> before = std::exchange(service.record, std::move(record));
+  const RolloutRecord& current = *service.record;
+  // An order for the same version without its final status is a new one.
+  const bool same = before && before->target == current.target &&
+                    before->problem == current.problem &&
+                    (!IsFinal(before->state) || IsFinal(current.state));
+  if (same) {
+    if (FinalStateOr(before->state) != FinalStateOr(current.state)) OnState(service);
+    return;
+  }
+  if (service.rollout && before) {
+    LogWarning("rollout_superseded", {{"service", current.service},
+                                      {"target", before->target},
+                                      {"next_target", current.target}});
+    service.versions.OnReverted(before->target);
+  }
+  service.rollout.reset();
+  service.result.reset();
+  service.ordered_at = SteadyNow();
+  Begin(service, first_listing);
+}
+
+void RolloutControl::Begin(Service& service, bool first_listing) {
+  const RolloutRecord& record = *service.record;
+  const TimePoint now = SteadyNow();
+  if (IsFinal(record.state)) return OnState(service);
+  if (!record.problem.empty()) return End(service, RolloutState::kReverted, record.problem);
+  Refresh(now);
+  if (!service.versions.OnOrder(record.target)) {
+    return End(service, RolloutState::kDone, "the service has this version already");
+  }
+  // The former requests of a gateway that was restarted are not known, so that it has no slack. The
+  // number of gateways may change later; each keeps its part.
+  const auto gateways = static_cast<int64_t>(view_.gateways().size());
+  const int64_t slack = first_listing || gateways == 0
+                            ? 0
+                            : static_cast<int64_t>(view_.settings().canary_slack) / gateways;
+  service.rollout.emplace(Rollout{RolloutMember(view_.settings().canary_share, slack, now)});
+  RefreshRules(record.service, service, now);
+  LogInfo("rollout_ordered", {{"service", record.service},
+                              {"target", record.target},
+                              {"within_ms", Ms(record.within)},
+                              {"slack", absl::StrCat(slack)},
+                              {"restarted", first_listing ? "yes" : "no"}});
+}
+
+void RolloutControl::End(Service& service, RolloutState result, const std::string& reason) {
+  service.rollout.reset();
+  service.result = result;
+  service.reason = reason;
+  if (result == RolloutState::kReverted && !service.record->target.empty()) {
+    service.versions.OnReverted(service.record->target);
+  }
+  RefreshRules(service.record->service, service, SteadyNow());
+  LogWarning("rollout_refused", {{"service", service.record->service},
+                                 {"target", service.record->target},
+                                 {"result", std::string(NameIn(kRolloutStateNames, result))},
+                                 {"reason", reason}});
+}
+
+void RolloutControl::OnState(Service& service) {
+  const RolloutRecord& record = *service.record;
+  if (!IsFinal(record.state)) return;
+  const bool done = record.state == RolloutState::kDone;
+  const bool expected =
+      !service.rollout ||
+      service.rollout->member.step() == (done ? RolloutStep::kFinish : RolloutStep::kStopped);
+  LogInfo("rollout_ended", {{"service", record.service},
+                            {"target", record.target},
+                            {"state", std::string(NameIn(kRolloutStateNames, *record.state))},
+                            {"expected", expected ? "yes" : "no"}});
+  if (done) {
+    service.versions.OnDone(record.target);
+  } else {
+    service.versions.OnReverted(record.target);
+  }
+  service.rollout.reset();
+  service.result.reset();
+  RefreshRules(record.service, service, SteadyNow());
+}
+
+std::vector<std::string> RolloutControl::LiveGateways(TimePoint now) const {
+  std::vector<std::string> live{view_.settings().name};
+  for (const auto& [name, peer] : view_.peers()) {
+    if (peer.gateway && now - peer.last_seen < kLeaderTimeout) live.push_back(name);
+  }
+  return live;
+}
+
+int64_t RolloutControl::PresentRequests(const std::string& name, const std::string& target) const {
+  int64_t requests = 0;
+  for (const auto& [id, state] : view_.runner_registry().runners()) {
+    if (state.record.service != name || state.record.version == target) continue;
+    requests += std::max<int64_t>(0, state.in_flight);
+  }
+  return requests;
+}
+
+RolloutReport RolloutControl::MakeReport(const std::string& name, const Service& service,
+                                         TimePoint now) const {
+  const RolloutMember& member = service.rollout->member;
+  return {view_.settings().name, start_,
+          member.Elapsed(now),   member.step(),
+          member.says_bad(),     PresentRequests(name, service.record->target),
+          member.counts()};
+}
+
+void RolloutControl::Tick(TimePoint now) {
+  Refresh(now);
+  const bool report = now >= next_report_;
+  if (report) next_report_ = now + kReportPeriod;
+  // Without the list of peers each gateway would take itself for the leader.
+  if (view_.gateways().empty()) return;
+  const std::vector<std::string> live = LiveGateways(now);
+  for (auto& [name, service] : services_) {
+    if (!service.record) continue;
+    if (service.rollout) {
+      service.rollout->member.JudgeOwn();
+      // The desired state may name the service a moment after the order.
+      if (view_.table() != nullptr && view_.Service(name) == nullptr &&
+          now - service.ordered_at > kServiceWait) {
+        End(service, RolloutState::kReverted, "the desired state has no such service");
+      }
+    }
+    const std::string leader = RendezvousTop(absl::StrCat("rollout ", name), live, 1).front();
+    if (leader == view_.settings().name) {
+      Lead(name, service, live, report, now);
+    } else if (report && service.rollout) {
+      Report(name, service, leader, now);
+    }
+    if (service.rollout) UpdateMetrics(name, service, now);
+  }
+}
+
+void RolloutControl::Lead(const std::string& name, Service& service,
+                          const std::vector<std::string>& live, bool announce, TimePoint now) {
+  if (IsFinal(service.record->state)) return;
+  if (service.result) return WriteStatus(name, service, *service.result, service.reason, now);
+  if (!service.rollout) return;
+  Rollout& rollout = *service.rollout;
+  const RolloutStep before = rollout.member.step();
+  const RolloutDecision decision =
+      rollout.leader.Decide(MakeReport(name, service, now), live, service.target_listed,
+                            service.record->within, rollout.member, now);
+  LogStep(name, service, decision.reason, now);
+  if (announce || decision.step != before) {
+    view_.BroadcastToGateways(RolloutStepMessage{view_.settings().name, name,
+                                                 service.record->target,
+                                                 rollout.member.Elapsed(now), decision.step});
+  }
+  WriteStatus(name, service, FinalStateOr(decision.final_state), decision.reason, now);
+}
+
+void RolloutControl::Report(const std::string& name, Service& service, const std::string& leader,
+                            TimePoint now) {
+  const auto peer = view_.peers().find(leader);
+  if (peer == view_.peers().end()) return;
+  RolloutEvidenceMessage message{name, service.record->target, MakeReport(name, service, now)};
+  message.report.counts = TakeFittingCounts(message.report.counts, service.rollout->first_route);
+  link_.Send(peer->second.endpoint, message);
+}
+
+void RolloutControl::WriteStatus(const std::string& name, Service& service, RolloutState state,
+                                 const std::string& reason, TimePoint now) {
+  if (service.record->state == state || service.writing || now < service.next_write) return;
+  service.writing = true;
+  Spawn(io_, "rollout_status", [this, name, state, reason]() {
+    std::string service_name = name;
+    std::string why = reason;
+    return SendStatus(std::move(service_name), state, std::move(why));
+  });
+}
+
+Awaitable<void> RolloutControl::SendStatus(std::string name, RolloutState state,
+                                           std::string reason) {
+  Service& service = services_.at(name);
+  const std::string kind = platform::kRolloutKind;
+  const int64_t revision = service.revision;
+  const std::string target = service.record ? service.record->target : "";
+  boost::json::value status = platform::EncodeRolloutStatus(state, target);
+  platform::StoreResult result =
+      co_await view_.store().ReplaceStatus(kind, name, revision, std::move(status));
+  LogInfo("rollout_status_written", {{"service", name},
+                                     {"target", target},
+                                     {"state", std::string(NameIn(kRolloutStateNames, state))},
+                                     {"reason", reason},
+                                     {"revision", absl::StrCat(revision)},
+                                     {"outcome", std::string(platform::Name(result.outcome))},
+                                     {"failure", result.failure}});
+  // The write may have been applied although its answer is lost, and another writer may have been
+  // faster: the store's contents decide.
+  result = co_await view_.store().Read(kind, name);
+  if (result.outcome == platform::StoreOutcome::kDone && !result.objects.empty()) {
+    OnObject(result.objects.front(), false);
+  }
+  service.next_write = SteadyNow() + kWriteRetryDelay;
+  service.writing = false;
+}
+
+void RolloutControl::Refresh(TimePoint now) {
+  std::map<std::string, ServiceVersions::Listed> listed;
+  for (const auto& [id, state] : view_.runner_registry().runners()) {
+    if (state.record.draining || state.replaced) continue;
+    const RunnerRecord& record = state.record;
+    const auto [oldest, added] =
+        listed[record.service].try_emplace(record.version, record.started_ms);
+    if (!added) oldest->second = std::min(oldest->second, record.started_ms);
+  }
+  for (const auto& [name, versions] : listed) services_[name];
+  for (auto& [name, service] : services_) {
+    const std::string target = service.rollout ? service.record->target : "";
+    service.versions.OnListed(listed[name], target, view_.rollouts_listed(), now);
+    service.target_listed = listed[name].count(target) > 0;
+    RefreshRules(name, service, now);
+  }
+}
+
+void RolloutControl::RefreshRules(const std::string& name, Service& service, TimePoint now) {
+  service.present.versions = service.versions.accepted();
+  service.target = {};
+  service.both = service.present;
+  service.trial = {};
+  if (!service.rollout) return;
+  const std::string& target = service.record->target;
+  service.target.versions.insert(target);
+  service.both.versions.insert(target);
+  service.trial.versions.insert(target);
+  std::vector<std::string> usable;
+  const RunnerNotices& notices = view_.runner_registry().notices();
+  for (const auto& [id, state] : view_.runner_registry().runners()) {
+    if (state.record.service != name || state.record.version != target) continue;
+    if (state.record.draining || state.replaced || notices.Leaving(id)) continue;
+    if (!state.Suspected(now)) usable.push_back(id);
+  }
+  // Load pattern: the share spread over all new runners would leave each nearly idle, and faults
+  // under load would show only after the shift.
+  const double share = view_.settings().canary_share * static_cast<double>(usable.size());
+  const auto count = std::max<size_t>(1, static_cast<size_t>(std::ceil(share)));
+  for (std::string& id : RendezvousTop(absl::StrCat(name, " ", target), usable, count)) {
+    service.trial.runners.insert(std::move(id));
+  }
+}
+
+void RolloutControl::LogStep(const std::string& name, Service& service, const std::string& reason,
+                             TimePoint now) {
+  Rollout& rollout = *service.rollout;
+  const RolloutStep step = rollout.member.step();
+  // A reason with growing counts would be logged at each call.
+  if (rollout.logged_step == step && !(rollout.logged_reason.empty() && !reason.empty())) return;
+  rollout.logged_step = step;
+  rollout.logged_reason = reason;
+  const RolloutShare& share = rollout.member.share();
+  LogInfo("rollout_step", {{"service", name},
+                           {"target", service.record->target},
+                           {"step", std::string(NameIn(kRolloutStepNames, step))},
+                           {"reason", reason},
+                           {"elapsed_ms", Ms(rollout.member.Elapsed(now))},
+                           {"sent", absl::StrCat(share.sent())},
+                           {"sent_on_trial", absl::StrCat(share.on_trial())}});
+}
+
+void RolloutControl::UpdateMetrics(const std::string& name, Service& service, TimePoint now) {
+  (void)now;
+  const RolloutMember& member = service.rollout->member;
+  metrics_
+      .Gauge("fuchsiaweir_rollout_step",
+             "Step of a rollout: 0 canary, 1 shift, 2 finish, 3 stopped.", {{"service", name}})
+      .Set(static_cast<double>(member.step()));
+  metrics_
+      .Gauge("fuchsiaweir_rollout_requests", "Requests sent since the order of a rollout.",
+             {{"service", name}, {"which", "all"}})
+      .Set(static_cast<double>(member.share().sent()));
+  metrics_
+      .Gauge("fuchsiaweir_rollout_requests", "Requests sent since the order of a rollout.",
+             {{"service", name}, {"which", "on_trial"}})
+      .Set(static_cast<double>(member.share().on_trial()));
+}
+
+}  // namespace fuchsiaweir
