--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -107,7 +107,7 @@
                       << "\nmetrics_port = " << metrics << "\n"
                       << process << "[platform]\nstore = 127.0.0.1:" << store
                       << "\n[bounds]\nkey_revocation_ms = 4000\nshutdown_s = 8\n"
-                      << "[regions]\neast = region\n";
+                      << bounds_ << "[regions]\neast = region\n";
   processes_.StartProcess(name, {std::getenv("FW_BINARY"), role, "--settings=" + file});
 }
 
@@ -122,6 +122,15 @@
   return Send("DELETE", store_port_, path, "", {}, call_timeout_).status == 200;
 }
 
+std::string Fleet::StateOf(const std::string& kind, const std::string& name) {
+  const std::string path = absl::StrCat("/objects/", kind, "/", name);
+  const Reply reply = Send("GET", store_port_, path, "", {}, call_timeout_);
+  if (reply.status != 200) return "";
+  const json::object object = reply.json();
+  const json::object* status = object.at("status").if_object();
+  return status == nullptr ? "" : std::string(status->at("state").as_string());
+}
+
 bool Fleet::ListRunner(int runner, const std::string& state, int cold_ms, int64_t started_ms) {
   const std::string id = absl::StrCat("runner", runner);
   return Put(
@@ -129,7 +138,7 @@
       json::object{{"service", "llm"},
                    {"addr", absl::StrCat("127.0.0.1:", listed_.at(static_cast<size_t>(runner)))},
                    {"zone", "east"},
-                   {"version", "v1"},
+                   {"version", versions_.count(runner) > 0 ? versions_.at(runner) : "v1"},
                    {"slots", 8},
                    {"state", state},
                    {"cold_left_ms", cold_ms},
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -2,6 +2,7 @@
 #define FUCHSIAWEIR_TEST_PROCESS_FLEET_H_
 
 #include <boost/json.hpp>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -36,6 +37,11 @@
     read_timeout_ms_ = read_timeout_ms;
   }
 
+  /// Adds lines to the section [bounds] of the gateways' settings. Call before `Start`.
+  void AddBounds(const std::string& lines) { bounds_ += lines; }
+  /// Sets the version that the store's record of a runner tells; otherwise "v1".
+  void SetVersion(int runner, const std::string& version) { versions_[runner] = version; }
+
   /// Starts everything and waits until the gateways are ready.
   void Start();
 
@@ -46,6 +52,8 @@
   /// confirmed it.
   bool Put(const std::string& kind, const std::string& name, const boost::json::value& spec);
   bool Delete(const std::string& kind, const std::string& name);
+  /// Returns an object's field "state" of its status; empty if it has none.
+  std::string StateOf(const std::string& kind, const std::string& name);
   /// Writes the store's record of a runner that started at `started_ms`.
   bool ListRunner(int runner, const std::string& state = "ready", int cold_ms = 0,
                   int64_t started_ms = 1'000);
@@ -119,6 +127,8 @@
   std::vector<int> listed_;  ///< Ports of the runners in the store and in the sidecars' settings.
   std::vector<int> sidecar_metrics_;
   bool sidecars_;
+  std::string bounds_;
+  std::map<int, std::string> versions_;
   bool record_runs_ = false;
   Duration call_timeout_ = Seconds(30);
   int64_t body_bytes_ = 65'536;
--- a/test/standin/fleet_store.cc
+++ b/test/standin/fleet_store.cc
@@ -49,13 +49,16 @@
     const std::string rest = path.substr(std::string("/objects/").size());
     const size_t slash = rest.find('/');
     const std::string kind = rest.substr(0, slash);
-    const std::string name = slash == std::string::npos ? "" : rest.substr(slash + 1);
+    std::string name = slash == std::string::npos ? "" : rest.substr(slash + 1);
+    const std::string suffix = "/status";
+    const bool status = name.ends_with(suffix);
+    if (status) name.resize(name.size() - suffix.size());
     const std::string& method = exchange.request().method;
     if (method == "GET" && name.empty() && !exchange.target().Query("watch").empty()) {
       co_return co_await Watch(exchange, kind);
     }
     if (method == "GET") co_return co_await Read(exchange, kind, name);
-    co_return co_await Write(exchange, kind, name);
+    co_return co_await Write(exchange, kind, name, status);
   }
 
  private:
@@ -115,7 +118,7 @@
     co_await SendJson(exchange, status, std::move(body));
   }
 
-  Awaitable<void> Write(HttpExchange& exchange, std::string kind, std::string name) {
+  Awaitable<void> Write(HttpExchange& exchange, std::string kind, std::string name, bool status) {
     std::map<std::string, json::object>& objects = objects_[kind];
     const std::string& method = exchange.request().method;
     json::object body;
@@ -128,6 +131,10 @@
     }
     const auto found = objects.find(name);
     const bool exists = found != objects.end();
+    if (status && !exists) {
+      std::string missing = "{}";
+      co_return co_await SendJson(exchange, 404, std::move(missing));
+    }
     const bool conflict = (method == "POST" && exists) ||
                           (expected && (!exists || RevisionOf(found->second) != *expected));
     std::string response_body = "{}";
@@ -139,6 +146,10 @@
     const bool removed = method == "DELETE";
     json::object object =
         removed && exists ? found->second : MakeObject(name, revision_, body["spec"]);
+    if (status) {
+      object["spec"] = found->second.at("spec");
+      object["status"] = body["status"];
+    }
     if (removed) {
       objects.erase(name);
     } else {
--- a/test/standin/fleet_store.h
+++ b/test/standin/fleet_store.h
@@ -5,7 +5,7 @@
 
 /// Stand-in for the store of the users' platform: objects by kind and name with revisions,
 /// conditional updates and watches. A PUT without a revision is unconditional, which tests use to
-/// write as the operator.
+/// write as the operator. A PUT to an object's path with "/status" replaces only its status.
 ///
 /// POST /fault sets faults: "down" (refuse all calls), "silent" (never respond), "forget_history"
 /// (discard the changes up to now, so that watches from earlier revisions fail with status 410),
