Count no answer as slow that takes a small part of the objective

A good version was not done in one of three plays of Rollouts.AGoodVersionReplacesTheOldOne; the cause was not traced. The stand-in runners answer in one or two milliseconds, so that 2.5 times the median is within the noise of a busy host. An answer is now slow only above a twentieth of the route's objective as well.

--- a/src/core/rollout_member.cc
+++ b/src/core/rollout_member.cc
@@ -9,11 +9,15 @@
 constexpr Duration kMaxLeaderAge = Seconds(2);
 /// An answer is slow from this multiple of the present version's median time on.
 constexpr int64_t kSlowFactorTenths = 25;
+/// Part of the objective below which no answer is slow. Answers of a few milliseconds take several
+/// times as long whenever the host has other work.
+constexpr int64_t kObjectiveDivisor = 20;
 
 }  // namespace
 
 bool IsSlow(const RolloutAnswer& answer) {
   return answer.present_median && !answer.cold &&
+         answer.time > answer.objective / kObjectiveDivisor &&
          answer.time * 10 > *answer.present_median * kSlowFactorTenths;
 }
 
--- a/src/core/rollout_member.h
+++ b/src/core/rollout_member.h
@@ -29,10 +29,11 @@
   Duration time{0};   ///< From the sending to the answer, of a stream to its first event.
   /// Median time of the present version's recent answers on the route; nothing if there are few.
   std::optional<Duration> present_median;
+  Duration objective{0};  ///< Of the route; times far below it are of no concern to callers.
 };
 
-/// Whether the answer took several times the present version's median time. False for a cold runner
-/// and while the median is not known.
+/// Whether the answer took several times the present version's median time, and a relevant share of
+/// the route's objective. False for a cold runner and while the median is not known.
 bool IsSlow(const RolloutAnswer& answer);
 
 /// One gateway's part in a rollout: its share of the requests, its evidence, and the step that it
--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -135,7 +135,8 @@
                              failed,
                              request.rollout.cold,
                              end - request.sent_at,
-                             times.Median()};
+                             times.Median(),
+                             request.route->objective};
   // A caller that leaves early says nothing of the version, but one whose time is up does.
   if (outcome == RolloutOutcome::kLeft && (answered || !IsSlow(answer))) return;
   const bool present = service.versions.accepted().count(request.rollout.version) > 0;
