--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -77,6 +77,7 @@
 
   void Signal(const std::string& name, int signal) { processes_.Signal(name, signal); }
   void Restart(const std::string& name) { processes_.Restart(name); }
+  pid_t pid(const std::string& name) const { return processes_.pid(name); }
   int Wait(const std::string& name) { return processes_.Wait(name); }
   std::optional<int> TryWait(const std::string& name) { return processes_.TryWait(name); }
   /// Runs a command of the binary. Returns its exit code.
