Give all memory that others can fill one budget and evict stalled messages

Cause: bodies (62 %), answers (25 %) and peers (12.5 %) had separate shares that add up to the whole memory, answers that nobody reads were never given up, a chunk extension or trailer could fill a read buffer of 262 KB on each connection without being counted, and freed bodies stayed resident.

Change: MemoryBudget owns bodies, answers, responses to peers, connections and heads. It evicts messages that move fewer than client_bytes_per_s (default 1,000) over the time of a request plus 1 s first, oldest and largest first, then the largest that is being received. An answer claims its announced length before the request's body gives up its room. Socket buffers of callers are limited to 64 KB, read buffers to the head's limit plus 16 KB, discarded input after an oversized body to 1 MB, and large blocks of the heap return to the system at once.

--- a/src/core/upload_budget.cc
+++ b/src/core/upload_budget.cc
@@ -18,19 +18,19 @@
 
 }  // namespace
 
-UploadBudget::UploadBudget(int64_t limit_bytes) : limit_bytes_(limit_bytes) {}
+UploadBudget::UploadBudget(MemoryBudget& memory) : memory_(memory) {
+  memory_.SetRoomListener([this]() { AdmitWaiting(now_); });
+}
+
+UploadBudget::~UploadBudget() { memory_.SetRoomListener(nullptr); }
 
 UploadBudget::Upload::Upload(UploadBudget& budget, std::function<void()> on_change)
-    : budget_(budget), on_change_(std::move(on_change)), sequence_(budget.next_sequence_++) {
-  budget_.uploads_.insert(this);
-}
+    : budget_(budget),
+      on_change_(std::move(on_change)),
+      sequence_(budget.next_sequence_++),
+      share_(budget.memory_, MemoryUse::kBody, [this]() { budget_.OnEvicted(*this); }) {}
 
-UploadBudget::Upload::~Upload() {
-  budget_.used_bytes_ -= bytes_;
-  budget_.uploads_.erase(this);
-  budget_.large_.erase(this);
-  budget_.AdmitWaiting(budget_.now_);
-}
+UploadBudget::Upload::~Upload() { budget_.large_.erase(this); }
 
 // Load pattern: more large uploads at once than the memory holds. Receiving a few at a time at full
 // speed completes more of them than receiving all in parts, which fills the memory with parts.
@@ -42,45 +42,22 @@
   budget_.large_.insert(this);
   budget_.AdmitWaiting(now);
   if (!waiting()) return;
-  if (budget_.waiting() * kUnreadBytes <= budget_.limit_bytes_ / kWaitingDivisor) return;
+  if (budget_.waiting() * kUnreadBytes <= budget_.memory_.limit_bytes() / kWaitingDivisor) return;
   budget_.Refuse(*budget_.LastWaiting());
 }
 
-// Load pattern: slow uploads that together fill the memory before any of them is complete. The
-// largest one gives way, so that the others can go on.
-bool UploadBudget::Upload::Resize(int64_t bytes) {
-  if (evicted()) return false;
-  const bool shrinks = bytes < bytes_;
-  budget_.used_bytes_ += bytes - bytes_;
-  bytes_ = bytes;
-  budget_.EvictExcess();
-  if (shrinks) budget_.AdmitWaiting(budget_.now_);
-  return !evicted();
-}
+bool UploadBudget::Upload::Resize(int64_t bytes) { return share_.Resize(bytes) && !evicted(); }
 
 void UploadBudget::Upload::Complete() {
   if (evicted()) return;
   state_ = State::kComplete;
+  share_.Complete();
   if (budget_.large_.erase(this) > 0) budget_.AdmitWaiting(budget_.now_);
 }
 
-void UploadBudget::EvictExcess() {
-  while (used_bytes_ + connection_bytes_ > limit_bytes_) {
-    Upload* const largest = LargestIncomplete();
-    if (largest == nullptr) return;
-    Refuse(*largest);
-  }
-}
-
-void UploadBudget::AddConnectionBytes(int64_t bytes) {
-  connection_bytes_ += bytes;
-  if (bytes > 0) EvictExcess();
-  if (bytes < 0) AdmitWaiting(now_);
-}
+void UploadBudget::Refuse(Upload& upload) { upload.share_.Evict(); }
 
-void UploadBudget::Refuse(Upload& upload) {
-  if (upload.evicted()) return;
-  used_bytes_ -= std::exchange(upload.bytes_, 0);
+void UploadBudget::OnEvicted(Upload& upload) {
   upload.state_ = Upload::State::kEvicted;
   large_.erase(&upload);
   ++refusals_;
@@ -89,30 +66,45 @@
 
 void UploadBudget::AdmitWaiting(TimePoint now) {
   now_ = std::max(now_, now);
+  // Memory that `MakeRoom` returns calls this function again.
+  if (admitting_) return;
+  admitting_ = true;
   while (Upload* const first = FirstWaiting()) {
-    if (!HasRoom(*first)) return;
+    if (!MakeRoom(*first)) break;
     first->state_ = Upload::State::kAdmitted;
+    // It could not send while it waited.
+    first->share_.SetPhase(MemoryBudget::Phase::kReceiving);
     first->admitted_at_ = now_;
     first->on_change_();
   }
+  admitting_ = false;
+}
+
+bool UploadBudget::MakeRoom(const Upload& upload) {
+  while (!HasRoom(upload)) {
+    if (!memory_.EvictStalled()) return false;
+  }
+  return upload.waiting();
 }
 
 int64_t UploadBudget::OutstandingBytes(const Upload& upload) const {
   if (now_ - upload.admitted_at_ >= kClaimTime) return 0;
-  return std::max<int64_t>(0, upload.expected_bytes_ - upload.bytes_);
+  return std::max<int64_t>(0, upload.expected_bytes_ - upload.share_.bytes());
 }
 
 bool UploadBudget::HasRoom(const Upload& upload) const {
-  int64_t bytes = connection_bytes_ + used_bytes_ - upload.bytes_ + upload.expected_bytes_;
+  int64_t bytes = memory_.claimed_bytes() - upload.share_.bytes() + upload.expected_bytes_;
   bool alone = true;
   for (const Upload* other : large_) {
     if (other == &upload || other->waiting()) continue;
     bytes += OutstandingBytes(*other);
     alone = false;
   }
-  const int64_t share = limit_bytes_ - limit_bytes_ / kSmallDivisor;
+  const int64_t share = memory_.limit_bytes() - memory_.limit_bytes() / kSmallDivisor;
   // A body that is larger than the share is received alone.
-  if (upload.expected_bytes_ > share && alone && used_bytes_ == upload.bytes_) return true;
+  if (upload.expected_bytes_ > share && alone && memory_.used_bytes() == upload.share_.bytes()) {
+    return true;
+  }
   return bytes <= share;
 }
 
@@ -137,15 +129,6 @@
   return last;
 }
 
-UploadBudget::Upload* UploadBudget::LargestIncomplete() const {
-  Upload* largest = nullptr;
-  for (Upload* upload : uploads_) {
-    if (upload->state_ == Upload::State::kComplete || upload->bytes_ == 0) continue;
-    if (largest == nullptr || upload->bytes_ > largest->bytes_) largest = upload;
-  }
-  return largest;
-}
-
 int64_t UploadBudget::waiting() const {
   return std::count_if(large_.begin(), large_.end(),
                        [](const Upload* upload) { return upload->waiting(); });
--- a/src/core/upload_budget.h
+++ b/src/core/upload_budget.h
@@ -6,17 +6,22 @@
 #include <set>
 
 #include "core/clock.h"
+#include "core/memory_budget.h"
 
 namespace fuchsiaweir {
 
-/// Limits the bytes that the bodies of requests and their connections occupy together, and decides
-/// the order in which large bodies are received. Not thread-safe.
+/// Decides the order in which large bodies of requests are received, within the memory that other
+/// uses of the budget leave. Not thread-safe.
 class UploadBudget {
  public:
   /// Bodies up to this size are received without waiting.
   static constexpr int64_t kSmallBytes = 65'536;
 
-  explicit UploadBudget(int64_t limit_bytes);
+  /// Listens for memory that is returned, so a budget has at most one of these.
+  explicit UploadBudget(MemoryBudget& memory);
+  ~UploadBudget();
+  UploadBudget(const UploadBudget&) = delete;
+  UploadBudget& operator=(const UploadBudget&) = delete;
 
   /// The body of one request, from its header to the end of the request.
   class Upload {
@@ -30,8 +35,8 @@
 
     /// Sets the size that the body is expected to reach. A large body may have to wait.
     void Expect(int64_t bytes, TimePoint now);
-    /// Sets the number of bytes held. If the budget is exceeded, evicts the largest incomplete
-    /// uploads. Returns false if this upload is evicted.
+    /// Sets the number of bytes held. If the budget is exceeded, evicts messages. Returns false if
+    /// this upload is evicted.
     bool Resize(int64_t bytes);
     /// Exempts the upload from eviction: the body is complete.
     void Complete();
@@ -47,10 +52,10 @@
     UploadBudget& budget_;
     std::function<void()> on_change_;
     State state_ = State::kSmall;
-    int64_t bytes_ = 0;
     int64_t expected_bytes_ = 0;
     int64_t sequence_;
     TimePoint admitted_at_;
+    MemoryBudget::Share share_;
   };
 
   /// Admits the waiting uploads that have room, smaller ones first.
@@ -58,10 +63,10 @@
 
   /// Adds to the bytes that connections occupy, or subtracts from them. Like a body that grows, a
   /// new connection may evict uploads.
-  void AddConnectionBytes(int64_t bytes);
+  void AddConnectionBytes(int64_t bytes) { memory_.AddFixed(MemoryUse::kConnection, bytes); }
 
   /// Bytes of bodies that are held.
-  int64_t used_bytes() const { return used_bytes_; }
+  int64_t used_bytes() const { return memory_.used_bytes(MemoryUse::kBody); }
   /// Number of uploads that wait for room.
   int64_t waiting() const;
   /// Number of uploads that got no room, or gave theirs up.
@@ -73,22 +78,19 @@
   /// Returns the bytes that an admitted upload is expected to occupy beyond those that it holds.
   int64_t OutstandingBytes(const Upload& upload) const;
   bool HasRoom(const Upload& upload) const;
-  /// Evicts incomplete uploads until the limit is kept.
-  void EvictExcess();
+  /// Evicts messages without progress until the upload has room. Returns whether it has.
+  bool MakeRoom(const Upload& upload);
+  void OnEvicted(Upload& upload);
   /// Returns the first upload that waits, or the last one; null if none waits.
   Upload* FirstWaiting() const;
   Upload* LastWaiting() const;
-  /// Returns the largest upload that may be evicted, or null.
-  Upload* LargestIncomplete() const;
   static bool Before(const Upload& one, const Upload& other);
 
-  int64_t limit_bytes_;
-  int64_t used_bytes_ = 0;
-  int64_t connection_bytes_ = 0;
+  MemoryBudget& memory_;
+  bool admitting_ = false;
   int64_t refusals_ = 0;
   int64_t next_sequence_ = 0;
-  TimePoint now_;  ///< Latest time that the budget has been told.
-  std::set<Upload*> uploads_;
+  TimePoint now_;            ///< Latest time that the budget has been told.
   std::set<Upload*> large_;  ///< Waiting or admitted.
 };
 
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -73,6 +73,7 @@
   bool retry_reserved = false;  ///< The next attempt was already taken from the retry budget.
   Placement reserved;           ///< Of the next attempt, which is counted at its runner already.
   bool body_released = false;   ///< No further attempt can be made.
+  bool delivering = false;      ///< The answer, or a piece of it, is being sent to the caller.
   int64_t last_event_id = 0;    ///< Id of the last event that the caller has received.
   int stream_status = 0;        ///< Status of the caller's stream, once it has begun.
   std::string stream_media_type;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -13,6 +13,7 @@
 #include "core/rendezvous.h"
 #include "core/unix_time.h"
 #include "core/urgency.h"
+#include "gateway/held_answer.h"
 #include "net/log.h"
 #include "net/timer_service.h"
 
@@ -37,9 +38,6 @@
 /// A runner that crashes on a request does so when it begins to answer. A request that has been
 /// answered for this long is not the cause of a crash.
 constexpr Duration kAnswerBegun = Millis(200);
-/// Share of the host's memory for answers that are held until they are complete. The rest is for
-/// the desired state, requests and connections.
-constexpr int64_t kAnswerMemoryDivisor = 4;
 /// A faulty runner may send an event without end.
 constexpr size_t kMaxEventBytes = 1'000'000;
 constexpr size_t kMaxLoggedEventBytes = 200;
@@ -65,13 +63,14 @@
   kDeadlineExceeded,
 };
 
-Forwarder::Forwarder(ComponentRegistry& components, FleetView& view, PartWatch& parts)
+Forwarder::Forwarder(ComponentRegistry& components, FleetView& view, PartWatch& parts,
+                     MemoryBudget& memory)
     : view_(view),
       parts_(parts),
       metrics_(components.Find<Metrics>("metrics")),
       random_(RendezvousHash(view.settings().name) ^ static_cast<uint64_t>(UnixMillis())),
       channels_(components.io()),
-      answer_memory_(view.settings().memory_bytes() / kAnswerMemoryDivisor),
+      memory_(memory),
       runner_check_(components.io(), view, channels_),
       crash_attribution_(view, metrics_),
       notice_reports_(view, metrics_),
@@ -166,7 +165,8 @@
   const int status = request.failure_status;
   HttpResponse response{status, std::move(request.failure_headers),
                         std::move(request.failure_body)};
-  co_await request.exchange.Respond(std::move(response));
+  MemoryBudget::Share* const memory = BeginDelivery(request, request.failure_memory.get());
+  co_await request.exchange.Respond(std::move(response), memory);
   RecordRequestEnd(metrics_, request, "runner_failed", status);
 }
 
@@ -301,16 +301,6 @@
   co_return result;
 }
 
-std::unique_ptr<MemoryBudget::Share> Forwarder::ReserveAnswer(const ForwardedRequest& request,
-                                                              RunnerChannel& channel) {
-  return std::make_unique<MemoryBudget::Share>(answer_memory_, [this, &request, &channel]() {
-    LogWarning("answer_too_large", {{"request", request.caller.id},
-                                    {"runner", request.runner},
-                                    {"held_bytes", absl::StrCat(answer_memory_.used_bytes())}});
-    channel.Close();
-  });
-}
-
 Awaitable<Forwarder::AttemptResult> Forwarder::ExchangeMessages(ForwardedRequest& request,
                                                                 RunnerChannel& channel,
                                                                 const std::string& runner,
@@ -336,6 +326,8 @@
     request.attempt_log.push_back(absl::StrCat(runner, ":not_resumed_", answer.status));
     co_return AttemptResult::kCut;
   }
+  // Claimed before the body gives up its room, which the answer needs.
+  std::unique_ptr<MemoryBudget::Share> memory = HoldAnswer(memory_, request, runner_header);
   // The body and the answer of a request would otherwise be held together, beyond the memory.
   const bool large = request.exchange.request().body.size() > kMaxRepeatedBodyBytes;
   const bool last_attempt = !request.repeatable() || request.runs >= request.route->attempts;
@@ -344,16 +336,16 @@
     request.body_released = true;
   }
   if (success && request.is_stream()) {
+    memory.reset();
     const AttemptResult result = co_await RelayStream(request, channel, runner_header, runner);
     co_return result;
   }
   std::string body;
-  std::unique_ptr<MemoryBudget::Share> memory = ReserveAnswer(request, channel);
   RunnerChannel::Read read = RunnerChannel::Read::kData;
   while (read == RunnerChannel::Read::kData) {
     read = co_await channel.ReadBody(body);
     request.last_byte_at = SteadyNow();
-    if (!memory->Resize(static_cast<int64_t>(body.capacity()))) read = RunnerChannel::Read::kBroken;
+    if (!memory->Resize(static_cast<int64_t>(body.size()))) read = RunnerChannel::Read::kBroken;
   }
   memory->Complete();
   if (answer.not_run) {
@@ -387,7 +379,8 @@
   request.attempt_log.push_back(absl::StrCat(runner, ":status_", answer.status));
   HttpResponse response{answer.status, platform::CallerHeaders(runner_header.fields),
                         std::move(body)};
-  const bool written = co_await request.exchange.Respond(std::move(response));
+  MemoryBudget::Share* const delivered = BeginDelivery(request, memory.get());
+  const bool written = co_await request.exchange.Respond(std::move(response), delivered);
   co_return written ? AttemptResult::kDelivered : AttemptResult::kCallerGone;
 }
 
@@ -423,7 +416,7 @@
   EventSplitter splitter;
   EventCheck check(request.exchange.streaming());
   std::string received;
-  const std::unique_ptr<MemoryBudget::Share> memory = ReserveAnswer(request, channel);
+  const std::unique_ptr<MemoryBudget::Share> memory = HoldAnswer(memory_, request, header);
   while (true) {
     RunnerChannel::Read read = co_await channel.ReadBody(received);
     if (!received.empty()) request.last_byte_at = SteadyNow();
@@ -445,6 +438,8 @@
           request.time_to_first_byte = SteadyNow() - request.arrived_at;
         }
       }
+      const auto event_bytes = static_cast<int64_t>(events.size());
+      BeginDelivery(request, memory.get());
       bool written = true;
       if (request.exchange.waiting()) {
         HttpHeaders fields = platform::CallerHeaders(header.fields);
@@ -458,6 +453,9 @@
         channel.Close();
         co_return AttemptResult::kCallerGone;
       }
+      request.delivering = false;
+      memory->SetPhase(MemoryBudget::Phase::kReceiving);
+      memory->AddProgress(event_bytes);
     }
     if (request.first_byte_received && !request.answer_recorded &&
         (complete || SteadyNow() - request.first_byte_at >= kAnswerBegun)) {
@@ -527,10 +525,6 @@
   metrics_.Gauge("fuchsiaweir_requests_in_flight", "Requests that have not been answered.")
       .Set(static_cast<double>(requests_.size()));
   view_.runner_registry().notices().Expire(now);
-  metrics_.Gauge("fuchsiaweir_answer_bytes_held", "Bytes of answers that are not delivered yet.")
-      .Set(static_cast<double>(answer_memory_.used_bytes()));
-  metrics_.Gauge("fuchsiaweir_answers_evicted", "Answers given up because they filled the memory.")
-      .Set(static_cast<double>(answer_memory_.evictions()));
   metrics_.Gauge("fuchsiaweir_limited_runners", "Runners that have named a limit of requests.")
       .Set(static_cast<double>(view_.runner_registry().notices().limited()));
   metrics_.Gauge("fuchsiaweir_runner_connections_opened", "Connections opened to runners.")
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -31,7 +31,7 @@
 /// Forwards callers' requests to runners: admission, placement, sending, retries and responses.
 class Forwarder : public Component {
  public:
-  Forwarder(ComponentRegistry& components, FleetView& view, PartWatch& parts);
+  Forwarder(ComponentRegistry& components, FleetView& view, PartWatch& parts, MemoryBudget& memory);
   ~Forwarder() override;
 
   Awaitable<void> Handle(HttpExchange& exchange);
@@ -55,9 +55,6 @@
   Awaitable<void> ProcessRequest(ForwardedRequest& request);
   /// Sends the request to the runner once.
   Awaitable<AttemptResult> RunAttempt(ForwardedRequest& request, const Placement& placement);
-  /// Returns a share of the memory for the answer that the attempt receives.
-  std::unique_ptr<MemoryBudget::Share> ReserveAnswer(const ForwardedRequest& request,
-                                                     RunnerChannel& channel);
   Awaitable<AttemptResult> ExchangeMessages(ForwardedRequest& request, RunnerChannel& channel,
                                             const std::string& runner, std::string header);
   /// Copies the events of a runner's stream to the caller.
@@ -83,7 +80,7 @@
   Metrics& metrics_;
   RandomSequence random_;
   RunnerChannelPool channels_;
-  MemoryBudget answer_memory_;  ///< Answers that are held until they are complete.
+  MemoryBudget& memory_;
   RunnerCheck runner_check_;
   CrashAttribution crash_attribution_;
   NoticeReports notice_reports_;
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -17,6 +17,7 @@
 #include <utility>
 
 #include "core/file_text.h"
+#include "core/memory_budget.h"
 #include "core/version.h"
 #include "gateway/fleet_view.h"
 #include "gateway/forwarder.h"
@@ -26,6 +27,7 @@
 #include "gateway/uploads.h"
 #include "gateway/weight_orders.h"
 #include "net/crash_handler.h"
+#include "net/heap_settings.h"
 #include "net/http_server.h"
 #include "net/listen_retry.h"
 #include "net/log.h"
@@ -52,12 +54,18 @@
 constexpr int64_t kReservedDescriptors = 700;
 /// File descriptors reserved for files and for connections to peers and the store.
 constexpr int64_t kReservedFileDescriptors = 300;
-/// Share of the host's memory for responses to peers that are being sent.
+/// Share of the host's memory beyond which responses to peers are refused.
 constexpr int64_t kPeerMemoryDivisor = 8;
-/// Percentage of the host's memory for callers' connections and the bodies of their requests.
-constexpr int64_t kBodyMemoryPercent = 62;
+/// Limit of the system's receive and of its send buffer of a caller's connection. The system would
+/// let each grow to several megabytes; this is enough for 10 Mbit/s and a round trip of 50 ms.
+constexpr int kCallerSocketBytes = 65'536;
+/// Added to the time in which a request has to arrive: no request that is in time is without
+/// progress for as long.
+constexpr Duration kStallMargin = Seconds(1);
+/// Longer than an upload waits for room, in which it is not read.
+constexpr Duration kMinStallTime = Seconds(3);
 constexpr int64_t kInternalBodyMemoryBytes = 8'000'000;
-constexpr Duration kUploadReportInterval = Millis(500);
+constexpr Duration kMemoryCheckInterval = Millis(500);
 /// Requests of peers, of the balancer and for metrics have no body.
 constexpr int64_t kMaxInternalBodyBytes = 4'096;
 /// Time at the start for the platform to complete the settings.
@@ -112,6 +120,7 @@
         components_(io),
         role_(role),
         settings_(std::move(settings)),
+        memory_(MemoryLimit()),
         file_(std::move(file)),
         modified_at_ns_(ModifiedAtNs(file_)) {
     AddComponents();
@@ -146,6 +155,7 @@
     LogInfo("settings_loaded",
             {{"cause", cause}, {"restart_needed", restart_needed ? "yes" : "no"}});
     settings_ = *loaded;
+    memory_.SetLimit(MemoryLimit());
     fleet_view_->SetSettings(settings_);
   }
 
@@ -174,6 +184,12 @@
   }
 
  private:
+  /// Returns the memory that callers, runners, peers and stores may fill together.
+  int64_t MemoryLimit() {
+    if (!rest_bytes_) rest_bytes_ = ReadUsage().resident_bytes.value_or(0);
+    return MessageMemoryBytes(settings_.memory_bytes(), *rest_bytes_);
+  }
+
   void AddComponents() {
     components_.Add<Metrics>("metrics");
     TimerService& timer = components_.Add<TimerService>("timer", io_);
@@ -185,8 +201,8 @@
     fleet_view_ = &components_.Add<FleetView>("fleet_view", components_, settings_, role_);
     if (role_ == PlatformRole::kGateway) {
       part_watch_ = &components_.Add<PartWatch>("part_watch", components_, *fleet_view_);
-      forwarder_ =
-          &components_.Add<Forwarder>("forwarder", components_, *fleet_view_, *part_watch_);
+      forwarder_ = &components_.Add<Forwarder>("forwarder", components_, *fleet_view_, *part_watch_,
+                                               memory_);
       AddCallerServers();
     } else {
       components_.Add<WeightOrders>("weight_orders", components_, *fleet_view_);
@@ -229,7 +245,8 @@
     options.listen = settings_.callers_endpoint();
     options.max_connections =
         std::max(kMinCallerConnections, settings_.max_descriptors - kReservedDescriptors);
-    options.body_memory_bytes = settings_.memory_bytes() / 100 * kBodyMemoryPercent;
+    options.memory = &memory_;
+    options.socket_buffer_bytes = kCallerSocketBytes;
     options.refuse = RespondToRefusedRequest;
     options.max_descriptors =
         std::max(2 * kMinCallerConnections, settings_.max_descriptors - kReservedFileDescriptors);
@@ -238,10 +255,14 @@
       return forwarder_->Handle(exchange);
     });
     components_.Find<TimerService>("timer").Subscribe(
-        "uploads", kUploadReportInterval, [this](TimePoint) {
-          ReportUploads(components_.Find<Metrics>("metrics"), caller_server_->uploads());
+        "memory", kMemoryCheckInterval,
+        [reports = MemoryReports(components_.Find<Metrics>("metrics"), memory_,
+                                 caller_server_->uploads())](TimePoint now) mutable {
+          reports.OnTimer(now);
         });
     fleet_view_->AddTableListener([this](const RouteTable& table) {
+      memory_.SetMinProgress(settings_.client_bytes_per_s,
+                             std::max(table.limits.header_timeout, kMinStallTime) + kStallMargin);
       caller_server_->SetCallerLimits(table.limits.header_bytes, table.limits.body_bytes,
                                       table.limits.header_timeout, table.limits.idle_timeout);
     });
@@ -284,15 +305,17 @@
     // from another gateway.
     const auto bytes = static_cast<int64_t>(response.body.size());
     const int64_t limit = settings_.memory_bytes() / kPeerMemoryDivisor;
-    if (peer_bytes_ > 0 && peer_bytes_ + bytes > limit) {
+    const int64_t held = memory_.used_bytes(MemoryUse::kPeer);
+    if (held > 0 && held + bytes > limit) {
       LogInfo("peer_refused",
-              {{"held_bytes", absl::StrCat(peer_bytes_)}, {"asked_bytes", absl::StrCat(bytes)}});
+              {{"held_bytes", absl::StrCat(held)}, {"asked_bytes", absl::StrCat(bytes)}});
       response = {503, {}, ""};
     }
-    const auto held = static_cast<int64_t>(response.body.size());
-    peer_bytes_ += held;
-    const absl::Cleanup sent = [this, held]() { peer_bytes_ -= held; };
-    co_await exchange.Respond(std::move(response));
+    MemoryBudget::Share share(memory_, MemoryUse::kPeer, [&exchange]() { exchange.Abort(); });
+    share.SetPhase(MemoryBudget::Phase::kDelivering);
+    share.Resize(static_cast<int64_t>(response.body.size()));
+    MemoryBudget::Share* const memory = &share;
+    co_await exchange.Respond(std::move(response), memory);
   }
 
   void OnPeerMessage(const PeerMessage& message) {
@@ -323,6 +346,8 @@
   ComponentRegistry components_;
   PlatformRole role_;
   GatewaySettings settings_;
+  std::optional<int64_t> rest_bytes_;  ///< Resident memory at the start.
+  MemoryBudget memory_;
   std::string file_;
   int64_t modified_at_ns_ = 0;
   FleetView* fleet_view_ = nullptr;
@@ -332,7 +357,6 @@
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> peer_server_;
   std::unique_ptr<HttpServer> metrics_server_;
-  int64_t peer_bytes_ = 0;     ///< Responses to peers that are being sent.
   bool callers_open_ = false;  ///< The port of callers is open.
   bool stopping_ = false;
   bool drained_ = false;  ///< All requests of callers have ended.
@@ -418,6 +442,7 @@
 }  // namespace
 
 int RunGatewayOrSidecar(PlatformRole role, const std::string& settings_file) {
+  ReturnFreedMemory();
   InitLog("info", RoleName(role), LogStream::kStandardOutput);
   InstallCrashHandler(RoleName(role), LogStream::kStandardOutput);
   boost::asio::io_context io(1);
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -35,6 +35,7 @@
     {"retry_ratio", &Settings::retry_ratio, Presence::kOptional, 0},
     {"retry_slack", &Settings::retry_slack, Presence::kOptional, 0},
     {"weights_ms", &Settings::weights_ms, Presence::kOptional, 1'000},
+    {"client_bytes_per_s", &Settings::client_bytes_per_s, Presence::kOptional, 0, 1'000'000'000},
 };
 
 const IniKey<Settings> kLogKeys[] = {{"level", &Settings::log_level}};
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -30,7 +30,9 @@
   double shutdown_s = 8;              ///< Longest time from SIGTERM to the end of the process.
   double retry_ratio = 0.2;           ///< Retries per request, over all gateways.
   double retry_slack = 100;           ///< Retries beyond the ratio, over all gateways.
-  int64_t weights_ms = 12'000;        ///< Longest time until no request starts on replaced weights.
+  /// Rate below which a caller's message may be evicted when memory is short.
+  int64_t client_bytes_per_s = 1'000;
+  int64_t weights_ms = 12'000;  ///< Longest time until no request starts on replaced weights.
   std::string log_level = "info";
   std::map<std::string, std::string> regions;  ///< Region of each data centre.
 
--- a/src/gateway/uploads.cc
+++ b/src/gateway/uploads.cc
@@ -16,6 +16,8 @@
 constexpr int64_t kRetryAfterSpreadMs = 1'000;
 /// Upper bound of a Retry-After as a share of the caller's remaining time.
 constexpr double kMaxRetryAfterShare = 0.3;
+/// A flood evicts hundreds of messages a second.
+constexpr Duration kEvictionLogInterval = Seconds(5);
 
 }  // namespace
 
@@ -35,13 +37,41 @@
   return response;
 }
 
-void ReportUploads(Metrics& metrics, const UploadBudget& uploads) {
-  metrics.Gauge("fuchsiaweir_body_bytes_held", "Bytes of request bodies that are held.")
-      .Set(static_cast<double>(uploads.used_bytes()));
-  metrics.Gauge("fuchsiaweir_uploads_waiting", "Requests whose bodies wait for memory.")
-      .Set(static_cast<double>(uploads.waiting()));
-  metrics.Gauge("fuchsiaweir_uploads_refused", "Requests whose bodies got no memory.")
-      .Set(static_cast<double>(uploads.refusals()));
+void MemoryReports::OnTimer(TimePoint now) {
+  memory_.Advance(now);
+  metrics_.Gauge("fuchsiaweir_body_bytes_held", "Bytes of request bodies that are held.")
+      .Set(static_cast<double>(uploads_.used_bytes()));
+  metrics_.Gauge("fuchsiaweir_uploads_waiting", "Requests whose bodies wait for memory.")
+      .Set(static_cast<double>(uploads_.waiting()));
+  metrics_.Gauge("fuchsiaweir_uploads_refused", "Requests whose bodies got no memory.")
+      .Set(static_cast<double>(uploads_.refusals()));
+  metrics_.Gauge("fuchsiaweir_answer_bytes_held", "Bytes of answers that are not delivered yet.")
+      .Set(static_cast<double>(memory_.used_bytes(MemoryUse::kAnswer)));
+  metrics_.Gauge("fuchsiaweir_answers_evicted", "Answers given up because they filled the memory.")
+      .Set(static_cast<double>(memory_.evictions(MemoryUse::kAnswer)));
+  metrics_.Gauge("fuchsiaweir_memory_budget_bytes", "Limit of the memory that others can fill.")
+      .Set(static_cast<double>(memory_.limit_bytes()));
+  metrics_.Gauge("fuchsiaweir_memory_claimed_bytes", "Bytes held or claimed within that limit.")
+      .Set(static_cast<double>(memory_.claimed_bytes()));
+  metrics_
+      .Gauge("fuchsiaweir_stalled_messages_evicted",
+             "Messages evicted because their client neither sent nor read.")
+      .Set(static_cast<double>(memory_.stalled_evictions()));
+  LogEvictions(now);
+}
+
+void MemoryReports::LogEvictions(TimePoint now) {
+  if (memory_.evictions() == logged_evictions_ || now - logged_at_ < kEvictionLogInterval) return;
+  LogWarning("memory_evicted",
+             {{"messages", absl::StrCat(memory_.evictions() - logged_evictions_)},
+              {"stalled_since_start", absl::StrCat(memory_.stalled_evictions())},
+              {"body_bytes", absl::StrCat(memory_.used_bytes(MemoryUse::kBody))},
+              {"answer_bytes", absl::StrCat(memory_.used_bytes(MemoryUse::kAnswer))},
+              {"peer_bytes", absl::StrCat(memory_.used_bytes(MemoryUse::kPeer))},
+              {"connection_bytes", absl::StrCat(memory_.used_bytes(MemoryUse::kConnection))},
+              {"limit_bytes", absl::StrCat(memory_.limit_bytes())}});
+  logged_evictions_ = memory_.evictions();
+  logged_at_ = now;
 }
 
 }  // namespace fuchsiaweir
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -34,6 +34,9 @@
 constexpr Duration kAcceptRetryDelay = Millis(10);
 // Limits of the input that is discarded after a request was rejected before it was read completely.
 constexpr size_t kMaxLingerBytes = 64'000'000;
+/// After a body beyond the limit: about what the sockets of both sides hold already, so that the
+/// answer is not lost to a reset.
+constexpr size_t kMaxOversizeLingerBytes = 1'000'000;
 constexpr Duration kLingerTimeout = Seconds(2);
 /// Time that an upload waits for room. A caller whose request may be repeated leaves earlier.
 constexpr Duration kMaxUploadWait = Millis(2500);
@@ -46,6 +49,10 @@
 constexpr int64_t kMaxRefusing = 64;
 /// Memory of a connection and its request, without the body.
 constexpr int64_t kConnectionBytes = 16'384;
+/// Room of the read buffer beyond the head: the begin of the body, or a chunk's head.
+constexpr int64_t kBufferMarginBytes = 16'384;
+/// Part of a response that is written at once. A smaller one costs more system calls.
+constexpr size_t kWriteBytes = 131'072;
 constexpr Duration kUploadRetryAfter = Seconds(1);
 
 HttpRequest ToRequest(http::request<ReceivedBody>&& message) {
@@ -131,6 +138,21 @@
   TimePoint end_;
 };
 
+/// Bytes of a connection or a head, which end with this object.
+class FixedBytes {
+ public:
+  FixedBytes(UploadBudget& budget, int64_t bytes) : budget_(budget), bytes_(bytes) {
+    budget_.AddConnectionBytes(bytes_);
+  }
+  ~FixedBytes() { budget_.AddConnectionBytes(-bytes_); }
+  FixedBytes(const FixedBytes&) = delete;
+  FixedBytes& operator=(const FixedBytes&) = delete;
+
+ private:
+  UploadBudget& budget_;
+  int64_t bytes_;
+};
+
 /// The body of a request and its room in memory.
 struct Reception {
   Reception(asio::io_context& io, HttpTransport& transport, UploadBudget& budget)
@@ -183,20 +205,28 @@
   return text;
 }
 
-Awaitable<bool> HttpExchange::Write(std::string data, State next, std::string_view more) {
+Awaitable<bool> HttpExchange::Write(std::string data, State next, std::string_view more,
+                                    MemoryBudget::Share* memory) {
   transport_.ExpireAfter(write_timeout_);
-  const auto failure = co_await transport_.WriteAll(data, more);
+  std::string_view piece = more.substr(0, kWriteBytes);
+  auto failure = co_await transport_.WriteAll(data, piece);
+  while (!failure && piece.size() < more.size()) {
+    if (memory != nullptr) memory->AddProgress(static_cast<int64_t>(piece.size()));
+    more.remove_prefix(piece.size());
+    piece = more.substr(0, kWriteBytes);
+    failure = co_await transport_.WriteAll(piece);
+  }
   state_ = failure ? State::kFailed : next;
   if (failure) keep_alive_ = false;
   co_return !failure;
 }
 
-Awaitable<bool> HttpExchange::Respond(HttpResponse response) {
+Awaitable<bool> HttpExchange::Respond(HttpResponse response, MemoryBudget::Share* memory) {
   if (state_ != State::kWaiting) co_return false;
   std::string message = Header(response.status, response.headers);
   absl::StrAppend(&message, "Content-Length: ", response.body.size(), "\r\n\r\n");
   const std::string_view body = request_.method == "HEAD" ? std::string_view() : response.body;
-  co_return co_await Write(std::move(message), State::kAnswered, body);
+  co_return co_await Write(std::move(message), State::kAnswered, body, memory);
 }
 
 Awaitable<bool> HttpExchange::BeginStream(int status, HttpHeaders headers) {
@@ -261,7 +291,8 @@
         options(std::move(server_options)),
         handler(std::move(request_handler)),
         acceptor(io_context),
-        uploads(options.body_memory_bytes) {
+        own_memory(options.body_memory_bytes),
+        uploads(options.memory == nullptr ? own_memory : *options.memory) {
     if (!options.refuse) {
       options.refuse = [](const HttpRequest& request, const RequestRefusal& refusal) {
         return RespondToRefusal(request, refusal);
@@ -286,13 +317,14 @@
   /// Waits until the body has room or is refused.
   Awaitable<void> WaitForRoom(Reception& reception, ReadDeadline& deadline);
   Awaitable<void> RespondToFailure(HttpTransport& transport, HttpResponse response,
-                                   Duration linger_timeout);
+                                   size_t linger_bytes, Duration linger_timeout);
   Awaitable<void> Handle(HttpExchange& exchange);
 
   asio::io_context& io;
   HttpServerOptions options;
   HttpHandler handler;
   tcp::acceptor acceptor;
+  MemoryBudget own_memory;  ///< Unused if the options name a budget.
   UploadBudget uploads;
   std::list<IdleConnection> idle;  ///< Connections between two requests, the longest idle first.
   int64_t connections = 0;
@@ -303,7 +335,16 @@
 
 void HttpServer::Impl::Listen() {
   const tcp::endpoint endpoint(asio::ip::make_address(options.listen.address), options.listen.port);
-  acceptor = tcp::acceptor(io, endpoint);  // Sets SO_REUSEADDR.
+  acceptor = tcp::acceptor(io);
+  acceptor.open(endpoint.protocol());
+  acceptor.set_option(tcp::acceptor::reuse_address(true));
+  if (options.socket_buffer_bytes > 0) {
+    // Connections inherit these sizes. Set later, they would not bound the window that is offered.
+    acceptor.set_option(asio::socket_base::receive_buffer_size(options.socket_buffer_bytes));
+    acceptor.set_option(asio::socket_base::send_buffer_size(options.socket_buffer_bytes));
+  }
+  acceptor.bind(endpoint);
+  acceptor.listen();
 }
 
 Awaitable<void> HttpServer::Impl::AcceptLoop() {
@@ -326,13 +367,11 @@
   // The socket's destructor closes it.
   if (refuse && connections >= options.max_connections + kMaxRefusing) return;
   auto transport = std::make_shared<HttpTransport>(std::move(socket), options.tls);
+  transport->SetMaxBufferBytes(static_cast<size_t>(options.max_header_bytes + kBufferMarginBytes));
   ++connections;
-  uploads.AddConnectionBytes(kConnectionBytes);
   Spawn(io, "http_connection", [self = shared_from_this(), transport, refuse]() -> Awaitable<void> {
-    const absl::Cleanup closed = [&self]() {
-      --self->connections;
-      self->uploads.AddConnectionBytes(-kConnectionBytes);
-    };
+    const FixedBytes bytes(self->uploads, kConnectionBytes);
+    const absl::Cleanup closed = [&self]() { --self->connections; };
     co_await self->Serve(transport, refuse);
   });
 }
@@ -378,6 +417,7 @@
     if (closed) break;
     ++active;
     const absl::Cleanup served = [this]() { --active; };
+    const FixedBytes head(uploads, options.max_header_bytes);
     open = co_await ServeOne(*transport, refuse);
     open = open && !draining;
   }
@@ -454,11 +494,11 @@
 }
 
 Awaitable<void> HttpServer::Impl::RespondToFailure(HttpTransport& transport, HttpResponse response,
-                                                   Duration linger_timeout) {
+                                                   size_t linger_bytes, Duration linger_timeout) {
   HttpExchange exchange(transport, HttpRequest{}, options.write_timeout);
   exchange.CloseAfterResponse();
   co_await exchange.Respond(std::move(response));
-  co_await transport.Linger(kMaxLingerBytes, linger_timeout);
+  co_await transport.Linger(linger_bytes, linger_timeout);
 }
 
 Awaitable<bool> HttpServer::Impl::ServeOne(HttpTransport& transport, bool refuse) {
@@ -468,6 +508,8 @@
   if (failure) {
     std::optional<HttpResponse> response = ReadFailureResponse(failure);
     Duration linger_timeout = kLingerTimeout;
+    const size_t linger_bytes =
+        failure == http::error::body_limit ? kMaxOversizeLingerBytes : kMaxLingerBytes;
     if (failure == asio::error::no_memory) {
       const auto cause =
           reception->refused ? RequestRefusal::Cause::kConnections : RequestRefusal::Cause::kMemory;
@@ -480,7 +522,10 @@
       if (!draining) linger_timeout = std::max(linger_timeout, options.read_timeout);
     }
     reception.reset();
-    if (response) co_await RespondToFailure(transport, std::move(*response), linger_timeout);
+    if (response) {
+      HttpResponse refusal = std::move(*response);
+      co_await RespondToFailure(transport, std::move(refusal), linger_bytes, linger_timeout);
+    }
     co_return false;
   }
   const bool keep_alive = reception->parser.get().keep_alive();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -35,8 +35,8 @@
   void AddHeader(std::string name, std::string value);
 
   /// Sends a complete response. Returns false if a response was already begun or the connection
-  /// failed.
-  Awaitable<bool> Respond(HttpResponse response);
+  /// failed. `memory` of the body, if given, gets the progress of the client that reads it.
+  Awaitable<bool> Respond(HttpResponse response, MemoryBudget::Share* memory = nullptr);
 
   /// Sends the header of a chunked response; `WriteChunk` and `EndStream` follow.
   Awaitable<bool> BeginStream(int status, HttpHeaders headers);
@@ -63,7 +63,8 @@
  private:
   enum class State { kWaiting, kStreaming, kAnswered, kFailed };
 
-  Awaitable<bool> Write(std::string data, State next, std::string_view more = {});
+  Awaitable<bool> Write(std::string data, State next, std::string_view more = {},
+                        MemoryBudget::Share* memory = nullptr);
   std::string Header(int status, const HttpHeaders& headers) const;
 
   HttpTransport& transport_;
@@ -105,6 +106,11 @@
   int64_t max_descriptors = 1'000'000;
   /// Limit of all connections and of the bodies of their requests, until the requests have ended.
   int64_t body_memory_bytes = 256'000'000;
+  /// Budget that replaces `body_memory_bytes`, if not null. It must outlive the server, and no
+  /// other server may use it.
+  MemoryBudget* memory = nullptr;
+  /// Limit of the system's receive and send buffer of a connection; 0: as the system sets them.
+  int socket_buffer_bytes = 0;
   /// Returns the response to a request that is refused; `request` has no body.
   std::function<HttpResponse(const HttpRequest& request, const RequestRefusal& refusal)> refuse;
   /// Time limit from the first byte of a request to its last; also limits the TLS handshake.
--- a/src/net/http_transport.cc
+++ b/src/net/http_transport.cc
@@ -41,6 +41,10 @@
   co_return failure;
 }
 
+void HttpTransport::SetMaxBufferBytes(size_t bytes) {
+  if (buffer_.size() <= bytes) buffer_.max_size(bytes);
+}
+
 Awaitable<HttpTransport::ErrorCode> HttpTransport::WaitReadable() {
   ErrorCode failure;
   if (buffer_.size() > 0) co_return failure;
--- a/src/net/http_transport.h
+++ b/src/net/http_transport.h
@@ -24,14 +24,16 @@
  public:
   using ErrorCode = boost::system::error_code;
 
-  /// Bound of the read buffer. A header, a chunk extension or a trailer that does not fit is an
-  /// error; bodies are passed on in pieces and have limits of their own.
+  /// Default bound of the read buffer. A header, a chunk extension or a trailer that does not fit
+  /// is an error; bodies are passed on in pieces and have limits of their own.
   static constexpr size_t kMaxBufferBytes = 262'144;
 
   HttpTransport(boost::asio::ip::tcp::socket socket, const TlsContext& tls);
 
   void ExpireAfter(Duration timeout) { tcp().expires_after(timeout); }
   Awaitable<ErrorCode> Handshake(boost::asio::ssl::stream_base::handshake_type type);
+  /// Sets the bound of the read buffer; effective once the buffer holds less.
+  void SetMaxBufferBytes(size_t bytes);
   /// Waits until the buffer holds input.
   Awaitable<ErrorCode> WaitReadable();
   /// Writes `data`, then `more`, in one system call where the socket takes both.
--- a/test/correctness/upload_budget.cc
+++ b/test/correctness/upload_budget.cc
@@ -21,7 +21,8 @@
 }  // namespace
 
 TEST_GROUP(UploadBudgets) {
-  UploadBudget budget{kLimitBytes};
+  MemoryBudget memory{kLimitBytes};
+  UploadBudget budget{memory};
   std::list<Upload> uploads;
   TimePoint now{Seconds(100)};
 
