Hold the lists of stores once, and read them in pieces, one store at a time

Cause: a gateway kept each part of a store twice (for itself and for peers) in trees of strings, and decoded a list as one JSON tree beside two copies of its text, for all stores at once: 139 MB of 96 with two stores of 250,000 parts.

The test of odd input now calls the decoder with the same mutations. Not changed: a list that a peer serves is still built and parsed as one JSON tree.

--- a/src/core/part_directory.cc
+++ b/src/core/part_directory.cc
@@ -11,6 +11,9 @@
 // lost.
 constexpr double kMaxFillFraction = 0.97;
 
+// Memory of a slot of the table of parts: an id without its own allocation, tokens, a control byte.
+constexpr int64_t kSlotBytes = 41;
+
 // A transfer between data centres costs twice as much as one within a data centre.
 constexpr int64_t kCrossDataCentreFactor = 2;
 
@@ -53,38 +56,56 @@
 void StoreContents::MarkUnknown() {
   known_ = false;
   tokens_ = 0;
+  size_ = 0;
   parts_.clear();
 }
 
 int64_t StoreContents::TokensOf(const std::string& salt, const std::string& id) const {
-  const auto found = parts_.find({salt, id});
-  return found == parts_.end() ? 0 : found->second;
+  const auto parts = parts_.find(salt);
+  if (parts == parts_.end()) return 0;
+  const auto found = parts->second.find(id);
+  return found == parts->second.end() ? 0 : found->second;
 }
 
 std::vector<CacheChange> StoreContents::PartsBefore(int64_t weights_version, size_t limit) const {
   std::vector<CacheChange> found;
-  for (const auto& [key, tokens] : parts_) {
-    const std::optional<int64_t> version = SaltVersion(key.first);
-    if (version && *version < weights_version) {
-      found.push_back({false, key.first, key.second, tokens});
+  for (const auto& [salt, parts] : parts_) {
+    const std::optional<int64_t> version = SaltVersion(salt);
+    if (!version || *version >= weights_version) continue;
+    for (const auto& [id, tokens] : parts) {
+      if (found.size() == limit) return found;
+      found.push_back({false, salt, id, tokens});
     }
-    if (found.size() == limit) break;
   }
   return found;
 }
 
 void StoreContents::Put(const CacheChange& change) {
-  const std::pair<std::string, std::string> key{change.salt, change.id};
-  const auto found = parts_.find(key);
-  if (found != parts_.end()) tokens_ -= found->second;
-  if (change.added && change.tokens > 0) {
-    parts_[key] = change.tokens;
+  const bool added = change.added && change.tokens > 0;
+  const auto parts = parts_.find(change.salt);
+  if (parts == parts_.end() && !added) return;
+  auto& tokens_by_id = parts == parts_.end() ? parts_[change.salt] : parts->second;
+  const auto found = tokens_by_id.find(change.id);
+  if (found != tokens_by_id.end()) {
+    tokens_ -= found->second;
+    --size_;
+  }
+  if (added) {
+    tokens_by_id[change.id] = change.tokens;
     tokens_ += change.tokens;
-  } else if (found != parts_.end()) {
-    parts_.erase(found);
+    ++size_;
+  } else if (found != tokens_by_id.end()) {
+    tokens_by_id.erase(found);
+    if (tokens_by_id.empty()) parts_.erase(change.salt);
   }
 }
 
+int64_t StoreContents::memory_bytes() const {
+  size_t slots = 0;
+  for (const auto& [salt, parts] : parts_) slots += parts.capacity();
+  return static_cast<int64_t>(slots) * kSlotBytes;
+}
+
 int64_t TransferCostTokens(const std::string& store_centre, const std::string& runner_centre,
                            int64_t tokens) {
   return store_centre == runner_centre ? tokens : tokens * kCrossDataCentreFactor;
--- a/src/core/part_directory.h
+++ b/src/core/part_directory.h
@@ -1,6 +1,9 @@
 #ifndef FUCHSIAWEIR_CORE_PART_DIRECTORY_H_
 #define FUCHSIAWEIR_CORE_PART_DIRECTORY_H_
 
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -17,6 +20,8 @@
  public:
   /// Replaces the contents by a snapshot.
   void Reset(const CacheChanges& all);
+  /// Adds a part of a snapshot that is read in pieces, after `Reset` with no changes.
+  void AddListed(const CacheChange& part) { Put(part); }
   /// Applies changes since `next()`. Returns false when changes are missing or the store has
   /// restarted: the contents are then unknown and empty until the next `Reset`.
   bool Apply(const CacheChanges& changes);
@@ -27,7 +32,16 @@
   int64_t next() const { return next_; }
   int64_t epoch() const { return epoch_; }
   int64_t tokens() const { return tokens_; }
-  size_t size() const { return parts_.size(); }
+  size_t size() const { return size_; }
+  /// Estimate of the memory that the contents occupy.
+  int64_t memory_bytes() const;
+  /// Calls `visit(salt, id, tokens)` for each part.
+  template <typename Visitor>
+  void ForEach(Visitor visit) const {
+    for (const auto& [salt, parts] : parts_) {
+      for (const auto& [id, tokens] : parts) visit(salt, id, tokens);
+    }
+  }
 
   /// Returns at most `limit` parts of weight versions before `weights_version`.
   std::vector<CacheChange> PartsBefore(int64_t weights_version, size_t limit) const;
@@ -42,7 +56,10 @@
   int64_t epoch_ = 0;
   int64_t next_ = 0;
   int64_t tokens_ = 0;
-  std::map<std::pair<std::string, std::string>, int64_t> parts_;
+  size_t size_ = 0;
+  /// Tokens by salt and id. There are few salts and hundreds of thousands of ids, so the salt is
+  /// not stored with each.
+  std::map<std::string, absl::flat_hash_map<std::string, int64_t>> parts_;
 };
 
 /// A store that prompt parts may be read from or saved to.
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -200,7 +200,7 @@
     PeerLink& link = components_.Add<PeerLink>("peer_link", io_, settings_.peer_endpoint());
     fleet_view_ = &components_.Add<FleetView>("fleet_view", components_, settings_, role_);
     if (role_ == PlatformRole::kGateway) {
-      part_watch_ = &components_.Add<PartWatch>("part_watch", components_, *fleet_view_);
+      part_watch_ = &components_.Add<PartWatch>("part_watch", components_, *fleet_view_, memory_);
       forwarder_ = &components_.Add<Forwarder>("forwarder", components_, *fleet_view_, *part_watch_,
                                                memory_);
       AddCallerServers();
--- a/src/gateway/part_watch.cc
+++ b/src/gateway/part_watch.cc
@@ -1,5 +1,6 @@
 #include "gateway/part_watch.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -24,6 +25,9 @@
 constexpr Duration kWatchDelay = Millis(100);
 constexpr Duration kRetryDelay = Millis(400);
 constexpr Duration kPeerWatchTimeout = Millis(800);
+constexpr Duration kListPollInterval = Millis(50);
+/// Text of a list that is being read, about 250,000 parts.
+constexpr int64_t kListBytes = 8'000'000;
 constexpr Duration kPeerPollInterval = Millis(50);
 constexpr Duration kPeerTimeout = Millis(1500);
 /// Time from the start of a save, when the store reserves memory for the part, until a gateway sees
@@ -84,20 +88,18 @@
   bool removed = false;
   /// Recent changes, each with the position that follows it.
   std::deque<std::pair<int64_t, CacheChange>> history;
-  int64_t history_begin = 0;  ///< Position from which the history is complete.
-  /// Tokens by salt and id, for peers that are too far behind.
-  std::map<std::pair<std::string, std::string>, int64_t> parts;
-
+  int64_t history_begin = 0;        ///< Position from which the history is complete.
   int64_t min_weights_version = 0;  ///< Lowest weights version of all runners.
   TimePoint min_version_since;
 
   Endpoint endpoint() const { return {spec.address, spec.port}; }
 };
 
-PartWatch::PartWatch(ComponentRegistry& components, FleetView& view)
+PartWatch::PartWatch(ComponentRegistry& components, FleetView& view, MemoryBudget& memory)
     : io_(components.io()),
       view_(view),
-      client_(components.Find<HttpClients>("http_clients").external()) {
+      client_(components.Find<HttpClients>("http_clients").external()),
+      memory_(memory) {
   view.AddTableListener([this](const RouteTable& table) { OnTable(table); });
 }
 
@@ -202,14 +204,7 @@
 }
 
 Awaitable<bool> PartWatch::ReadFromStore(Store& store) {
-  if (!store.contents.known()) {
-    Endpoint endpoint = store.endpoint();
-    const std::optional<CacheChanges> contents =
-        co_await platform::ReadCacheList(client_, std::move(endpoint));
-    if (!contents) co_return false;
-    ApplyChanges(store, *contents, true);
-    co_return true;
-  }
+  if (!store.contents.known()) co_return co_await ReadList(store);
   Endpoint endpoint = store.endpoint();
   const std::optional<CacheChanges> changes = co_await platform::ReadCacheEvents(
       client_, std::move(endpoint), store.contents.next(), kWatchTimeout);
@@ -222,6 +217,34 @@
   co_return true;
 }
 
+// Load pattern: several stores with hundreds of thousands of parts each, read at the start. The
+// text of two lists at once would exceed the memory of the smallest host.
+Awaitable<bool> PartWatch::ReadList(Store& store) {
+  while (reading_list_) co_await SleepFor(kListPollInterval);
+  reading_list_ = true;
+  memory_.AddFixed(MemoryUse::kParts, kListBytes);
+  const absl::Cleanup read = [this]() {
+    reading_list_ = false;
+    memory_.AddFixed(MemoryUse::kParts, -kListBytes);
+  };
+  Endpoint endpoint = store.endpoint();
+  std::optional<StoreContents> contents =
+      co_await platform::ReadCacheList(client_, std::move(endpoint));
+  if (!contents) co_return false;
+  store.contents = std::move(*contents);
+  store.history.clear();
+  store.history_begin = store.contents.next();
+  CountMemory();
+  co_return true;
+}
+
+void PartWatch::CountMemory() {
+  int64_t bytes = 0;
+  for (const auto& [address, store] : stores_) bytes += store->contents.memory_bytes();
+  memory_.AddFixed(MemoryUse::kParts, bytes - counted_bytes_);
+  counted_bytes_ = bytes;
+}
+
 Awaitable<bool> PartWatch::ReadFromPeer(Store& store, const Endpoint& peer) {
   const bool known = store.contents.known();
   HttpRequest request{"GET",
@@ -294,28 +317,23 @@
   if (full) {
     store.contents.Reset(changes);
     store.history.clear();
-    store.parts.clear();
     store.history_begin = changes.next;
   } else if (!store.contents.Apply(changes)) {
     LogInfo("part_store_changes_missing", {{"store", ToString(store.endpoint())},
                                            {"epoch", absl::StrCat(changes.epoch)},
                                            {"position", absl::StrCat(position)}});
     store.history.clear();
-    store.parts.clear();
+    CountMemory();
     return;
   }
   for (const CacheChange& change : changes.changes) {
-    if (change.added && change.tokens > 0) {
-      store.parts[{change.salt, change.id}] = change.tokens;
-    } else {
-      store.parts.erase({change.salt, change.id});
-    }
     if (!full) store.history.emplace_back(changes.next, change);
   }
   while (store.history.size() > kMaxHistory) {
     store.history_begin = store.history.front().first;
     store.history.pop_front();
   }
+  CountMemory();
 }
 
 Awaitable<HttpResponse> PartWatch::ServePeer(HttpTarget target) {
@@ -335,9 +353,9 @@
   changes.next = store->contents.next();
   const bool full = changes.epoch != epoch || since < store->history_begin;
   if (full) {
-    for (const auto& [key, tokens] : store->parts) {
-      changes.changes.push_back({true, key.first, key.second, tokens});
-    }
+    store->contents.ForEach([&](const std::string& salt, const std::string& id, int64_t tokens) {
+      changes.changes.push_back({true, salt, id, tokens});
+    });
   } else {
     for (const auto& [next, change] : store->history) {
       if (next > since) changes.changes.push_back(change);
--- a/src/gateway/part_watch.h
+++ b/src/gateway/part_watch.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "core/memory_budget.h"
 #include "core/part_directory.h"
 #include "gateway/fleet_view.h"
 
@@ -16,7 +17,7 @@
 /// watchers, so a few gateways watch each store and the others read its contents from these.
 class PartWatch : public Component {
  public:
-  PartWatch(ComponentRegistry& components, FleetView& view);
+  PartWatch(ComponentRegistry& components, FleetView& view, MemoryBudget& memory);
 
   /// Returns the stores whose contents are known.
   std::vector<StoreCandidate> Stores() const;
@@ -37,6 +38,8 @@
   void OnTable(const RouteTable& table);
   Awaitable<void> WatchStore(std::shared_ptr<Store> store);
   Awaitable<bool> ReadFromStore(Store& store);
+  /// Reads the whole contents, one store at a time.
+  Awaitable<bool> ReadList(Store& store);
   Awaitable<bool> ReadFromPeer(Store& store, const Endpoint& peer);
   /// Frees parts of weights that no runner uses any more.
   Awaitable<void> FreeStaleParts(Store& store);
@@ -50,6 +53,12 @@
   boost::asio::io_context& io_;
   FleetView& view_;
   HttpClient& client_;
+  /// Counts the memory of all contents.
+  void CountMemory();
+
+  MemoryBudget& memory_;
+  int64_t counted_bytes_ = 0;
+  bool reading_list_ = false;
   std::map<std::string, std::shared_ptr<Store>> stores_;
   bool stopping_ = false;
 };
--- a/test/correctness/odd_input.cc
+++ b/test/correctness/odd_input.cc
@@ -242,7 +242,11 @@
         R"({"active":3,"queued":1,"kv_used":41000,"kv_total":90000,"runs":[["id",1,2,5]]})"));
     platform::DecodeCacheEvents(
         Mutate(R"({"epoch":7,"next":12,"lost":false,"events":[[1,"+","s","p",800,"m"]]})"));
-    platform::DecodeCacheList(Mutate(R"({"epoch":7,"next":12,"held":[["s","p",800,"m"]]})"));
+    const std::string list = Mutate(R"({"epoch":7,"next":12,"held":[["s","p",800,"m"]]})");
+    StoreContents contents;
+    platform::CacheListDecoder decoder(list);
+    while (decoder.Decode(1, contents)) {
+    }
     platform::DecodePromptParts(Mutate("5c1e07a2:800,91bd3f06:410,e4402b7d:250"));
   });
 }
