--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -38,6 +38,7 @@
     {"canary_share", &Settings::canary_share, Presence::kOptional, 0, 1},
     {"canary_slack", &Settings::canary_slack, Presence::kOptional, 0, 1'000'000},
     {"rollback_ms", &Settings::rollback_ms, Presence::kOptional, 100},
+    {"client_bytes_per_s", &Settings::client_bytes_per_s, Presence::kOptional, 0, 1'000'000'000},
 };
 
 const IniKey<Settings> kLogKeys[] = {{"level", &Settings::log_level}};
