--- a/test/correctness/memory_budget.cc
+++ b/test/correctness/memory_budget.cc
@@ -30,6 +30,8 @@
 TEST(MemoryBudgets, EndlessMessagesAreEvictedAndSoundOnesAreNot) {
   std::vector<std::unique_ptr<Share>> sound;
   std::vector<std::unique_ptr<Share>> endless;
+  sound.reserve(100);
+  endless.reserve(20);
   for (int i = 0; i < 100; ++i) {
     sound.push_back(MakeShare());
     CHECK(sound.back()->Resize(kSoundBytes));
@@ -74,6 +76,7 @@
   budget.SetMinProgress(1'000, Seconds(4));
   TimePoint now{Seconds(100)};
   std::vector<std::unique_ptr<Share>> stalled;
+  stalled.reserve(20);
   for (int i = 0; i < 20; ++i) {
     stalled.push_back(MakeShare());
     CHECK(stalled.back()->Resize(40'000));
--- a/test/process/untrusted_clients.cc
+++ b/test/process/untrusted_clients.cc
@@ -97,7 +97,7 @@
 };
 
 const std::vector<Row>& Rows() {
-  static const std::vector<Row> rows{
+  static const std::vector<Row> kRows{
       {"whole", {{40, LargeBody, kAllBytes, kAllBytes}}},
       {"piece by piece", {{40, LargeBody, 30'000, kAllBytes}}},
       {"unfinished", {{60, UnfinishedBody, kAllBytes, kAllBytes}}},
@@ -127,7 +127,7 @@
         {40, EndlessHead, kAllBytes, kAllBytes},
         {20, LargeBody, kAllBytes, 1'000},
         {20, LargeBody, kAllBytes, 0}}}};
-  return rows;
+  return kRows;
 }
 
 /// One connection, which is opened again when the gateway closes it.
