Measure the current pace of a runner from the progress of its runs

Cause: a runner that takes 2.5 times as long for 0.6 s looks like any other in the load reports, because slots and memory change slowly. Change: the sidecar keeps the runs of two reports and derives the time per generated event (PaceMeter). The load message carries it as pace_us; messages of older processes lack the field.

--- a/src/core/runner_record.h
+++ b/src/core/runner_record.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "core/clock.h"
 
@@ -31,6 +32,12 @@
   kLoading,    ///< Accepts no requests.
 };
 
+/// Progress of one run at an engine.
+struct RunProgress {
+  uint64_t id_hash = 0;  ///< Of the request's id.
+  int64_t events = 0;    ///< Generated so far; 0 while the prompt is read.
+};
+
 /// A model engine's report of its load.
 struct EngineReport {
   int64_t running = 0;
@@ -44,6 +51,9 @@
   int64_t runner_time_ms = 0;  ///< The runner's clock at the time of the report.
   std::string model;
   int64_t weights_version = 0;
+  /// Current time per generated event of a run, as the sidecar measured it; zero: not measured.
+  Duration pace{0};
+  std::vector<RunProgress> runs;  ///< By `id_hash`; only at the sidecar, not in its messages.
 };
 
 }  // namespace fuchsiaweir
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -20,6 +20,8 @@
 /// Messages fit into one Ethernet frame, since a datagram is lost if any of its fragments is.
 constexpr size_t kMaxDatagramBytes = 1'400;
 constexpr int64_t kMaxAgeMs = 365LL * 86'400'000;
+/// Far beyond the time that an engine takes for one event.
+constexpr int64_t kMaxPaceUs = 60'000'000;
 
 json::object Encode(const HelloMessage& message) {
   json::object object{{"type", "hello"}, {"name", message.name}, {"revision", message.revision}};
@@ -50,6 +52,9 @@
                                   {"runner_time_ms", report.runner_time_ms},
                                   {"model", report.model},
                                   {"weights_version", report.weights_version}};
+  if (report.pace > Duration{0}) {
+    object["report"].as_object()["pace_us"] = static_cast<int64_t>(report.pace.count());
+  }
   return object;
 }
 
@@ -113,6 +118,10 @@
   report.runner_time_ms = DecodeInteger(object.at("runner_time_ms"));
   report.model = std::string(object.at("model").as_string());
   report.weights_version = DecodeInteger(object.at("weights_version"));
+  // Processes of an earlier version do not send this field, nor do sidecars without a measurement.
+  if (const json::value* pace = object.if_contains("pace_us")) {
+    report.pace = Micros(std::clamp<int64_t>(DecodeInteger(*pace), 0, kMaxPaceUs));
+  }
   return report;
 }
 
--- a/src/gateway/weight_orders.cc
+++ b/src/gateway/weight_orders.cc
@@ -81,6 +81,7 @@
                                    {"after_order_ms", Ms(SteadyNow() - ordered_at_)},
                                    {"runs_finished_after_ms", Ms(last_busy_at_ - ordered_at_)}});
       }
+      report->pace = pace_.OnReport(*report, SteadyNow());
       if (report->running > 0) last_busy_at_ = SteadyNow();
       report_ = report;
       report->phase = std::max(report->phase, announced_phase_);
--- a/src/gateway/weight_orders.h
+++ b/src/gateway/weight_orders.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "core/load_rollout.h"
+#include "core/work_pace.h"
 #include "gateway/fleet_view.h"
 
 namespace fuchsiaweir {
@@ -35,6 +36,7 @@
   FleetView& view_;
   HttpClient& client_;
   std::optional<EngineReport> report_;
+  PaceMeter pace_;
   int64_t fence_ = 0;       ///< Fencing token of this process; 0 while it has no valid one.
   TimePoint ordered_at_;    ///< Time of the last order.
   TimePoint last_busy_at_;  ///< When the runner last reported runs.
