Place streams by their expected time to the first event

Cause: a request stays at the runner that has its prompt cached until that runner's load is far above the mean. Load does not show a runner that is slow for half a second, so its requests miss the objective. Change: gateways learn the usual pace, the time per uncached prompt token and the outputs by route, and derive the expected time to the first event at each runner. The choice by affinity and load is kept while its expected time is within half of the objective, or unknown; otherwise one of the runners close to the least expected time gets the request, in the order of affinity.

--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "core/rendezvous.h"
+#include "core/work_choice.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -52,6 +53,9 @@
 // delay.
 constexpr Duration kColdWindow = Millis(1100);
 
+// A measured pace is used for as long as a slow period of a runner lasts.
+constexpr Duration kMaxPaceAge = Millis(600);
+
 constexpr Duration kLoadingRetryAfter = Millis(400);
 constexpr Duration kColdRetryAfter = Millis(700);
 constexpr Duration kFullRetryAfter = Millis(300);
@@ -246,6 +250,11 @@
   return best;
 }
 
+// Order of the candidates that is random for each request.
+uint64_t RandomRank(const PlacementQuery& query, const Candidate& candidate) {
+  return RendezvousMix(static_cast<uint64_t>(query.random * 1e9), RendezvousHash(*candidate.id));
+}
+
 const Candidate* ChooseLeastLoaded(const std::vector<Candidate>& candidates,
                                    const PlacementQuery& query) {
   const Candidate* best = nullptr;
@@ -253,11 +262,7 @@
   for (const Candidate& candidate : candidates) {
     const bool local = candidate.state->record.data_centre == query.data_centre;
     // Uniform in [0, 1); spreads the choices of gateways that see the same loads.
-    const double spread =
-        static_cast<double>(RendezvousMix(static_cast<uint64_t>(query.random * 1e9),
-                                          RendezvousHash(*candidate.id)) >>
-                            11) *
-        0x1.0p-53;
+    const double spread = static_cast<double>(RandomRank(query, candidate) >> 11) * 0x1.0p-53;
     const double cost = candidate.load + (local ? 0 : kRemotePenalty) +
                         (candidate.failing ? kFailingPenalty : 0) + spread * kTieBreakRange;
     if (cost < best_cost) {
@@ -268,8 +273,52 @@
   return best;
 }
 
+// Replaces the choice by affinity and load if another runner is expected to answer much earlier.
+const Candidate* ReconsiderByTime(const std::vector<Candidate>& candidates,
+                                  const Candidate* present, const PlacementQuery& query,
+                                  const ServiceWork& work, double load_limit,
+                                  uint64_t home_affinity, Placement& placement, TimePoint now) {
+  std::vector<TimedRunner> runners(candidates.size());
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    const Candidate& candidate = candidates[i];
+    const bool has_prefix = query.prefix_hash != 0;
+    const bool home = has_prefix && candidate.affinity == home_affinity;
+    const bool local = candidate.state->record.data_centre == query.data_centre;
+    const int64_t uncached = query.work->prompt_tokens - (home ? query.work->shared_tokens : 0);
+    if (std::optional<RunnerWork> at = WorkAt(*candidate.state, query.work->prompt_tokens, now)) {
+      if (at->full) {
+        at->output_tokens = candidate.state->placed_outputs.Mean(work.mean_output(), now);
+      }
+      runners[i].expected = work.ExpectedFirstEvent(*at, uncached);
+    }
+    runners[i].rank = has_prefix ? candidate.affinity : RandomRank(query, candidate);
+    runners[i].usable = !candidate.failing && candidate.load <= load_limit && (has_prefix || local);
+  }
+  const auto index = static_cast<size_t>(present - candidates.data());
+  const std::optional<size_t> chosen = ChooseByExpectedTime(runners, index, query.work->objective);
+  if (!chosen) return present;
+  placement.by_time =
+      ExpectedTimes{*present->id, *runners[index].expected, *runners[*chosen].expected};
+  return &candidates[*chosen];
+}
+
 }  // namespace
 
+std::optional<RunnerWork> WorkAt(const RunnerState& state, int64_t prompt_tokens, TimePoint now) {
+  if (!state.ReportFresh(now)) return std::nullopt;
+  const EngineReport& report = *state.report;
+  RunnerWork work;
+  if (now - state.reported_at <= kMaxPaceAge) work.pace = report.pace;
+  work.running = report.running;
+  work.waiting = report.waiting;
+  work.placed = state.sent_since_report;
+  const bool no_slot = report.running >= std::max<int64_t>(1, state.record.slots);
+  const bool no_memory =
+      report.memory_total > 0 && report.memory_used + prompt_tokens > report.memory_total;
+  work.full = no_slot || (report.waiting > 0 && no_memory);
+  return work;
+}
+
 std::string_view Name(PlacementRefusal refusal) {
   return kRefusalNames[static_cast<size_t>(refusal)];
 }
@@ -337,11 +386,15 @@
   for (const Candidate& candidate : candidates) total += candidate.load;
   const double mean = total / static_cast<double>(candidates.size());
   const Candidate* chosen = nullptr;
-  if (query.prefix_hash != 0) {
-    chosen =
-        ChooseHome(candidates, std::min(kLoadFactor * mean + kLoadMargin, mean + kMaxLoadMargin));
-  }
+  const double load_limit = std::min(kLoadFactor * mean + kLoadMargin, mean + kMaxLoadMargin);
+  if (query.prefix_hash != 0) chosen = ChooseHome(candidates, load_limit);
   if (chosen == nullptr) chosen = ChooseLeastLoaded(candidates, query);
+  const ServiceWork* work =
+      query.work ? runner_registry.work().FindService(query.service) : nullptr;
+  if (work != nullptr) {
+    chosen = ReconsiderByTime(candidates, chosen, query, *work, load_limit, home_affinity,
+                              placement, now);
+  }
   // A runner with more queued requests than slots cannot start another request soon.
   const RunnerState& state = *chosen->state;
   if (state.ReportFresh(now) && state.report->waiting > state.record.slots) {
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -11,6 +11,7 @@
 #include "core/clock.h"
 #include "core/runner_registry.h"
 #include "core/token_demand.h"
+#include "core/work_estimate.h"
 
 namespace fuchsiaweir {
 
@@ -35,6 +36,15 @@
   double cold_requests_per_second = 0;
   double random = 0;      ///< In [0, 1); breaks ties between equally loaded runners.
   DemandEstimate demand;  ///< Token rate of this gateway's requests for the service.
+  /// Work of the request; without it, expected times have no influence.
+  std::optional<RequestWork> work;
+};
+
+/// The expected times to the first event that decided a placement.
+struct ExpectedTimes {
+  std::string left;  ///< Runner that affinity or load would have chosen.
+  Duration at_left{0};
+  Duration at_chosen{0};
 };
 
 /// Why no runner accepts a request.
@@ -59,8 +69,14 @@
   std::string home;    ///< Runner with the highest affinity to the prefix; may equal `runner`.
   PlacementRefusal refusal = PlacementRefusal::kNone;
   Duration retry_after{0};  ///< Expected time until a runner accepts the request.
+  /// Set if the runner was chosen by its expected time instead of affinity and load.
+  std::optional<ExpectedTimes> by_time;
 };
 
+/// Returns what is known of the work at the runner, for a request with `prompt_tokens`; nothing
+/// without a fresh report.
+std::optional<RunnerWork> WorkAt(const RunnerState& state, int64_t prompt_tokens, TimePoint now);
+
 /// Chooses the runner of a request by prefix affinity with bounded load, else by least load.
 Placement PlaceRequest(const PlacementQuery& query, RunnerRegistry& runner_registry, TimePoint now);
 
--- a/src/core/runner_registry.cc
+++ b/src/core/runner_registry.cc
@@ -137,6 +137,7 @@
     const bool restarted = report->started_ms > state.started_ms;
     state.report = report;
     state.reported_at = now;
+    if (report->pace > Duration{0}) work_.OnPace(state.record.service, report->pace);
     state.sent_since_report = 0;
     state.tokens_since_report = 0;
     state.record.weights_version = std::max(state.record.weights_version, report->weights_version);
--- a/src/core/runner_registry.h
+++ b/src/core/runner_registry.h
@@ -12,6 +12,7 @@
 #include "core/request_share.h"
 #include "core/runner_notices.h"
 #include "core/runner_record.h"
+#include "core/work_estimate.h"
 
 namespace fuchsiaweir {
 
@@ -48,6 +49,7 @@
   bool absent = false;    ///< The last attempt found no open port, or another runner there.
   TimePoint cold_until;
   RequestWindow cold_requests;
+  PlacedOutputs placed_outputs;
   std::optional<TimePoint> missing_since;  ///< Set while the runner is retained but not listed.
 
   bool replaced = false;  ///< A runner that started later has the address.
@@ -96,6 +98,9 @@
   /// What the runners have said of the requests that they take.
   RunnerNotices& notices() { return notices_; }
   const RunnerNotices& notices() const { return notices_; }
+  /// What was observed of the work that requests cause.
+  WorkEstimates& work() { return work_; }
+  const WorkEstimates& work() const { return work_; }
   std::map<std::string, RunnerState>& runners() { return runners_; }
   const std::map<std::string, RunnerState>& runners() const { return runners_; }
 
@@ -105,6 +110,7 @@
 
   std::map<std::string, RunnerState> runners_;
   RunnerNotices notices_;
+  WorkEstimates work_;
 };
 
 }  // namespace fuchsiaweir
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -35,6 +35,14 @@
   bool earliest = false;
 };
 
+/// What was expected of an attempt when it was sent.
+struct SentWork {
+  int64_t uncached_tokens = 0;
+  double slowdown = 1;               ///< Of the runner.
+  bool queued = false;               ///< Other requests were ahead of it at the runner.
+  std::optional<Duration> expected;  ///< Time to the first event.
+};
+
 /// State of a caller's request: the decisions about it and its attempts.
 struct ForwardedRequest {
   explicit ForwardedRequest(HttpExchange& caller_exchange) : exchange(caller_exchange) {}
@@ -62,7 +70,8 @@
   std::string runner;
   int64_t runner_started_ms = 0;  ///< Start of the runner, Unix time; 0: not known.
   TimePoint sent_at;
-  bool first_byte_received = false;  ///< By the attempt in progress; streams only.
+  std::optional<SentWork> sent_work;  ///< Of the attempt in progress.
+  bool first_byte_received = false;   ///< By the attempt in progress; streams only.
   TimePoint first_byte_at;
   TimePoint last_byte_at;        ///< Last byte of the answer, or when the attempt was sent.
   Duration silent_for{0};        ///< Time since `last_byte_at` in which this process ran.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -78,6 +78,7 @@
       admission_(view, crash_attribution_, metrics_),
       monitor_(view, admission_, metrics_),
       placer_(view, crash_attribution_, random_),
+      work_observer_(view, metrics_),
       refusals_(view, metrics_, random_) {
   components.Find<TimerService>("timer").Subscribe("forwarder", kTickPeriod,
                                                    [this](TimePoint now) { Tick(now); });
@@ -284,6 +285,7 @@
   request.answer_recorded = false;
   request.channel->ExpireAfter(request.deadline - now);
   crash_attribution_.OnSent(request);
+  work_observer_.OnSent(request, placement, *chosen, now);
   const AttemptResult result =
       co_await ExchangeMessages(request, *request.channel, placement.runner, std::move(header));
   request.channel = nullptr;
@@ -441,6 +443,7 @@
         request.first_byte_at = SteadyNow();
         monitor_.OnAnswer(request.service, request.first_byte_at - request.sent_at,
                           request.first_byte_at);
+        work_observer_.OnFirstEvent(request);
         if (request.time_to_first_byte == Duration{0}) {
           request.time_to_first_byte = SteadyNow() - request.arrived_at;
         }
@@ -468,6 +471,7 @@
       view_.runner_registry().OnAttemptOutcome(runner, AttemptOutcome::kServed, Duration{0},
                                                SteadyNow());
       request.attempt_log.push_back(runner + ":served");
+      work_observer_.OnComplete(request);
       co_return AttemptResult::kDelivered;
     }
     if (read != RunnerChannel::Read::kData || splitter.PartialBytes() > kMaxEventBytes) {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -24,6 +24,7 @@
 #include "gateway/request_placer.h"
 #include "gateway/runner_channel.h"
 #include "gateway/runner_check.h"
+#include "gateway/work_observer.h"
 #include "net/http_server.h"
 
 namespace fuchsiaweir {
@@ -91,6 +92,7 @@
   AttemptMonitor monitor_;
   std::set<ForwardedRequest*> requests_;
   RequestPlacer placer_;
+  WorkObserver work_observer_;
   RefusalWriter refusals_;
   PlannedStop planned_stop_;
 };
--- a/src/gateway/request_placer.cc
+++ b/src/gateway/request_placer.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/work_observer.h"
 #include "net/awaitable.h"
 
 namespace fuchsiaweir {
@@ -42,6 +43,13 @@
                           TimePoint now) {
   view_.runner_registry().OnPlaced(runner, request.tokens(), now);
   if (request.caller.parts.empty()) return;
+  WorkEstimates& work = view_.runner_registry().work();
+  if (RunnerState* state = view_.runner_registry().Find(runner)) {
+    state->placed_outputs.OnPlaced(
+        work.Route(request.route->name)
+            .Expected(request.caller.length_hint, request.caller.output_tokens),
+        now);
+  }
   token_demands_[request.service].OnSent(request.tokens(), request.caller.output_tokens, now);
 }
 
@@ -63,6 +71,7 @@
   if (!request.caller.parts.empty()) {
     query.tokens = request.tokens();
   }
+  query.work = WorkObserver::WorkOf(request);
   query.priority = request.priority();
   query.repeatable = request.repeatable();
   query.random = random_.Next();
