Move requests from slow runners only where the service gains

Change: the sidecar reports the runs that have generated nothing yet. A move needs a gain above the extra reading time, weighted by the unread requests per runner, and a target that is expected to be in time.

--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -285,11 +285,11 @@
     const bool home = has_prefix && candidate.affinity == home_affinity;
     const bool local = candidate.state->record.data_centre == query.data_centre;
     const int64_t uncached = query.work->prompt_tokens - (home ? query.work->shared_tokens : 0);
-    if (std::optional<RunnerWork> at = WorkAt(*candidate.state, query.work->prompt_tokens, now)) {
-      if (at->full) {
-        at->output_tokens = candidate.state->placed_outputs.Mean(work.mean_output(), now);
-      }
+    if (const std::optional<RunnerWork> at =
+            WorkAt(*candidate.state, query.work->prompt_tokens, now)) {
       runners[i].expected = work.ExpectedFirstEvent(*at, uncached);
+      runners[i].unread = at->waiting + at->reading + at->placed;
+      runners[i].reading = work.ReadingTime(*at, uncached);
     }
     runners[i].rank = has_prefix ? candidate.affinity : RandomRank(query, candidate);
     runners[i].usable = !candidate.failing && candidate.load <= load_limit && (has_prefix || local);
@@ -311,6 +311,7 @@
   if (now - state.reported_at <= kMaxPaceAge) work.pace = report.pace;
   work.running = report.running;
   work.waiting = report.waiting;
+  work.reading = report.reading;
   work.placed = state.sent_since_report;
   const bool no_slot = report.running >= std::max<int64_t>(1, state.record.slots);
   const bool no_memory =
--- a/src/core/runner_record.h
+++ b/src/core/runner_record.h
@@ -53,6 +53,7 @@
   int64_t weights_version = 0;
   /// Current time per generated event of a run, as the sidecar measured it; zero: not measured.
   Duration pace{0};
+  int64_t reading = 0;  ///< Runs that have generated nothing yet: their prompts are being read.
   std::vector<RunProgress> runs;  ///< By `id_hash`; only at the sidecar, not in its messages.
 };
 
--- a/src/core/runner_registry.h
+++ b/src/core/runner_registry.h
@@ -49,7 +49,6 @@
   bool absent = false;    ///< The last attempt found no open port, or another runner there.
   TimePoint cold_until;
   RequestWindow cold_requests;
-  PlacedOutputs placed_outputs;
   std::optional<TimePoint> missing_since;  ///< Set while the runner is retained but not listed.
 
   bool replaced = false;  ///< A runner that started later has the address.
--- a/src/core/work_choice.h
+++ b/src/core/work_choice.h
@@ -13,6 +13,8 @@
 /// A runner that may get a request.
 struct TimedRunner {
   std::optional<Duration> expected;  ///< Expected time to the first event, if it is known.
+  int64_t unread = 0;                ///< Requests there whose prompts are not read yet.
+  Duration reading{0};  ///< Part of it in which the runner reads the request's own prompt.
   /// Order among runners with about the same expected time; differs by prompt or request, so that
   /// gateways with the same stale reports do not all choose the same runner.
   uint64_t rank = 0;
--- a/src/core/work_estimate.cc
+++ b/src/core/work_estimate.cc
@@ -18,28 +18,15 @@
 // A sample counts as at most this multiple of the expected time. One request in a hundred takes
 // over ten times the median, and a single one would otherwise raise the estimate by a tenth.
 constexpr double kMaxSampleFactor = 3;
-// Smallest relative deviation of the prompts' sizes from which the time per token is derived.
-constexpr double kMinSizeDeviation = 0.1;
-// Time constant of a gateway's placements at a runner: about the length of a run.
-constexpr double kPlacedDecaySeconds = 3;
-// Number of requests as which the service's mean output counts beside a gateway's placements.
-constexpr double kUsualOutputWeight = 2;
+// Share of the time to a first event that is assumed to depend on the prompt's size, and the weight
+// of this assumption: samples of prompts whose sizes have this relative variance. Without it,
+// prompts of equal size would have no cost of their own.
+constexpr double kAssumedReadingShare = 0.5;
+constexpr double kAssumedSamples = 10;
+constexpr double kAssumedVariance = 0.1;
 
 }  // namespace
 
-void PlacedOutputs::OnPlaced(double expected_tokens, TimePoint now) {
-  const double decay = std::exp(-std::max(0.0, ToSeconds(now - at_)) / kPlacedDecaySeconds);
-  at_ = now;
-  weight_ = weight_ * decay + 1;
-  tokens_ = tokens_ * decay + expected_tokens;
-}
-
-double PlacedOutputs::Mean(double usual, TimePoint now) const {
-  if (weight_ <= 0) return usual;
-  const double decay = std::exp(-std::max(0.0, ToSeconds(now - at_)) / kPlacedDecaySeconds);
-  return (tokens_ * decay + usual * kUsualOutputWeight) / (weight_ * decay + kUsualOutputWeight);
-}
-
 double ServiceWork::Slowdown(Duration pace) const {
   if (pace <= Duration{0} || usual_pace_us_.count() < kMinPaces) return 1;
   return std::clamp(static_cast<double>(pace.count()) / usual_pace_us_.value(), kMinSlowdown,
@@ -63,15 +50,15 @@
 ServiceWork::Line ServiceWork::FitLine() const {
   const double mean_x = x_ / weight_;
   const double mean_y = y_ / weight_;
-  const double variance = xx_ / weight_ - mean_x * mean_x;
+  if (mean_x <= 0) return {mean_y, 0};
+  const double variance = std::max(0.0, xx_ / weight_ - mean_x * mean_x);
   const double covariance = xy_ / weight_ - mean_x * mean_y;
-  const double min_deviation = kMinSizeDeviation * mean_x;
-  if (mean_x <= 0 || variance < min_deviation * min_deviation || covariance <= 0) {
-    return {mean_y, 0};
-  }
-  const double slope = covariance / variance;
-  const double base = mean_y - slope * mean_x;
-  return base >= 0 ? Line{base, slope} : Line{0, mean_y / mean_x};
+  const double max_slope = mean_y / mean_x;
+  const double assumed = kAssumedSamples / weight_ * kAssumedVariance * mean_x * mean_x;
+  const double slope =
+      std::clamp((covariance + kAssumedReadingShare * max_slope * assumed) / (variance + assumed),
+                 0.0, max_slope);
+  return {mean_y - slope * mean_x, slope};
 }
 
 void ServiceWork::OnOutput(int64_t tokens) {
@@ -85,19 +72,25 @@
   const auto tokens = static_cast<double>(std::max<int64_t>(0, uncached_tokens));
   const double prompt_us = line_.us_per_token * (x_ / weight_);  // Of another request's prompt.
   const auto ahead = static_cast<double>(runner.waiting + runner.placed);
+  // Prompts are read one after the other.
+  const double unread = ahead + static_cast<double>(runner.reading);
   double expected =
-      (line_.base_us + line_.us_per_token * tokens + ahead * prompt_us) * Slowdown(runner.pace);
+      (line_.base_us + line_.us_per_token * tokens + unread * prompt_us) * Slowdown(runner.pace);
   if (runner.full) {
     // The runs end one after the other, so a place becomes free each output time / runs.
     const double event_us = runner.pace > Duration{0} ? static_cast<double>(runner.pace.count())
                                                       : usual_pace_us_.value();
-    const double output = runner.output_tokens > 0 ? runner.output_tokens : mean_output();
     const double runs = static_cast<double>(std::max<int64_t>(1, runner.running));
-    expected += (ahead + 1) * output * event_us / runs;
+    expected += (ahead + 1) * mean_output() * event_us / runs;
   }
   return Micros(static_cast<int64_t>(std::min(expected, 3.6e9)));
 }
 
+Duration ServiceWork::ReadingTime(const RunnerWork& runner, int64_t uncached_tokens) const {
+  const auto tokens = static_cast<double>(std::max<int64_t>(0, uncached_tokens));
+  return Micros(static_cast<int64_t>(line_.us_per_token * tokens * Slowdown(runner.pace)));
+}
+
 const ServiceWork* WorkEstimates::FindService(const std::string& service) const {
   const auto found = services_.find(service);
   return found == services_.end() ? nullptr : &found->second;
--- a/src/core/work_estimate.h
+++ b/src/core/work_estimate.h
@@ -2,15 +2,13 @@
 #define FUCHSIAWEIR_CORE_WORK_ESTIMATE_H_
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 
 #include "core/clock.h"
 #include "core/runner_record.h"
-#include "core/work_output.h"
+#include "core/work_quantile.h"
 
 namespace fuchsiaweir {
 
@@ -21,28 +19,14 @@
   int64_t shared_tokens = 0;  ///< Its parts that its home runner is likely to have cached.
 };
 
-/// Outputs that this gateway expects of the requests that it has recently placed at a runner.
-class PlacedOutputs {
- public:
-  void OnPlaced(double expected_tokens, TimePoint now);
-  /// Returns the mean output. `usual`, that of the service, counts as a few requests more, since
-  /// most requests at the runner come from other gateways.
-  double Mean(double usual, TimePoint now) const;
-
- private:
-  double weight_ = 0;
-  double tokens_ = 0;
-  TimePoint at_;
-};
-
 /// What is known of the work at a runner.
 struct RunnerWork {
-  Duration pace{0};          ///< Current time per event; zero: not measured, or too old.
-  int64_t running = 0;       ///< Runs in the last report.
-  int64_t waiting = 0;       ///< Requests that waited for a place in the last report.
-  int64_t placed = 0;        ///< Requests that this gateway has placed since.
-  bool full = false;         ///< A request waits there until a run ends.
-  double output_tokens = 0;  ///< Mean output of its runs; 0: that of the service.
+  Duration pace{0};     ///< Current time per event; zero: not measured, or too old.
+  int64_t running = 0;  ///< Runs in the last report.
+  int64_t waiting = 0;  ///< Requests that waited for a place in the last report.
+  int64_t reading = 0;  ///< Runs whose prompts were being read in the last report.
+  int64_t placed = 0;   ///< Requests that this gateway has placed since.
+  bool full = false;    ///< A request waits there until a run ends.
 };
 
 /// Learns the usual pace of a service's runners and the time to a first event, and derives expected
@@ -66,6 +50,9 @@
   std::optional<Duration> ExpectedFirstEvent(const RunnerWork& runner,
                                              int64_t uncached_tokens) const;
 
+  /// Returns the part of it in which the runner reads the request's own prompt.
+  Duration ReadingTime(const RunnerWork& runner, int64_t uncached_tokens) const;
+
   Duration usual_pace() const { return Micros(static_cast<int64_t>(usual_pace_us_.value())); }
   double mean_output() const { return output_weight_ > 0 ? output_tokens_ / output_weight_ : 0; }
 
@@ -89,18 +76,16 @@
   double output_tokens_ = 0;
 };
 
-/// The estimates of all services and routes of a gateway.
+/// The estimates of all services.
 class WorkEstimates {
  public:
   void OnPace(const std::string& service, Duration pace) { services_[service].OnPace(pace); }
   ServiceWork& Service(const std::string& service) { return services_[service]; }
   /// Returns null if nothing was observed of the service.
   const ServiceWork* FindService(const std::string& service) const;
-  OutputModel& Route(const std::string& route) { return routes_[route]; }
 
  private:
   std::map<std::string, ServiceWork> services_;
-  std::map<std::string, OutputModel> routes_;
 };
 
 }  // namespace fuchsiaweir
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -55,6 +55,7 @@
   if (report.pace > Duration{0}) {
     object["report"].as_object()["pace_us"] = static_cast<int64_t>(report.pace.count());
   }
+  if (report.reading > 0) object["report"].as_object()["reading"] = report.reading;
   return object;
 }
 
@@ -118,10 +119,14 @@
   report.runner_time_ms = DecodeInteger(object.at("runner_time_ms"));
   report.model = std::string(object.at("model").as_string());
   report.weights_version = DecodeInteger(object.at("weights_version"));
-  // Processes of an earlier version do not send this field, nor do sidecars without a measurement.
+  // Processes of an earlier version do not send these fields; zeros are left out.
   if (const json::value* pace = object.if_contains("pace_us")) {
     report.pace = Micros(std::clamp<int64_t>(DecodeInteger(*pace), 0, kMaxPaceUs));
   }
+  if (const json::value* reading = object.if_contains("reading")) {
+    report.reading =
+        std::clamp(DecodeInteger(*reading), platform::kCounts.min, platform::kCounts.max);
+  }
   return report;
 }
 
--- a/src/gateway/request_placer.cc
+++ b/src/gateway/request_placer.cc
@@ -43,13 +43,6 @@
                           TimePoint now) {
   view_.runner_registry().OnPlaced(runner, request.tokens(), now);
   if (request.caller.parts.empty()) return;
-  WorkEstimates& work = view_.runner_registry().work();
-  if (RunnerState* state = view_.runner_registry().Find(runner)) {
-    state->placed_outputs.OnPlaced(
-        work.Route(request.route->name)
-            .Expected(request.caller.length_hint, request.caller.output_tokens),
-        now);
-  }
   token_demands_[request.service].OnSent(request.tokens(), request.caller.output_tokens, now);
 }
 
--- a/src/gateway/work_observer.cc
+++ b/src/gateway/work_observer.cc
@@ -48,7 +48,7 @@
       work->prompt_tokens - (placement.runner == placement.home ? work->shared_tokens : 0);
   sent.slowdown = service.Slowdown(at->pace);
   // `placed` includes this request.
-  sent.queued = at->full || at->waiting > 0 || at->placed > 1;
+  sent.queued = at->full || at->waiting > 0 || at->reading > 0 || at->placed > 1;
   sent.expected = service.ExpectedFirstEvent(*at, sent.uncached_tokens);
   request.sent_work = sent;
 }
@@ -74,10 +74,7 @@
 void WorkObserver::OnComplete(const ForwardedRequest& request) {
   // Of a stream that the caller resumed, the first part was not observed.
   if (request.caller.parts.empty() || request.caller.resume_after > 0) return;
-  WorkEstimates& work = view_.runner_registry().work();
-  OutputModel& route = work.Route(request.route->name);
-  route.OnOutput(request.caller.length_hint, request.last_event_id);
-  work.Service(request.service).OnOutput(request.last_event_id);
+  view_.runner_registry().work().Service(request.service).OnOutput(request.last_event_id);
 }
 
 }  // namespace fuchsiaweir
