--- a/test/standin/fleet_runner.cc
+++ b/test/standin/fleet_runner.cc
@@ -104,7 +104,17 @@
                                         {"kv_used", active_ * 1000},
                                         {"kv_total", 100'000},
                                         {"born", options_.started_ms},
-                                        {"runs", json::array{}}});
+                                        {"runs", Progress()}});
+  }
+
+  /// Rows of runs that generate an event each `run_event_ms`, if that fault is set.
+  json::array Progress() const {
+    json::array rows;
+    if (!HasFault("run_event_ms")) return rows;
+    const int64_t events =
+        ToMillis(SteadyNow().time_since_epoch()) / faults_.at("run_event_ms").to_number<int64_t>();
+    for (const char* id : {"a", "b", "c", "d"}) rows.push_back(json::array{id, 100, events, 0});
+    return rows;
   }
 
   Awaitable<void> HandleOrder(HttpExchange& exchange) {
--- a/test/standin/fleet_runner.h
+++ b/test/standin/fleet_runner.h
@@ -41,7 +41,7 @@
 /// "crash_text" (exit on a request whose list of prompt parts, or whose body, contains this text),
 /// "raw" (send these bytes, with request id and receipt in place of "{head}", and close the
 /// connection), "reset" (reset it instead), "raw_if_resumed" (only to a request that resumes a
-/// stream).
+/// stream), "run_event_ms" (report four runs that generate an event each after this time).
 void RunFleetRunner(const FleetRunnerOptions& options);
 
 }  // namespace fuchsiaweir::standin
