--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -77,7 +77,8 @@
 /// without a fresh report.
 std::optional<RunnerWork> WorkAt(const RunnerState& state, int64_t prompt_tokens, TimePoint now);
 
-/// Chooses the runner of a request by prefix affinity with bounded load, else by least load.
+/// Chooses the runner of a request by prefix affinity with bounded load, else by least load. A
+/// choice that is expected to be late is replaced by the expected times; see core/work_choice.h.
 Placement PlaceRequest(const PlacementQuery& query, RunnerRegistry& runner_registry, TimePoint now);
 
 }  // namespace fuchsiaweir
--- a/src/core/work_pace.cc
+++ b/src/core/work_pace.cc
@@ -28,7 +28,7 @@
   // written.
   const Duration runner = Millis(report.runner_time_ms - last_->runner_time_ms);
   const bool usable =
-      runner > Duration{0} && std::abs((runner - own).count()) < Duration(kMaxClockError).count();
+      runner > Duration{0} && std::abs((runner - own).count()) < kMaxClockError.count();
   return usable ? runner : own;
 }
 
