--- a/src/core/runner_record.h
+++ b/src/core/runner_record.h
@@ -33,6 +33,12 @@
   kLoading,    ///< Accepts no requests.
 };
 
+/// Progress of one run at an engine.
+struct RunProgress {
+  uint64_t id_hash = 0;  ///< Of the request's id.
+  int64_t events = 0;    ///< Generated so far; 0 while the prompt is read.
+};
+
 /// A model engine's report of its load.
 struct EngineReport {
   int64_t running = 0;
@@ -48,6 +54,10 @@
   int64_t runner_time_ms = 0;  ///< The runner's clock at the time of the report.
   std::string model;
   int64_t weights_version = 0;
+  /// Current time per generated event of a run, as the sidecar measured it; zero: not measured.
+  Duration pace{0};
+  int64_t reading = 0;  ///< Runs that have generated nothing yet: their prompts are being read.
+  std::vector<RunProgress> runs;  ///< By `id_hash`; only at the sidecar, not in its messages.
 };
 
 }  // namespace fuchsiaweir
--- a/src/gateway/weight_orders.cc
+++ b/src/gateway/weight_orders.cc
@@ -80,6 +80,7 @@
         LogInfo("runner_answers", {{"runner", view_.settings().runner}});
       }
       missed = 0;
+      report->pace = pace_.OnReport(*report, SteadyNow());
       OnReport(std::move(*report));
     } else if (++missed >= kMaxMissedReports) {
       if (missed == kMaxMissedReports) {
--- a/src/gateway/weight_orders.h
+++ b/src/gateway/weight_orders.h
@@ -7,6 +7,7 @@
 
 #include "core/load_rollout.h"
 #include "core/run_ages.h"
+#include "core/work_pace.h"
 #include "gateway/fleet_view.h"
 #include "net/metrics.h"
 
@@ -49,6 +50,7 @@
   Metrics& metrics_;
   HttpClient& client_;
   std::optional<EngineReport> report_;
+  PaceMeter pace_;
   int64_t fence_ = 0;  ///< Fencing token of this process; 0 while it has no valid one.
   TimePoint next_fence_at_;
   TimePoint ordered_at_;    ///< Time of the last order.
