--- a/src/gateway/request_placer.cc
+++ b/src/gateway/request_placer.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/work_observer.h"
 #include "net/awaitable.h"
 
 namespace fuchsiaweir {
@@ -72,6 +73,7 @@
   if (!request.caller.parts.empty()) {
     query.tokens = request.tokens();
   }
+  query.work = WorkObserver::WorkOf(request);
   query.priority = request.priority();
   query.repeatable = request.repeatable();
   query.random = random_.Next();
