--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -33,8 +33,8 @@
   /// Rate below which a caller's message may be evicted when memory is short.
   int64_t client_bytes_per_s = 1'000;
   int64_t weights_ms = 12'000;  ///< Longest time until no request starts on replaced weights.
-  double canary_share =
-      0;  ///< Share of a service's requests for a version on trial; 0: no rollouts.
+  /// Share of a service's requests that a version on trial may get; 0: no rollouts.
+  double canary_share = 0;
   double canary_slack = 50;     ///< Requests beyond the share, over all gateways.
   int64_t rollback_ms = 5'000;  ///< Longest time that a bad version gets requests once it shows.
   std::string log_level = "info";
