--- a/src/core/rollout_verdict.cc
+++ b/src/core/rollout_verdict.cc
@@ -9,8 +9,7 @@
 /// Bad answers after which doubts are enough. The limit of the time in which a bad version must get
 /// no requests any more counts from about this number on.
 constexpr int64_t kManyBadAnswers = 40;
-/// Doubts of a good version come and go. In simulations with 70 gateways 4 of 200 good versions
-/// were reverted while any doubt was enough.
+/// Doubts of a good version come and go, so a single one must not revert it.
 constexpr double kManyBadStrictness = 10;
 /// Answers on all routes below which the test rarely finds a bad version.
 constexpr int64_t kLittleEvidence = 100;
