Let the test of the memory warning send a body that the memory budget accepts

Change: the body has 3 MB, which is accepted and brings the process to the same share of its memory; the checks are unchanged.

--- a/test/process/process_log.cc
+++ b/test/process/process_log.cc
@@ -114,8 +114,8 @@
   asio::ip::tcp::socket upload(io);
   upload.connect({asio::ip::address_v4::loopback(), static_cast<uint16_t>(process.callers_port())});
   asio::write(upload, asio::buffer(absl::StrCat(
-                          "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 7000001\r\n\r\n",
-                          std::string(7'000'000, 'x'))));
+                          "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 3000001\r\n\r\n",
+                          std::string(3'000'000, 'x'))));
   CHECK(process.Logs(R"("event":"memory_near_limit","resident_mb":")"));
   CHECK(process.Logs(R"("event":"process_usage","resident_mb":")"));
   for (const char* field : {"peak_mb", "descriptors", "processor_ms", "caller_connections"}) {
