--- a/review/common-2/harness.h
+++ b/review/common-2/harness.h
@@ -631,6 +631,9 @@
     std::_Exit(exit_code);
   }
 
+  /// Memory of the machines of processes that are started from now on.
+  int memory_mb = 182;
+
   /// Starts a gateway. Returns the address for callers.
   Address StartGateway(const std::string& name, const std::string& zone) {
     const std::string ip = NextIp();
@@ -649,6 +652,15 @@
     waitpid(processes_.at(name).pid, nullptr, 0);
     Spawn(name);
   }
+  /// Resident memory of the process in bytes, as the kernel reports it; 0 once it has ended.
+  int64_t MemoryBytes(const std::string& name) const {
+    std::ifstream status("/proc/" + std::to_string(processes_.at(name).pid) + "/status");
+    std::string line;
+    while (std::getline(status, line)) {
+      if (line.rfind("VmRSS:", 0) == 0) return std::atoll(line.c_str() + 6) * 1024;
+    }
+    return 0;
+  }
   /// Waits until the platform would give the gateway new channels.
   bool WaitReady(const std::string& name, int64_t timeout_ms = 20'000) {
     const int64_t until = NowMs() + timeout_ms;
@@ -682,7 +694,7 @@
     std::ofstream file(directory_ + "/" + name + ".ini");
     file << "[process]\nname = " << name << "\naddress = " << ip << "\ndata_centre = " << zone
          << "\n" << process_lines << "peer_port = " << PeerPort()
-         << "\nmax_descriptors = 2870\nmemory_mb = 182\n\n[platform]\nstore = " << store_.text()
+         << "\nmax_descriptors = 2870\nmemory_mb = " << memory_mb << "\n\n[platform]\nstore = " << store_.text()
          << "\n\n[bounds]\n"
          << (process.role == "gateway"
                  ? "key_revocation_ms = 5000\nshutdown_s = 8\nretry_ratio = 0.2\nretry_slack = 116\n"
