--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -57,10 +57,17 @@
     }).detach();
     const json::object model{{"name", "model-1"}, {"version", 1}, {"adapters", json::array{}}};
     store_.Put("servers", Id(boot_),
-               json::object{{"service", "kotoba"}, {"addr", address_.text()},
-                            {"zone", "yanagawa"}, {"version", 1}, {"slots", 16},
-                            {"state", "ready"}, {"cold_left_ms", 0}, {"seq", 1}, {"born", born_},
-                            {"stage", "both"}, {"models", json::array{model}}});
+               json::object{{"service", "kotoba"},
+                            {"addr", address_.text()},
+                            {"zone", "yanagawa"},
+                            {"version", 1},
+                            {"slots", 16},
+                            {"state", "ready"},
+                            {"cold_left_ms", 0},
+                            {"seq", 1},
+                            {"born", born_},
+                            {"stage", "both"},
+                            {"models", json::array{model}}});
   }
 
   std::string Id(int boot) const { return name_ + "-" + std::to_string(boot); }
@@ -88,11 +95,18 @@
   std::string Handle(const Message& request, int boot) {
     if (request.path() == "/report") {
       const json::object model{{"name", "model-1"}, {"version", 1}, {"adapters", json::array{}}};
-      return JsonAnswer(200, json::object{{"stage", "both"}, {"models", json::array{model}},
-                                          {"busy", false}, {"seq", 0}, {"queued", 0},
-                                          {"active", 0}, {"kv_used", 0}, {"kv_total", 1'000'000},
-                                          {"handles", 0}, {"runs", json::array{}},
-                                          {"clock_ms", NowMs()}, {"born", born_}});
+      return JsonAnswer(200, json::object{{"stage", "both"},
+                                          {"models", json::array{model}},
+                                          {"busy", false},
+                                          {"seq", 0},
+                                          {"queued", 0},
+                                          {"active", 0},
+                                          {"kv_used", 0},
+                                          {"kv_total", 1'000'000},
+                                          {"handles", 0},
+                                          {"runs", json::array{}},
+                                          {"clock_ms", NowMs()},
+                                          {"born", born_}});
     }
     if (request.method() != "POST" || request.path() == "/order") {
       return JsonAnswer(400, json::object{});
@@ -119,8 +133,8 @@
     const int last = std::atoi(request.Header("Last-Event-Id").c_str());
     record_.Line("runner " + Id(boot) + " runs " + id + " from event " + std::to_string(last + 1));
     if (!connection.Send("HTTP/1.1 200 x\r\nContent-Type: text/event-stream\r\n"
-                         "Transfer-Encoding: chunked\r\nX-Fuchsiaweir-Request-Id: " + id +
-                         "\r\nX-Fuchsiaweir-Server-Stamp: " + Id(boot) + "." + id +
+                         "Transfer-Encoding: chunked\r\nX-Fuchsiaweir-Request-Id: " +
+                         id + "\r\nX-Fuchsiaweir-Server-Stamp: " + Id(boot) + "." + id +
                          "\r\nX-Fuchsiaweir-Weight-Versions: 1\r\n\r\n")) {
       return false;
     }
@@ -184,8 +198,7 @@
   store.Put("versions", "model-1", json::object{{"model", "model-1"}, {"version", 1}});
   std::vector<std::unique_ptr<FragileRunner>> runners;
   for (int i = 0; i < 6; ++i) {
-    runners.push_back(
-        std::make_unique<FragileRunner>(store, "i-" + std::to_string(i), record));
+    runners.push_back(std::make_unique<FragileRunner>(store, "i-" + std::to_string(i), record));
   }
 
   Deployment deployment(store.address(), {{"yanagawa", "kyushu"}});
@@ -224,9 +237,8 @@
   int tries = 0;
   const auto send_deadly = [&](size_t g) {
     const std::string id = "d-" + std::to_string(++tries);
-    const std::optional<Message> answer =
-        Request(gateways[g], "/drafts/deadly", id, "key-guild", "5c1e07a2:900,a0000001:50",
-                {}, kDeadlyBody);
+    const std::optional<Message> answer = Request(gateways[g], "/drafts/deadly", id, "key-guild",
+                                                  "5c1e07a2:900,a0000001:50", {}, kDeadlyBody);
     record.Line("client sends " + id + " to " + names[g] + ", gets " +
                 (answer ? std::to_string(answer->status()) : "no answer"));
   };
