Take an answer with an invalid status for a broken one

Callers saw a runner's answer with status 000 as the answer to their request, sent on as "HTTP/1.1 0". In calls of the store, a write that was answered so counted as refused, though it may have been executed.

Cause: Beast accepts any three digits as a status. The gateway took a status below 500 for the runner's own answer, and one above 599 for its error.

Change: the header of each response is read by ReadResponseHeader, which fails on a status outside 100 to 599 (RFC 9110, section 15). The connections to runners and the HTTP client, which serves reports, orders, peers and the store, both use it. A broken answer was handled already: no connection is kept, an unsafe request gets 502, and the stream that it should continue is cut. Both readers now bound a header by 64 KB; the client's bound was 8 KB by default.

--- a/src/gateway/runner_channel.cc
+++ b/src/gateway/runner_channel.cc
@@ -4,22 +4,19 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <optional>
 #include <utility>
 
 #include "core/rendezvous.h"
 #include "net/http_transport.h"
-#include "net/received_body.h"
+#include "net/response_header.h"
 
 namespace fuchsiaweir {
 namespace {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
-using Parser = http::response_parser<ReceivedBody>;
 
 /// Interim responses, and late responses to earlier requests, that may precede the awaited one.
 constexpr int kMaxLateResponses = 3;
@@ -34,7 +31,6 @@
 constexpr Duration kMinIdleTimeout = Millis(300);
 /// Timeout of an idle connection's transport; `CloseExpired` closes it long before.
 constexpr Duration kIdleTransportTimeout = std::chrono::hours(24);
-constexpr int64_t kMaxHeaderBytes = 65'536;
 /// A faulty runner may send without end. Responses are small; the limit protects the memory.
 constexpr size_t kMaxHeldBytes = 8'000'000;
 
@@ -47,7 +43,7 @@
   explicit Impl(tcp::socket socket) : transport(std::move(socket), nullptr) {}
 
   HttpTransport transport;
-  std::optional<Parser> parser;
+  std::optional<ResponseParser> parser;
   bool head_request = false;  ///< The response has no body, whatever length it gives.
   bool complete = false;
   bool closed = false;
@@ -72,11 +68,10 @@
   for (int late = 0; late <= kMaxLateResponses; ++late) {
     impl_->parser.emplace();
     impl_->complete = false;
-    Parser& parser = *impl_->parser;
+    ResponseParser& parser = *impl_->parser;
     parser.body_limit(boost::none);
-    parser.header_limit(kMaxHeaderBytes);
     parser.skip(impl_->head_request);
-    const auto failure = co_await impl_->transport.ReadHeader(parser);
+    const auto failure = co_await ReadResponseHeader(impl_->transport, parser);
     if (failure) {
       failure_ = failure.message();
       co_return false;
@@ -114,7 +109,7 @@
 }
 
 Awaitable<RunnerChannel::Read> RunnerChannel::ReadBody(std::string& body) {
-  Parser& parser = *impl_->parser;
+  ResponseParser& parser = *impl_->parser;
   while (true) {
     std::string& received = parser.get().body();
     if (!received.empty()) {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -3,7 +3,6 @@
 #include <absl/strings/str_cat.h>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <list>
 #include <optional>
 #include <utility>
@@ -11,6 +10,7 @@
 
 #include "net/http_transport.h"
 #include "net/received_body.h"
+#include "net/response_header.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -19,7 +19,6 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
-using ResponseParser = http::response_parser<ReceivedBody>;
 
 // The home agents of an entry's prompts are spread over all agents, so that an entry needs idle
 // connections to all of them.
@@ -223,7 +222,8 @@
   for (int interim = 0; !failure && interim <= kMaxInterimResponses; ++interim) {
     received.emplace();
     received->body_limit(static_cast<uint64_t>(options.max_body_bytes));
-    failure = co_await transport->Read(*received);
+    failure = co_await ReadResponseHeader(*transport, *received);
+    if (!failure && !received->is_done()) failure = co_await transport->Read(*received);
     if (failure || received->get().result_int() / 100 != 1) break;
     if (interim == kMaxInterimResponses) failure = http::error::bad_status;
   }
@@ -259,7 +259,7 @@
   impl->RunRequestHooks(endpoint, request);
   const std::string message = Serialize(endpoint, request);
   auto failure = co_await state.transport->WriteAll(message);
-  if (!failure) failure = co_await state.transport->ReadHeader(state.parser);
+  if (!failure) failure = co_await ReadResponseHeader(*state.transport, state.parser);
   const bool error_status = !failure && state.parser.get().result_int() / 100 != 2;
   while (error_status && !failure && !state.parser.is_done()) {
     failure = co_await state.transport->ReadSome(state.parser);
--- a/test/process/http_client.cc
+++ b/test/process/http_client.cc
@@ -3,6 +3,7 @@
 #include "net/http_client.h"
 
 #include <CppUTest/TestHarness.h>
+#include <absl/strings/str_cat.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -146,4 +147,76 @@
   CheckEndsEarly(error + "Field: ", "x", /*stream=*/true);
 }
 
+/// A server that answers with bytes that are not a valid response.
+TEST_GROUP(InvalidResponses) {
+  boost::asio::io_context io{1};
+  boost::asio::ip::tcp::acceptor acceptor{io, {boost::asio::ip::address_v4::loopback(), 0}};
+
+  /// Calls the server twice, or opens two streams from it, and returns the second result. The
+  /// first response is valid and its connection is kept.
+  HttpResult SecondResult(const std::string& response, bool stream) {
+    std::jthread server([&]() {
+      boost::asio::ip::tcp::socket connection = acceptor.accept();
+      boost::system::error_code failure;
+      for (const std::string& bytes :
+           {std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), response}) {
+        std::vector<char> request(kPieceBytes);
+        // A stream has a connection of its own.
+        if (connection.read_some(boost::asio::buffer(request), failure) == 0) {
+          connection = acceptor.accept();
+          connection.read_some(boost::asio::buffer(request), failure);
+        }
+        boost::asio::write(connection, boost::asio::buffer(bytes), failure);
+      }
+    });
+    HttpClient client(io);
+    HttpResult result;
+    bool done = false;
+    Spawn(io, "calls", [&]() -> Awaitable<void> {
+      for (int i = 0; i < 2; ++i) {
+        Endpoint endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+        HttpRequest request{"GET", "/", {}, ""};
+        CallOptions options;
+        if (!stream) {
+          result = co_await client.Call(std::move(endpoint), std::move(request), options);
+          continue;
+        }
+        HttpStreamResult opened =
+            co_await client.OpenStream(std::move(endpoint), std::move(request), options);
+        result = {opened.stage, std::move(opened.response), std::move(opened.failure)};
+        if (opened.stream != nullptr) result.response = opened.stream->header();
+      }
+      done = true;
+    });
+    io.restart();  // A call may have left it without work, which stops it.
+    while (!done) io.run_one();
+    return result;
+  }
+
+  void CheckNoResponse(const std::string& response) {
+    for (const bool stream : {false, true}) {
+      const HttpResult result = SecondResult(response, stream);
+      CHECK_TEXT(result.stage == CallStage::kSent, response.c_str());
+      CHECK_TEXT(!result.response, response.c_str());
+    }
+  }
+};
+
+// Guards against a status that is not one of HTTP in answers of the store, peers, sidecars, health
+// checks and load reports: a call that may have taken effect counted as refused.
+TEST(InvalidResponses, AnInvalidStatusIsNoResponse) {
+  for (const char* status : {"000", "001", "099", "600", "999"}) {
+    CheckNoResponse(absl::StrCat("HTTP/1.1 ", status, " Unknown\r\nContent-Length: 0\r\n\r\n"));
+    CheckNoResponse(absl::StrCat("HTTP/1.1 ", status, " Unknown\r\n\r\n"));
+  }
+  for (const int status : {200, 204, 304, 404, 599}) {
+    for (const bool stream : {false, true}) {
+      const std::string text =
+          absl::StrCat("HTTP/1.1 ", status, " Known\r\nContent-Length: 0\r\n\r\n");
+      const HttpResult result = SecondResult(text, stream);
+      LONGS_EQUAL_TEXT(status, result.response ? result.response->status : -1, text.c_str());
+    }
+  }
+}
+
 }  // namespace fuchsiaweir::testing
