Refuse an invalid status in what peers and stored claims tell

Callers of a plain service could get a status that is not one of HTTP from two other places: the message in which an agent passes an answer to the entry, and the outcome that an agent of an earlier version has stored with an idempotency key.

Cause: both decoders took any integer, and the entry cast it to int.

Change: a message with a status outside 200 to 599 is malformed, which the entry reports as an incomplete answer whose run state is unknown. A stored claim keeps its place without its outcome, so that the key is refused and does not run twice.

--- a/src/core/claim.cc
+++ b/src/core/claim.cc
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "core/http_status.h"
 #include "core/json_fields.h"
 
 namespace fuchsiaweir {
@@ -37,9 +38,13 @@
   claim.digest = std::string(object.at("d").as_string());
   claim.nonce = std::string(object.at("n").as_string());
   claim.key_time_ms = object.at("t").to_number<int64_t>();
-  if (const json::value* status = object.if_contains("s")) {
+  const json::value* const recorded = object.if_contains("s");
+  const int64_t status = recorded == nullptr ? 0 : recorded->to_number<int64_t>();
+  // An agent of an earlier version recorded any status of a service. The call may have run, so its
+  // claim stays, and its key is refused.
+  if (IsFinalHttpStatus(status)) {
     claim.outcome.emplace();
-    claim.outcome->status = status->to_number<int64_t>();
+    claim.outcome->status = status;
     if (const json::value* body = object.if_contains("b")) {
       claim.outcome->body = std::string(body->as_string());
     }
--- a/src/core/run_message.cc
+++ b/src/core/run_message.cc
@@ -1,5 +1,10 @@
 #include "core/run_message.h"
 
+#include <absl/strings/str_cat.h>
+
+#include <stdexcept>
+
+#include "core/http_status.h"
 #include "core/json_fields.h"
 
 namespace fuchsiaweir {
@@ -93,6 +98,9 @@
   return DecodeMessage<ServiceResponse>(body, [](const json::object& object) {
     ServiceResponse response;
     response.status = IntegerField(object, "status");
+    if (!IsFinalHttpStatus(response.status)) {
+      throw std::invalid_argument(absl::StrCat("\"status\" is ", response.status));
+    }
     response.content_type = StringField(object, "content_type");
     response.body = StringField(object, "body");
     response.replayed = BooleanField(object, "replayed");
--- a/test/correctness/claim.cc
+++ b/test/correctness/claim.cc
@@ -173,6 +173,18 @@
   CHECK_EQUAL(100, dispatched + refused);
 }
 
+// Guards against a status that is not one of HTTP and that every repeat of the call gets: an
+// earlier version recorded it. The claim has to stay, since the call may have run.
+TEST(Claim, ARecordedInvalidStatusIsNoOutcome) {
+  for (const int64_t status : {0, 199, 600, 65'736}) {
+    ClaimShard shard;
+    shard.claims["id"] = {"d", "n", 1'000, ClaimOutcome{status, "whole", "text/plain"}};
+    const ClaimShard decoded = DecodeClaimShard(EncodeClaimShard(shard)).value();
+    CHECK(decoded.claims.at("id").nonce == "n");
+    CHECK_FALSE(decoded.claims.at("id").outcome.has_value());
+  }
+}
+
 // Guards against a key without a timestamp, which would run again after its claim is removed.
 TEST(Claim, OnlyKeysWithATimestampAreAccepted) {
   CHECK_EQUAL(0x0193'8f00'1234, IdempotencyKeyTime("01938f00-1234-7abc-8def-0123456789ab").value());
