Take an answer with a folded header line for a broken one

Callers saw a success whose receipt was not the runner's: a runner sent a field whose name begins with a blank, and the line became part of the receipt before it ("stamp-runner6 X-Field: v"). Where the line names the length or the transfer coding, the body ends elsewhere than the runner meant.

Cause: Beast rejects a blank or a control byte elsewhere in a name, but takes a line that begins with a blank for the folded rest of the value before it. RFC 9112, section 5.2, lets a gateway replace such a response by a 502.

--- a/src/net/http_transport.cc
+++ b/src/net/http_transport.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/beast/http/error.hpp>
 #include <cerrno>
 #include <utility>
 
@@ -46,23 +47,30 @@
 }
 
 Awaitable<HttpTransport::ErrorCode> HttpTransport::WaitReadable() {
-  ErrorCode failure;
-  if (buffer_.size() > 0) co_return failure;
+  if (buffer_.size() > 0) co_return ErrorCode();
+  co_return co_await ReadMore();
+}
 
-  if (tls_ == nullptr) {
-    auto space = buffer_.prepare(kReadBytes);
-    const size_t count =
-        co_await plain_->async_read_some(space, asio::redirect_error(asio::use_awaitable, failure));
-    buffer_.commit(count);
+Awaitable<HttpTransport::ErrorCode> HttpTransport::ReadMore() {
+  if (buffer_.size() + kReadBytes > buffer_.max_size()) {
+    co_return boost::beast::http::error::buffer_overflow;
+  }
+  ErrorCode failure;
+  auto space = buffer_.prepare(kReadBytes);
+  auto token = asio::redirect_error(asio::use_awaitable, failure);
+  if (tls_ != nullptr) {
+    buffer_.commit(co_await tls_->async_read_some(space, token));
   } else {
-    auto space = buffer_.prepare(kReadBytes);
-    const size_t count =
-        co_await tls_->async_read_some(space, asio::redirect_error(asio::use_awaitable, failure));
-    buffer_.commit(count);
+    buffer_.commit(co_await plain_->async_read_some(space, token));
   }
   co_return failure;
 }
 
+std::string_view HttpTransport::BufferedInput() const {
+  const auto bytes = buffer_.data();
+  return {static_cast<const char*>(bytes.data()), bytes.size()};
+}
+
 Awaitable<HttpTransport::ErrorCode> HttpTransport::WriteAll(std::string_view data,
                                                             std::string_view more) {
   ErrorCode failure;
--- a/src/net/http_transport.h
+++ b/src/net/http_transport.h
@@ -36,6 +36,8 @@
   void SetMaxBufferBytes(size_t bytes);
   /// Waits until the buffer holds input.
   Awaitable<ErrorCode> WaitReadable();
+  /// Appends the next input to the buffer.
+  Awaitable<ErrorCode> ReadMore();
   /// Writes `data`, then `more`, in one system call where the socket takes both.
   Awaitable<ErrorCode> WriteAll(std::string_view data, std::string_view more = {});
 
@@ -85,6 +87,9 @@
   void Close();
   /// Whether the buffer holds input that no message has consumed.
   bool HasBufferedInput() const { return buffer_.size() > 0; }
+  /// The input that no message has consumed; valid until the next read.
+  std::string_view BufferedInput() const;
+  void ConsumeInput(size_t bytes) { buffer_.consume(bytes); }
   /// Whether the peer has closed the connection or sent bytes that no request is waiting for.
   bool HasUnexpectedInput();
   boost::beast::tcp_stream& tcp();
--- a/test/process/broken_answers.cc
+++ b/test/process/broken_answers.cc
@@ -77,6 +77,51 @@
     {"999", "HTTP/1.1 999 Unknown\r\n{head}Content-Length: 5\r\n\r\nwhole"},
 };
 
+constexpr RawAnswer kInvalidFieldNames[] = {
+    {"blank inside", "HTTP/1.1 200 OK\r\n{head}X Field: v\r\nContent-Length: 5\r\n\r\nwhole"},
+    {"blank at the end", "HTTP/1.1 200 OK\r\n{head}Content-Length : 5\r\n\r\nwhole"},
+    {"tab inside", "HTTP/1.1 200 OK\r\n{head}X\tField: v\r\nContent-Length: 5\r\n\r\nwhole"},
+    {"blank before the first",
+     "HTTP/1.1 200 OK\r\n X-Field: v\r\n{head}Content-Length: 5\r\n\r\nwhole"},
+    {"blank before another",
+     "HTTP/1.1 200 OK\r\n{head} X-Field: v\r\nContent-Length: 5\r\n\r\nwhole"},
+    {"tab before another",
+     "HTTP/1.1 200 OK\r\n{head}\tX-Field: v\r\nContent-Length: 5\r\n\r\nwhole"},
+    {"blank before the length",
+     "HTTP/1.1 200 OK\r\n{head} Content-Length: 5\r\n\r\nwhole and more"},
+    {"blank before the transfer coding",
+     "HTTP/1.1 200 OK\r\n{head} Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
+    {"control byte",
+     "HTTP/1.1 200 OK\r\n{head}X\x01"
+     "Field: v\r\nContent-Length: 5\r\n\r\nwhole"},
+    {"escape byte at the end", "HTTP/1.1 200 OK\r\n{head}Content-Length\x1b: 5\r\n\r\nwhole"},
+    {"delete byte",
+     "HTTP/1.1 200 OK\r\n{head}X\x7f"
+     "Field: v\r\nContent-Length: 5\r\n\r\nwhole"},
+    {"byte beyond ASCII",
+     "HTTP/1.1 200 OK\r\n{head}X\u00e9Field: v\r\nContent-Length: 5\r\n\r\nwhole"},
+    {"empty", "HTTP/1.1 200 OK\r\n{head}: v\r\nContent-Length: 5\r\n\r\nwhole"},
+    {"carriage return inside",
+     "HTTP/1.1 200 OK\r\n{head}X\rField: v\r\nContent-Length: 5\r\n\r\nwhole"},
+    {"line feed inside", "HTTP/1.1 200 OK\r\n{head}X\nField: v\r\nContent-Length: 5\r\n\r\nwhole"},
+    {"blank in an interim answer",
+     "HTTP/1.1 103 Early Hints\r\nX Field: v\r\n{head}\r\n"
+     "HTTP/1.1 200 OK\r\n{head}Content-Length: 5\r\n\r\nwhole"},
+    {"blank after an interim answer",
+     "HTTP/1.1 103 Early Hints\r\n{head}\r\n"
+     "HTTP/1.1 200 OK\r\n{head}X Field: v\r\nContent-Length: 5\r\n\r\nwhole"},
+    {"blank in a trailer",
+     "HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
+     "X Field: v\r\n\r\n"},
+    {"control byte in a trailer",
+     "HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
+     "X\x01"
+     "Field: v\r\n\r\n"},
+    {"blank with events",
+     "HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\nX Field: v\r\n"
+     "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 8\ndata: x\n\n\r\n0\r\n\r\n"},
+};
+
 /// An answer that is unusual and valid, and the begin and end of what the caller receives.
 struct SoundAnswer {
   const char* bytes;
@@ -179,6 +224,13 @@
   for (const RawAnswer& answer : kInvalidStatuses) CheckInvalidAnswer(answer);
 }
 
+// Guards against a line that no field name allows and that is passed on, or decides where the body
+// ends.
+TEST(InvalidAnswers, AnInvalidFieldNameIsNoAnswer) {
+  fleet.Start();
+  for (const RawAnswer& answer : kInvalidFieldNames) CheckInvalidAnswer(answer);
+}
+
 // Guards against a valid answer that is refused as a broken one.
 TEST(InvalidAnswers, AnUnusualAnswerIsPassedOn) {
   fleet.Start();
--- a/test/process/http_client.cc
+++ b/test/process/http_client.cc
@@ -219,4 +219,15 @@
   }
 }
 
+// Guards against a response whose body ends elsewhere than its sender meant, since the line that
+// gives its length is no valid field.
+TEST(InvalidResponses, AnInvalidFieldNameIsNoResponse) {
+  for (const char* field : {"X Field: v", "Content-Length : 0", "X\tField: v", "X\x01: v",
+                            "\x7f: v", ": v", " X-Field: v", "\tX-Field: v"}) {
+    for (const char* before : {"", "X-Other: v\r\n", "Content-Length: 0\r\n"}) {
+      CheckNoResponse(absl::StrCat("HTTP/1.1 200 OK\r\n", before, field, "\r\nX-Last: v\r\n\r\n"));
+    }
+  }
+}
+
 }  // namespace fuchsiaweir::testing
