Take an answer in an unknown transfer coding for a broken one

Callers saw a success whose body was the coded bytes, without the field that names the coding: it concerns only the connection to the runner, so it is not passed on.

Cause: Beast decodes "chunked" alone. With "gzip, chunked" it leaves the inner coding, and with another coding at the end it takes the rest of the connection for the body. Requests were checked for this, responses were not.

Change: the check of requests moves to net/transfer_coding.h, and ReadResponseHeader makes it too.

Result: InvalidAnswers.AnUnknownTransferCodingIsNoAnswer and InvalidResponses.AnUnknownTransferCodingIsNoResponse fail before the change (a 200 with the body "coded"; a call that counts as answered) and pass with it. BadInput, which checks the requests, and CutAnswers pass.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -10,7 +10,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/json.hpp>
-#include <iterator>
 #include <list>
 #include <optional>
 #include <utility>
@@ -19,6 +18,7 @@
 #include "net/http_transport.h"
 #include "net/log.h"
 #include "net/received_body.h"
+#include "net/transfer_coding.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -95,20 +95,6 @@
   return std::nullopt;
 }
 
-/// Whether the body ends where the parser assumes. Beast reads no body behind a transfer coding
-/// that does not end with "chunked", so the body would pass for the next request of the connection.
-/// Other codings before "chunked" are not decoded, so the runner would get another body than was
-/// sent.
-bool HasKnownTransferCoding(const RequestParser& parser) {
-  const auto& message = parser.get();
-  const auto codings = message.equal_range(http::field::transfer_encoding);
-  for (auto field = codings.first; field != codings.second; ++field) {
-    const auto value = field->value();
-    if (!absl::EqualsIgnoreCase(std::string(value.data(), value.size()), "chunked")) return false;
-  }
-  return std::distance(codings.first, codings.second) <= 1;
-}
-
 /// Cancels the operations of a connection whose request takes too long to arrive.
 class ReadDeadline {
  public:
@@ -444,7 +430,10 @@
   RequestParser& parser = reception.parser;
   auto failure = co_await transport.ReadHeader(parser);
   if (!failure && reception.refused) co_return asio::error::no_memory;
-  if (!failure && !HasKnownTransferCoding(parser)) co_return http::error::bad_transfer_encoding;
+  // The rest of the body would pass for the next request of the connection, and the runner would
+  // get another body than was sent.
+  if (!failure && !HasKnownTransferCoding(parser.get()))
+    co_return http::error::bad_transfer_encoding;
   if (failure || parser.is_done()) co_return failure;
   parser.eager(true);
   const auto announced = parser.content_length();
--- a/src/net/response_header.cc
+++ b/src/net/response_header.cc
@@ -3,6 +3,7 @@
 #include <string_view>
 
 #include "core/http_status.h"
+#include "net/transfer_coding.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -43,6 +44,8 @@
   }
   // Beast accepts any three digits.
   if (!IsHttpStatus(parser.get().result_int())) co_return http::error::bad_status;
+  // The body would be passed on in a coding that the receiver does not learn of.
+  if (!HasKnownTransferCoding(parser.get())) co_return http::error::bad_transfer_encoding;
   co_return HttpTransport::ErrorCode();
 }
 
--- a/test/process/broken_answers.cc
+++ b/test/process/broken_answers.cc
@@ -122,6 +122,19 @@
      "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 8\ndata: x\n\n\r\n0\r\n\r\n"},
 };
 
+constexpr RawAnswer kUnknownTransferCodings[] = {
+    {"gzip", "HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: gzip\r\n\r\ncoded"},
+    {"gzip with a length",
+     "HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: gzip\r\nContent-Length: 5\r\n\r\ncoded"},
+    {"gzip, chunked",
+     "HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: gzip, chunked\r\n\r\n"
+     "5\r\ncoded\r\n0\r\n\r\n"},
+    {"two fields",
+     "HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "5\r\ncoded\r\n0\r\n\r\n"},
+    {"chunked, gzip", "HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked, gzip\r\n\r\ncoded"},
+};
+
 /// An answer that is unusual and valid, and the begin and end of what the caller receives.
 struct SoundAnswer {
   const char* bytes;
@@ -231,6 +244,13 @@
   for (const RawAnswer& answer : kInvalidFieldNames) CheckInvalidAnswer(answer);
 }
 
+// Guards against the bytes of a coding that the gateway does not decode, in place of the body: the
+// caller does not learn the coding, since it concerns only the connection to the runner.
+TEST(InvalidAnswers, AnUnknownTransferCodingIsNoAnswer) {
+  fleet.Start();
+  for (const RawAnswer& answer : kUnknownTransferCodings) CheckInvalidAnswer(answer);
+}
+
 // Guards against a valid answer that is refused as a broken one.
 TEST(InvalidAnswers, AnUnusualAnswerIsPassedOn) {
   fleet.Start();
--- a/test/process/http_client.cc
+++ b/test/process/http_client.cc
@@ -230,4 +230,12 @@
   }
 }
 
+// Guards against the bytes of a coding that nobody decodes in place of the body.
+TEST(InvalidResponses, AnUnknownTransferCodingIsNoResponse) {
+  for (const char* coding : {"gzip", "gzip, chunked", "chunked, gzip"}) {
+    CheckNoResponse(
+        absl::StrCat("HTTP/1.1 200 OK\r\nTransfer-Encoding: ", coding, "\r\n\r\n0\r\n\r\n"));
+  }
+}
+
 }  // namespace fuchsiaweir::testing
