Keep a runner's reset visible to the read of its answer

Callers could get the first part of an answer as a whole one: the answer had no length, and its runner reset the connection between two reads. This happens to a stream that a slow caller holds up while the runner's sidecar reports that the runner is gone.

Cause: the check whether input is waiting peeked with recv, which also takes a pending error from the socket. The read after it saw the end of the connection, which ends an answer that has no length.

Change: the check uses poll, which takes nothing.

Result: RunnerChannels.AResetThatACheckForInputSeesBreaksTheAnswer fails before the change (the read ends with kEnd) and passes with it. The other RunnerChannels, and LateAnswers, HttpClientConnections, CutAnswers and PlannedStop pass.

--- a/src/net/http_transport.cc
+++ b/src/net/http_transport.cc
@@ -1,5 +1,6 @@
 #include "net/http_transport.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -111,10 +112,11 @@
 
 bool HttpTransport::HasUnexpectedInput() {
   if (HasBufferedInput() || !tcp().socket().is_open()) return true;
-  char byte = 0;
-  const ssize_t count =
-      recv(tcp().socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-  return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+  // Unlike recv, poll leaves a reset in the socket. Without it the next read would take the end of
+  // the connection for the end of a response that has no length.
+  pollfd input{tcp().socket().native_handle(), POLLIN, 0};
+  const int ready = poll(&input, 1, 0);
+  return ready > 0 || (ready < 0 && errno != EINTR);
 }
 
 void HttpTransport::Close() {
--- a/test/process/runner_channel.cc
+++ b/test/process/runner_channel.cc
@@ -162,4 +162,39 @@
   while (!done) io.run_one();
 }
 
+// Guards against a body without length that is cut by a reset and looks complete: a check for input
+// between two reads took the error from the socket, and the next read saw the end of the
+// connection.
+TEST(RunnerChannels, AResetThatACheckForInputSeesBreaksTheAnswer) {
+  boost::asio::io_context io(1);
+  tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const Endpoint runner{"127.0.0.1", acceptor.local_endpoint().port()};
+  RunnerChannelPool pool(io);
+  RunnerChannel::Read read = RunnerChannel::Read::kData;
+  bool done = false;
+  Spawn(io, "attempt", [&]() -> Awaitable<void> {
+    std::string request_id = "id";
+    RunnerChannelPool::Acquired acquired =
+        co_await pool.Acquire(runner, std::move(request_id), true, Seconds(1));
+    acquired.channel->ExpireAfter(Seconds(5));
+    tcp::socket connection = acceptor.accept();
+    const std::string text =
+        absl::StrCat("HTTP/1.1 200 OK\r\n", platform::kRequestIdHeader, ": id\r\n\r\npart");
+    boost::asio::write(connection, boost::asio::buffer(text));
+    RunnerHeader header;
+    const std::string id = "id";
+    CHECK(co_await acquired.channel->ReadHeader(id, header));
+    std::string body;
+    CHECK(co_await acquired.channel->ReadBody(body) == RunnerChannel::Read::kData);
+    connection.set_option(boost::asio::socket_base::linger(true, 0));
+    connection.close();
+    CHECK(Eventually([&]() { return acquired.channel->HasInput(); }));
+    CHECK(acquired.channel->HasInput());
+    read = co_await acquired.channel->ReadBody(body);
+    done = true;
+  });
+  while (!done) io.run_one();
+  CHECK(read == RunnerChannel::Read::kBroken);
+}
+
 }  // namespace fuchsiaweir::testing
