Test response headers that arrive line by line

Callers depend on this: a runner's header may arrive in several pieces, and the parser then consumes the status line before the fields.

Change: InvalidResponses sends each response also line by line. The brief of ReadResponseHeader names the transfer coding.

--- a/src/net/response_header.cc
+++ b/src/net/response_header.cc
@@ -36,7 +36,7 @@
       transport.ConsumeInput(parsed);
     }
     if (failure == http::error::need_more) failure = co_await transport.ReadMore();
-    // An operator has to know whether the sender has begun to answer.
+    // The log tells operators whether the sender had begun to answer.
     if (failure == boost::asio::error::eof) {
       failure = parser.got_some() ? http::error::partial_message : http::error::end_of_stream;
     }
--- a/src/net/response_header.h
+++ b/src/net/response_header.h
@@ -11,8 +11,9 @@
 
 using ResponseParser = boost::beast::http::response_parser<ReceivedBody>;
 
-/// Reads the header of a response. Fails if it is not valid HTTP. Whoever receives responses, from
-/// runners, peers or the store, reads their headers with this function.
+/// Reads the header of a response. Fails if it is not valid HTTP, or announces a body in a transfer
+/// coding that is not decoded. Whoever receives responses, from runners, peers or the store, reads
+/// their headers with this function.
 Awaitable<HttpTransport::ErrorCode> ReadResponseHeader(HttpTransport& transport,
                                                        ResponseParser& parser);
 
--- a/test/process/http_client.cc
+++ b/test/process/http_client.cc
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -153,8 +154,9 @@
   boost::asio::ip::tcp::acceptor acceptor{io, {boost::asio::ip::address_v4::loopback(), 0}};
 
   /// Calls the server twice, or opens two streams from it, and returns the second result. The
-  /// first response is valid and its connection is kept.
-  HttpResult SecondResult(const std::string& response, bool stream) {
+  /// first response is valid and its connection is kept. If `by_line`, the lines of the second one
+  /// arrive one by one.
+  HttpResult SecondResult(const std::string& response, bool stream, bool by_line) {
     std::jthread server([&]() {
       boost::asio::ip::tcp::socket connection = acceptor.accept();
       boost::system::error_code failure;
@@ -166,7 +168,14 @@
           connection = acceptor.accept();
           connection.read_some(boost::asio::buffer(request), failure);
         }
-        boost::asio::write(connection, boost::asio::buffer(bytes), failure);
+        const std::vector<std::string> lines = absl::StrSplit(bytes, '\n');
+        connection.set_option(boost::asio::ip::tcp::no_delay(true), failure);
+        for (size_t i = 0; by_line && i + 1 < lines.size(); ++i) {
+          boost::asio::write(connection, boost::asio::buffer(lines[i] + "\n"), failure);
+          SleepMillis(1);
+        }
+        const std::string& rest = by_line ? lines.back() : bytes;
+        boost::asio::write(connection, boost::asio::buffer(rest), failure);
       }
     });
     HttpClient client(io);
@@ -195,26 +204,31 @@
 
   void CheckNoResponse(const std::string& response) {
     for (const bool stream : {false, true}) {
-      const HttpResult result = SecondResult(response, stream);
-      CHECK_TEXT(result.stage == CallStage::kSent, response.c_str());
-      CHECK_TEXT(!result.response, response.c_str());
+      for (const bool by_line : {false, true}) {
+        const HttpResult result = SecondResult(response, stream, by_line);
+        CHECK_TEXT(result.stage == CallStage::kSent, response.c_str());
+        CHECK_TEXT(!result.response, response.c_str());
+      }
     }
   }
 };
 
-// Guards against a status that is not one of HTTP in answers of the store, peers, sidecars, health
-// checks and load reports: a call that may have taken effect counted as refused.
+// Guards against a status that is not one of HTTP in answers of the store, KV stores and peers, in
+// load reports and in answers to weight orders: a call that may have taken effect counted as
+// refused.
 TEST(InvalidResponses, AnInvalidStatusIsNoResponse) {
   for (const char* status : {"000", "001", "099", "600", "999"}) {
     CheckNoResponse(absl::StrCat("HTTP/1.1 ", status, " Unknown\r\nContent-Length: 0\r\n\r\n"));
     CheckNoResponse(absl::StrCat("HTTP/1.1 ", status, " Unknown\r\n\r\n"));
   }
   for (const int status : {200, 204, 304, 404, 599}) {
+    const std::string text =
+        absl::StrCat("HTTP/1.1 ", status, " Known\r\nContent-Length: 0\r\n\r\n");
     for (const bool stream : {false, true}) {
-      const std::string text =
-          absl::StrCat("HTTP/1.1 ", status, " Known\r\nContent-Length: 0\r\n\r\n");
-      const HttpResult result = SecondResult(text, stream);
-      LONGS_EQUAL_TEXT(status, result.response ? result.response->status : -1, text.c_str());
+      for (const bool by_line : {false, true}) {
+        const HttpResult result = SecondResult(text, stream, by_line);
+        LONGS_EQUAL_TEXT(status, result.response ? result.response->status : -1, text.c_str());
+      }
     }
   }
 }
