Show that a gateway without the store refuses routes by its old desired state

The test silences the store for one gateway until it is no longer ready, adds a route through the store and asks for it: 404 in place of 503 on.

--- a/test/process/store_faults.cc
+++ b/test/process/store_faults.cc
@@ -15,6 +15,8 @@
 /// reaches the store.
 constexpr Duration kDesiredStateBound = Seconds(2);
 constexpr Duration kEvacuationBound = Seconds(5);
+/// Time after which a gateway that has lost the store accepts no API keys, by the fleet's settings.
+constexpr Duration kAuthorityBound = Seconds(4);
 /// Extension of both bounds at a gateway that the store does not answer.
 constexpr Duration kUnreachableStoreExtension = Seconds(5);
 
@@ -32,6 +34,25 @@
 
 TEST_GROUP(StoreFaults){};
 
+// Guards against a 404 for a route that a newer desired state has added: a gateway that had lost the
+// store decided by its old one.
+TEST(StoreFaults, AnUnconfirmedStateRefusesNoRoute) {
+  Fleet fleet(1, 1);
+  fleet.UseSecondStorePort(0);
+  fleet.Start();
+  LONGS_EQUAL(404, fleet.Call("/further0/", "x").status);
+  fleet.InjectFault("store", absl::StrCat(R"({"silence_port": )", fleet.second_store_port(), "}"));
+  CHECK(Eventually([&]() { return !fleet.Ready(0); }, kAuthorityBound));
+  fleet.PutDesiredState({"key-1"}, 1);
+  const Reply reply = fleet.Call("/further0/", "x");
+  LONGS_EQUAL(503, reply.status);
+  CHECK_FALSE(HeaderValue(reply.headers, platform::kRetryAfterHeader).empty());
+  fleet.InjectFault("store", R"({"silence_port": 0})");
+  CHECK(Eventually([&]() { return fleet.Call("/further0/", "x").status == 200; },
+                   kDesiredStateBound + kUnreachableStoreExtension));
+  LONGS_EQUAL(404, fleet.Call("/further1/", "x").status);
+}
+
 // Guards against changes that wait while gateways whose connections to the store went silent ask
 // each other one after the other.
 TEST(StoreFaults, SilentConnectionsDelayNoChange) {
