Answer 503 in place of 404 while the desired state cannot be confirmed

Cause: admission looked for the route before it asked whether the desired state is confirmed; only the check of API keys asked. The class of fault is a negative answer from knowledge of unknown age. A 401 was behind the check already; routes that are in the old state still serve requests without a key, since the store alone may be away.

Change: without a route, a gateway whose desired state is not confirmed refuses with 503 and Retry-After, so that the caller returns.

--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -39,6 +39,11 @@
   request.revision = table->revision;
   const Route* const found = FindRoute(*table, request.caller.host, target.routed_path);
   if (found == nullptr) {
+    // A newer desired state may have the route.
+    if (!view_.HoldsAuthority()) {
+      return Refusal{503, ErrorCode::kPlatformUnavailable, RunState::kNotRun,
+                     "the desired state cannot be confirmed", kAuthorityRetryAfter};
+    }
     return Refusal{404, ErrorCode::kNotFound, RunState::kNotRun, "no route matches", Duration{0}};
   }
   const Route& route = request.route.emplace(*found);
