Spread the calls of gateways that lost the store together, and announce its return

What callers may have seen (CONFIG, suspected): after an outage of eight seconds no gateway had the desired state for three seconds more, and all got it within a quarter of a second of each other.

Cause: gateways lose the store at the same moment and wait for equal times, so that all of them call it within 0.4 s and then none does for up to 1.2 s.

Change: each wait is half of the period or more, by a sequence that differs by process, so that of ten gateways one soon calls the store; the first that reads the desired state from it tells the others at once instead of with its next hello. StoreBackoff.RejectedProcessesDoNotCallTogether fails on the equal waits (a gap of 1.2 s without a call; 0.6 s are allowed) and passes. A process still calls about once a second (ARejectedProcessCallsAboutOnceASecond).

--- a/src/core/store_backoff.h
+++ b/src/core/store_backoff.h
@@ -1,7 +1,11 @@
 #ifndef FUCHSIAWEIR_CORE_STORE_BACKOFF_H_
 #define FUCHSIAWEIR_CORE_STORE_BACKOFF_H_
 
+#include <string>
+
 #include "core/clock.h"
+#include "core/random_sequence.h"
+#include "core/rendezvous.h"
 
 namespace fuchsiaweir {
 
@@ -12,6 +16,9 @@
 /// store counts rejected calls too.
 class StoreBackoff {
  public:
+  /// `process` is the name of the process, which seeds its waits.
+  explicit StoreBackoff(const std::string& process) : random_(RendezvousHash(process)) {}
+
   /// Records a call that the store rejected, or could not be reached for.
   void OnRejected(TimePoint now);
   /// Records a call that the store executed.
@@ -20,6 +27,7 @@
   bool Active(TimePoint now) const { return period_ > Duration{0} && now < until_; }
 
  private:
+  RandomSequence random_;
   Duration period_{0};  ///< Zero: the last call was executed.
   TimePoint until_;
 };
--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -78,7 +78,8 @@
       metrics_(components.Find<Metrics>("metrics")),
       store_(client_, settings.store_endpoint()),
       authority_(Millis(0)),
-      peers_(settings, role, components.Find<PeerLink>("peer_link")) {
+      peers_(settings, role, components.Find<PeerLink>("peer_link")),
+      store_backoff_(settings.name) {
   SetSettings(settings);
 
   components.Find<TimerService>("timer").Subscribe("fleet_view", kTickPeriod,
@@ -227,11 +228,16 @@
     // A relay that cannot reach the store counts as a failed source.
     const Duration max_lag = kind.urgent ? kMaxUrgentRelayLag : kMaxRelayLag;
     const bool stale = read.age > kind.watch_timeout + max_lag;
+    const bool regained = failures > 0 && !stale && !relay;
     failures = stale ? failures + 1 : 0;
     if (stale) LogStaleRelay(kind, read);
     // No store call would clear an earlier failure of a kind that is now read from a relay.
     if (relay && !stale) RecordHealth(kind, true, "");
     ApplyRead(kind, read, sent);
+    // Gateways without the store read from those whose hello tells a current desired state.
+    if (regained && kind.apply == &FleetView::ApplyConfig && role_ == PlatformRole::kGateway) {
+      peers_.BroadcastToGateways(MakeHello());
+    }
     Duration delay = role_ == PlatformRole::kGateway ? kind.watch_delay : kind.sidecar_watch_delay;
     if (relay) delay = stale ? kInitialBackoff : Duration{0};
     if (delay > Duration{0}) co_await SleepFor(delay);
