--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -187,16 +187,20 @@
                {platform::kApiKeyHeader, "key-1"}});
 }
 
-std::string Fleet::CallForBytes(const std::string& path, const std::string& body) {
+std::string Fleet::CallForBytes(const std::string& path, const std::string& body, int gateway,
+                                const std::string& id, const HttpHeaders& fields) {
   static std::atomic<int64_t> calls = 0;
+  std::string request = absl::StrCat(
+      "POST ", path, " HTTP/1.1\r\nHost: fleet.example\r\nConnection: close\r\n",
+      platform::kRequestIdHeader, ": ", id.empty() ? absl::StrCat("bytes-", ++calls) : id, "\r\n",
+      platform::kTimeLeftHeader, ": 3000\r\n", platform::kApiKeyHeader,
+      ": key-1\r\nContent-Length: ", body.size(), "\r\n");
+  for (const auto& [name, value] : fields) absl::StrAppend(&request, name, ": ", value, "\r\n");
+  absl::StrAppend(&request, "\r\n", body);
   boost::asio::io_context io;
   boost::asio::ip::tcp::socket socket(io);
-  socket.connect({boost::asio::ip::address_v4::loopback(), static_cast<uint16_t>(caller_port(0))});
-  const std::string request =
-      absl::StrCat("POST ", path, " HTTP/1.1\r\nHost: fleet.example\r\nConnection: close\r\n",
-                   platform::kRequestIdHeader, ": bytes-", ++calls, "\r\n",
-                   platform::kTimeLeftHeader, ": 3000\r\n", platform::kApiKeyHeader,
-                   ": key-1\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+  const auto port = static_cast<uint16_t>(caller_port(gateway));
+  socket.connect({boost::asio::ip::address_v4::loopback(), port});
   boost::asio::write(socket, boost::asio::buffer(request));
   std::string received;
   boost::system::error_code end;
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -65,9 +65,11 @@
   /// "/stream/" or "/single/".
   Reply Call(const std::string& path, const std::string& body, int gateway = 0,
              const std::string& key = "key-1", int deadline_ms = 3'000);
-  /// Sends a request to the first gateway and returns the bytes that arrive until it closes the
-  /// connection, also those of a response that is cut.
-  std::string CallForBytes(const std::string& path, const std::string& body);
+  /// Sends a request to a gateway, with further header fields, and returns the bytes that arrive
+  /// until it closes the connection, also those of a response that is cut. `id` is the request's id;
+  /// empty: a new one.
+  std::string CallForBytes(const std::string& path, const std::string& body, int gateway = 0,
+                           const std::string& id = "", const HttpHeaders& fields = {});
   /// Sends a request to the first gateway with this id.
   Reply CallWithId(const std::string& path, const std::string& body, const std::string& id);
   bool Ready(int gateway);
