Let a stream go on only at the software version that began it, within one answer

Cause: a runner for the rest of a stream was chosen like one for a new request; placement knew the version of a runner's weights and not that of its software.

Change: the first event fixes the version of the caller's stream, and placement offers only runners of that version from then on, also when an attempt is given up for another runner; a runner whose record changed while the connection was opened is left.

--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -341,6 +341,10 @@
   for (auto& [id, state] : runner_registry.runners()) {
     if (state.record.service != query.service) continue;
     if (query.version_rule != nullptr && !query.version_rule->Allows(state.record)) continue;
+    // What two versions write does not fit together, and runners do not check it.
+    if (query.software_version != nullptr && *query.software_version != state.record.version) {
+      continue;
+    }
     const uint64_t affinity = RendezvousMix(query.prefix_hash, RendezvousHash(id));
     const bool leaving = state.record.draining || state.replaced || notices.Leaving(id);
     some_leave = some_leave || leaving;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -32,7 +32,9 @@
   const std::set<std::string>* closed_data_centres = nullptr;  ///< Evacuated, or no home region.
   const std::set<std::string>* tried = nullptr;  ///< Runners of earlier attempts, not eligible.
   const VersionRule* version_rule = nullptr;     ///< Runners that a rollout allows; null: all.
-  std::string self;                              ///< Name of this gateway.
+  /// Version of the runners' software that began the caller's stream; null: no stream has begun.
+  const std::string* software_version = nullptr;
+  std::string self;                                    ///< Name of this gateway.
   const std::vector<std::string>* gateways = nullptr;  ///< Names of all gateways.
   /// Maximum requests per second to a cold runner, from all gateways together; 0: no limit.
   double cold_requests_per_second = 0;
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -70,6 +70,7 @@
   RunnerChannel* channel = nullptr;  ///< Channel of the attempt in progress, or null.
   std::string runner;
   int64_t runner_started_ms = 0;  ///< Start of the runner, Unix time; 0: not known.
+  std::string runner_version;     ///< Of the software of the runner.
   TimePoint sent_at;
   std::optional<SentWork> sent_work;  ///< Of the attempt in progress.
   bool first_byte_received = false;   ///< By the attempt in progress; streams only.
@@ -87,6 +88,9 @@
   int64_t last_event_id = 0;    ///< Id of the last event that the caller has received.
   int stream_status = 0;        ///< Status of the caller's stream, once it has begun.
   std::string stream_media_type;
+  /// Version of the runners' software that began the caller's stream; nothing before its first
+  /// event.
+  std::optional<std::string> stream_version;
   RolloutAttempt rollout;
   Duration time_to_first_byte{0};
   int failure_status = 0;  ///< Error response of the last runner that sent one; 0: none.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -275,7 +275,8 @@
     co_return AttemptResult::kCallerGone;
   }
   if (now >= request.deadline) co_return AttemptResult::kDeadlineExceeded;
-  if (chosen == nullptr || !placer_.TakesRequests(*chosen, now)) {
+  if (chosen == nullptr || !placer_.TakesRequests(*chosen, now) ||
+      chosen->record.version != request.stream_version.value_or(chosen->record.version)) {
     channels_.Release(endpoint, std::move(acquired.channel));
     co_return AttemptResult::kNotSent;
   }
@@ -294,6 +295,7 @@
   request.channel = acquired.channel.get();
   request.runner = placement.runner;
   request.runner_started_ms = chosen->started_ms;
+  request.runner_version = chosen->record.version;
   request.sent_at = now;
   request.last_byte_at = now;
   request.silent_for = Duration{0};
@@ -460,6 +462,7 @@
           request.time_to_first_byte = SteadyNow() - request.arrived_at;
         }
       }
+      if (!request.stream_version) request.stream_version = request.runner_version;
       const auto event_bytes = static_cast<int64_t>(events.size());
       BeginDelivery(request, memory.get());
       bool written = true;
--- a/src/gateway/request_placer.cc
+++ b/src/gateway/request_placer.cc
@@ -66,6 +66,7 @@
   query.version_rule = rollouts_.Rule(request.service, now);
   query.data_centre = view_.settings().data_centre;
   query.prefix_hash = request.prefix_hash;
+  if (request.stream_version) query.software_version = &*request.stream_version;
   query.closed_data_centres = &request.closed_data_centres;
   query.tried = &request.tried;
   query.self = view_.settings().name;
--- a/test/process/store_faults.cc
+++ b/test/process/store_faults.cc
@@ -34,8 +34,8 @@
 
 TEST_GROUP(StoreFaults){};
 
-// Guards against a 404 for a route that a newer desired state has added: a gateway that had lost the
-// store decided by its old one.
+// Guards against a 404 for a route that a newer desired state has added: a gateway that had lost
+// the store decided by its old one.
 TEST(StoreFaults, AnUnconfirmedStateRefusesNoRoute) {
   Fleet fleet(1, 1);
   fleet.UseSecondStorePort(0);
