Let a caller take a stream up only at the software version that began it

Cause: nothing read Resumes; a take-up was placed by the id of its last event alone. Only the gateway that had forwarded the first event could know the version, and it told nobody.

Change: gateways record the version that begins each stream. While a service has, or within the lifetime of streams has had, several versions, or while a process has not watched the list of runners for that long, they tell two other gateways, chosen by the stream's key, before the caller gets its first event; when a second version appears they tell of the streams that have begun. A gateway that does not know a stream asks these. If nobody has a record, the version is known only if the processes that were asked have together seen one version, and one of them has watched for the lifetime; else the take-up is refused as not run. While a service has one version nothing is told.

--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -62,8 +62,11 @@
   const Duration time_left = request.caller.time_left.value_or(kDefaultTimeLeft);
   request.deadline = request.arrived_at +
                      (route.timeout > Duration{0} ? std::min(time_left, route.timeout) : time_left);
-  request.service = ChooseService(
-      route, static_cast<double>(RendezvousHash(request.caller.id) >> 11) * 0x1.0p-53);
+  // A stream that is taken up stays at the service that began it.
+  const std::string& stream =
+      request.caller.first_attempt.empty() ? request.caller.id : request.caller.first_attempt;
+  request.service =
+      ChooseService(route, static_cast<double>(RendezvousHash(stream) >> 11) * 0x1.0p-53);
   request.prefix_hash = route.sticky ? SharedPrefixHash(request) : 0;
   request.last_event_id = request.caller.resume_after;
   std::vector<std::string> home_regions = route.home_regions;
--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -142,6 +142,12 @@
   return found == weights_.end() ? nullptr : &found->second;
 }
 
+std::optional<Duration> FleetView::RunnerListAge() const {
+  const auto found = kind_states_.find(platform::kRunnerKind);
+  if (!runners_listed_ || found == kind_states_.end()) return std::nullopt;
+  return SuspendAwareNow() - found->second.as_of;
+}
+
 int64_t FleetView::AuthorityAgeMs() const {
   const std::optional<Duration> age = authority_.Age(SuspendAwareNow());
   return age ? ToMillis(*age) : -1;
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -42,6 +42,8 @@
   /// suspension of the calling coroutine.
   const ServiceSpec* Service(const std::string& name) const;
   RunnerRegistry& runner_registry() { return runner_registry_; }
+  /// Time since the list of runners was known to be current; nothing before it was read.
+  std::optional<Duration> RunnerListAge() const;
   /// Data centres whose runners get no new requests.
   const std::set<std::string>& evacuated() const { return evacuated_; }
   /// Weights versions that the operator named for the model, or null.
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -106,6 +106,10 @@
   /// Ids of the parts of the prompt that other requests may have in common: all but the last.
   std::vector<std::string> SharedParts() const;
   bool is_stream() const { return route->kind == RouteKind::kStream; }
+  /// Whether the caller has events of the stream already, from an earlier attempt.
+  bool takes_up() const {
+    return is_stream() && (caller.resume_after > 0 || !caller.first_attempt.empty());
+  }
 };
 
 /// Counts and logs a request that has ended. `outcome` is "delivered", "refused", "runner_failed",
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -69,6 +69,7 @@
       parts_(parts),
       metrics_(components.Find<Metrics>("metrics")),
       rollouts_(components.Find<RolloutControl>("rollout_control")),
+      origins_(components.Find<StreamOrigins>("stream_origins")),
       random_(RendezvousHash(view.settings().name) ^ static_cast<uint64_t>(UnixMillis())),
       channels_(components.io()),
       memory_(memory),
@@ -97,6 +98,7 @@
   };
   std::optional<Refusal> refusal = admission_.Admit(request);
   if (!refusal) refusal = planned_stop_.RefuseLate(request);
+  if (!refusal && request.takes_up()) refusal = co_await FindOrigin(request);
   if (refusal) {
     co_await refusals_.Send(request, *refusal);
     co_return;
@@ -105,6 +107,15 @@
   planned_stop_.OnRequestEnd(request, SteadyNow());
 }
 
+Awaitable<std::optional<Refusal>> Forwarder::FindOrigin(ForwardedRequest& request) {
+  std::string service = request.service;
+  std::string first_attempt = request.caller.first_attempt;
+  request.stream_version = co_await origins_.Find(std::move(service), std::move(first_attempt));
+  if (request.stream_version) co_return std::nullopt;
+  co_return Refusal{503, ErrorCode::kNoTarget, RunState::kNotRun,
+                    "the software version that began the stream is not known", Duration{0}};
+}
+
 void Forwarder::EndRequests() {
   const TimePoint now = SteadyNow();
   for (ForwardedRequest* request : requests_) {
@@ -462,7 +473,11 @@
           request.time_to_first_byte = SteadyNow() - request.arrived_at;
         }
       }
-      if (!request.stream_version) request.stream_version = request.runner_version;
+      if (!request.stream_version) {
+        // Recorded before the caller has an event that it could name.
+        request.stream_version = request.runner_version;
+        origins_.OnBegun(request.service, request.caller.id, request.runner_version);
+      }
       const auto event_bytes = static_cast<int64_t>(events.size());
       BeginDelivery(request, memory.get());
       bool written = true;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -25,6 +25,7 @@
 #include "gateway/rollout_control.h"
 #include "gateway/runner_channel.h"
 #include "gateway/runner_check.h"
+#include "gateway/stream_origins.h"
 #include "gateway/work_observer.h"
 #include "net/http_server.h"
 
@@ -54,6 +55,9 @@
  private:
   enum class AttemptResult;
 
+  /// Finds out which software version has begun the stream that the caller takes up. Returns a
+  /// refusal if nobody knows.
+  Awaitable<std::optional<Refusal>> FindOrigin(ForwardedRequest& request);
   Awaitable<void> ProcessRequest(ForwardedRequest& request);
   /// Sends the request to the runner once.
   Awaitable<AttemptResult> RunAttempt(ForwardedRequest& request, const Placement& placement);
@@ -82,6 +86,7 @@
   PartWatch& parts_;
   Metrics& metrics_;
   RolloutControl& rollouts_;
+  StreamOrigins& origins_;
   RandomSequence random_;
   RunnerChannelPool channels_;
   MemoryBudget& memory_;
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -25,6 +25,7 @@
 #include "gateway/peer_link.h"
 #include "gateway/relay_client.h"
 #include "gateway/rollout_control.h"
+#include "gateway/stream_origins.h"
 #include "gateway/uploads.h"
 #include "gateway/weight_orders.h"
 #include "net/crash_handler.h"
@@ -200,6 +201,7 @@
     components_.Add<HttpClients>("http_clients", io_, nullptr);
     PeerLink& link = components_.Add<PeerLink>("peer_link", io_, settings_.peer_endpoint());
     fleet_view_ = &components_.Add<FleetView>("fleet_view", components_, settings_, role_);
+    stream_origins_ = &components_.Add<StreamOrigins>("stream_origins", components_, *fleet_view_);
     if (role_ == PlatformRole::kGateway) {
       rollouts_ = &components_.Add<RolloutControl>("rollout_control", components_, *fleet_view_);
       part_watch_ = &components_.Add<PartWatch>("part_watch", components_, *fleet_view_, memory_);
@@ -299,6 +301,8 @@
     if (path == kRelayPath) {
       HttpTarget target = exchange.target();
       response = co_await fleet_view_->ServeRelay(std::move(target));
+    } else if (path == kStreamOriginPath) {
+      response = stream_origins_->Serve(exchange.target());
     } else if (path == "/internal/v1/parts" && part_watch_ != nullptr) {
       HttpTarget target = exchange.target();
       response = co_await part_watch_->ServePeer(std::move(target));
@@ -343,6 +347,8 @@
       if (rollouts_ != nullptr) rollouts_->OnMessage(*evidence);
     } else if (const auto* step = std::get_if<RolloutStepMessage>(&message)) {
       if (rollouts_ != nullptr) rollouts_->OnMessage(*step);
+    } else if (const auto* streams = std::get_if<StreamsMessage>(&message)) {
+      stream_origins_->OnMessage(*streams);
     } else if (const auto* cleared = std::get_if<ClearMessage>(&message)) {
       if (forwarder_ != nullptr) forwarder_->crash_attribution().OnCleared(*cleared);
     }
@@ -357,6 +363,7 @@
   std::string file_;
   int64_t modified_at_ns_ = 0;
   FleetView* fleet_view_ = nullptr;
+  StreamOrigins* stream_origins_ = nullptr;
   RolloutControl* rollouts_ = nullptr;
   PartWatch* part_watch_ = nullptr;
   Forwarder* forwarder_ = nullptr;
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -1,5 +1,8 @@
 #include "gateway/peer_link.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -110,6 +113,14 @@
   return object;
 }
 
+json::object Encode(const StreamsMessage& message) {
+  json::array keys;
+  for (const uint64_t key : message.keys) {
+    keys.emplace_back(absl::StrCat(absl::Hex(key, absl::kZeroPad16)));
+  }
+  return {{"type", "streams"}, {"version", message.version}, {"keys", std::move(keys)}};
+}
+
 json::object Encode(const RolloutEvidenceMessage& message) { return EncodeMessage(message); }
 
 json::object Encode(const RolloutStepMessage& message) { return EncodeMessage(message); }
@@ -190,6 +201,15 @@
     }
     return message;
   }
+  if (type == "streams") {
+    StreamsMessage message{std::string(object.at("version").as_string()), {}};
+    for (const std::string& text : DecodeList(object.at("keys"))) {
+      uint64_t key = 0;
+      if (!absl::SimpleHexAtoi(text, &key)) throw std::invalid_argument("not a key of a stream");
+      message.keys.push_back(key);
+    }
+    return message;
+  }
   if (type == "rollout_evidence") return DecodeRolloutEvidence(object);
   if (type == "rollout_step") return DecodeRolloutStep(object);
   if (type != "crashed") throw std::invalid_argument("unknown type of peer message");
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -72,16 +72,23 @@
   std::optional<double> per_second;  ///< From all gateways together; nothing: no limit.
 };
 
+/// A gateway's report of streams that runners of one software version have begun.
+struct StreamsMessage {
+  std::string version;
+  std::vector<uint64_t> keys;  ///< See `StreamOriginTable::Key`.
+};
+
 using PeerMessage =
     std::variant<HelloMessage, LoadMessage, CrashMessage, ClearMessage, TrialMessage, LimitMessage,
-                 RolloutEvidenceMessage, RolloutStepMessage>;
+                 RolloutEvidenceMessage, RolloutStepMessage, StreamsMessage>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 /// Returns nothing for a malformed datagram.
 std::optional<PeerMessage> DecodePeerMessage(std::string_view datagram);
 
 /// UDP messages between gateways and sidecars. Messages may be lost: hellos, load reports and
-/// limits are sent periodically, a crash report a few times to each gateway.
+/// limits are sent periodically, a crash report a few times to each gateway, and what began a
+/// stream to several processes.
 class PeerLink : public Component {
  public:
   using Receiver = std::function<void(const PeerMessage& message)>;
--- a/src/gateway/request_placer.cc
+++ b/src/gateway/request_placer.cc
@@ -15,7 +15,8 @@
 /// A request does not wait if the expected time until a runner accepts it exceeds this multiple of
 /// its limit.
 constexpr int64_t kMaxExpectedWaitFactor = 4;
-/// A stream that has begun waits longer, since its caller already has part of the response.
+/// A stream that has begun waits longer, since its caller already has part of the response and
+/// fewer runners may go on with it.
 constexpr Duration kResumePlacementTimeout = Millis(1200);
 /// Share of the deadline for new weights after which runners with replaced weights get no requests.
 /// The rest covers the time that a request waits at its runner before it starts.
@@ -102,7 +103,7 @@
   ReleaseReservation(request);
   const TimePoint started_at = SteadyNow();
   const Duration limit =
-      request.exchange.streaming()
+      request.exchange.streaming() || request.takes_up()
           ? kResumePlacementTimeout
           : Micros(static_cast<int64_t>(static_cast<double>(request.route->objective.count()) *
                                         kPlacementWaitShare));
--- /dev/null
+++ b/src/gateway/stream_origins.cc
@@ -0,0 +1,217 @@
+#include "gateway/stream_origins.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <map>
+#include <utility>
+
+#include "core/rendezvous.h"
+#include "net/log.h"
+#include "net/timer_service.h"
+
+namespace fuchsiaweir {
+namespace {
+
+namespace json = boost::json;
+
+constexpr Duration kTickPeriod = Millis(200);
+/// An older list of runners may lack a version that other gateways use.
+constexpr Duration kMaxListAge = Seconds(3);
+/// Shortest lifetime of a stream over a caller's attempts.
+constexpr Duration kMinLifetime = Seconds(30);
+/// The attempts of a caller together last no longer than this multiple of a route's timeout.
+constexpr int64_t kTimeoutsOfLifetime = 2;
+/// Gateways that are told of a stream, besides the one that forwards it.
+constexpr size_t kGatewayHolders = 2;
+/// Streams in one message, which has to fit into one Ethernet frame.
+constexpr size_t kMaxKeys = 50;
+constexpr Duration kAskTimeout = Millis(300);
+constexpr Duration kAskPollInterval = Millis(5);
+constexpr int64_t kMaxAnswerBytes = 100'000;
+
+std::string KeyText(uint64_t key) { return absl::StrCat(absl::Hex(key, absl::kZeroPad16)); }
+
+}  // namespace
+
+struct StreamOrigins::Inquiry {
+  size_t unanswered = 0;
+  std::optional<std::string> version;  ///< Of the stream, as a holder recorded it.
+  std::vector<SeenVersions> seen;
+};
+
+StreamOrigins::StreamOrigins(ComponentRegistry& components, FleetView& view)
+    : io_(components.io()),
+      view_(view),
+      metrics_(components.Find<Metrics>("metrics")),
+      link_(components.Find<PeerLink>("peer_link")),
+      client_(components.Find<HttpClients>("http_clients").external()) {
+  components.Find<TimerService>("timer").Subscribe("stream_origins", kTickPeriod,
+                                                   [this](TimePoint) { Tick(); });
+}
+
+Duration StreamOrigins::Lifetime() const {
+  Duration longest = kMinLifetime;
+  if (view_.table() == nullptr) return longest;
+  for (const Route& route : view_.table()->routes) {
+    if (route.kind == RouteKind::kStream) {
+      longest = std::max(longest, route.timeout * kTimeoutsOfLifetime);
+    }
+  }
+  return longest;
+}
+
+SeenVersions StreamOrigins::Seen(const std::string& service) const {
+  return listed_.Seen(service, Lifetime(), SuspendAwareNow());
+}
+
+void StreamOrigins::Tick() {
+  const TimePoint now = SuspendAwareNow();
+  const Duration lifetime = Lifetime();
+  table_.Expire(now - lifetime);
+  std::map<std::string, std::set<std::string>> versions;
+  for (const auto& [id, state] : view_.runner_registry().runners()) {
+    versions[state.record.service].insert(state.record.version);
+  }
+  const std::optional<Duration> age = view_.RunnerListAge();
+  if (age && *age <= kMaxListAge) listed_.OnListed(versions, now);
+  for (const auto& [service, ignored] : versions) {
+    if (OnlyVersion({Seen(service)}, lifetime)) {
+      telling_.erase(service);
+    } else if (telling_.insert(service).second) {
+      std::map<std::string, std::vector<uint64_t>> begun;
+      for (const StreamOriginTable::Begun& stream : table_.BegunHere(service)) {
+        begun[stream.version].push_back(stream.key);
+      }
+      for (const auto& [version, keys] : begun) Tell(version, keys);
+    }
+  }
+  metrics_.Gauge("fuchsiaweir_stream_origins", "Streams whose software version is known.")
+      .Set(static_cast<double>(table_.size()));
+}
+
+std::vector<Endpoint> StreamOrigins::Holders(uint64_t key) const {
+  std::vector<std::string> gateways = view_.live_gateways();
+  std::erase(gateways, view_.settings().name);
+  std::vector<Endpoint> holders;
+  for (const std::string& name : RendezvousTop(KeyText(key), gateways, kGatewayHolders)) {
+    holders.push_back(view_.peers().at(name).endpoint);
+  }
+  return holders;
+}
+
+void StreamOrigins::Tell(const std::string& version, const std::vector<uint64_t>& keys) {
+  std::map<std::string, std::pair<Endpoint, StreamsMessage>> messages;
+  for (const uint64_t key : keys) {
+    for (const Endpoint& holder : Holders(key)) {
+      auto& [endpoint, message] = messages[ToString(holder)];
+      endpoint = holder;
+      message.version = version;
+      message.keys.push_back(key);
+      if (message.keys.size() < kMaxKeys) continue;
+      link_.Send(endpoint, message);
+      message.keys.clear();
+    }
+  }
+  for (const auto& [address, item] : messages) {
+    if (!item.second.keys.empty()) link_.Send(item.first, item.second);
+  }
+}
+
+void StreamOrigins::OnBegun(const std::string& service, const std::string& first_attempt,
+                            const std::string& version) {
+  if (first_attempt.empty()) return;  // No caller can name it.
+  const uint64_t key = StreamOriginTable::Key(service, first_attempt);
+  table_.OnBegun(service, key, version, SuspendAwareNow());
+  if (telling_.count(service) > 0) Tell(version, {key});
+}
+
+void StreamOrigins::OnMessage(const StreamsMessage& message) {
+  for (const uint64_t key : message.keys) {
+    table_.OnTold(key, message.version, SuspendAwareNow());
+  }
+}
+
+HttpResponse StreamOrigins::Serve(const HttpTarget& target) const {
+  uint64_t key = 0;
+  if (!absl::SimpleHexAtoi(target.Query("key"), &key)) return HttpResponse{400, {}, ""};
+  const SeenVersions seen = Seen(target.Query("service"));
+  json::object body{{"seen", json::array(seen.versions.begin(), seen.versions.end())},
+                    {"watched_ms", ToMillis(seen.watched)}};
+  if (const std::optional<std::string> version = table_.Find(key)) body["version"] = *version;
+  return JsonResponse(200, json::serialize(body));
+}
+
+Awaitable<void> StreamOrigins::Ask(Endpoint holder, std::string target,
+                                   std::shared_ptr<Inquiry> inquiry) {
+  HttpRequest request{"GET", std::move(target), {}, ""};
+  CallOptions options;
+  options.timeout = kAskTimeout;
+  options.connect_timeout = kAskTimeout;
+  options.max_body_bytes = kMaxAnswerBytes;
+  const HttpResult result = co_await client_.Call(std::move(holder), std::move(request), options);
+  --inquiry->unanswered;
+  if (!result.ok()) co_return;
+  try {
+    const json::object body = json::parse(result.response->body).as_object();
+    SeenVersions seen;
+    for (const json::value& version : body.at("seen").as_array()) {
+      seen.versions.emplace(version.as_string());
+    }
+    seen.watched = Millis(std::max<int64_t>(0, body.at("watched_ms").to_number<int64_t>()));
+    inquiry->seen.push_back(std::move(seen));
+    if (const json::value* version = body.if_contains("version")) {
+      inquiry->version = std::string(version->as_string());
+    }
+  } catch (const std::exception& e) {
+    LogWarning("stream_origin_malformed", {{"reason", e.what()}});
+  }
+}
+
+Awaitable<std::optional<std::string>> StreamOrigins::Find(std::string service,
+                                                          std::string first_attempt) {
+  const uint64_t key = StreamOriginTable::Key(service, first_attempt);
+  const char* source = "record";
+  std::optional<std::string> version;
+  if (!first_attempt.empty()) version = table_.Find(key);
+  if (!version) {
+    source = "list";
+    version = OnlyVersion({Seen(service)}, Lifetime());
+  }
+  if (!version) {
+    source = "peer";
+    const auto inquiry = std::make_shared<Inquiry>();
+    inquiry->seen.push_back(Seen(service));
+    const std::string target =
+        absl::StrCat(kStreamOriginPath, "?service=", PercentEncode(service), "&key=", KeyText(key));
+    const TimePoint asked_at = SteadyNow();
+    for (const Endpoint& holder : Holders(key)) {
+      ++inquiry->unanswered;
+      Spawn(io_, "stream_origin",
+            [this, holder, target, inquiry]() { return Ask(holder, target, inquiry); });
+    }
+    while (inquiry->unanswered > 0 && !inquiry->version &&
+           SteadyNow() - asked_at < kAskTimeout * 2) {
+      co_await SleepFor(kAskPollInterval);
+    }
+    version = inquiry->version;
+    if (!version) version = OnlyVersion(inquiry->seen, Lifetime());
+  }
+  // The caller goes on to name the same attempt if this one is cut too.
+  if (version && !first_attempt.empty()) OnBegun(service, first_attempt, *version);
+  if (!version) source = "unknown";
+  LogInfo("stream_taken_up", {{"first_attempt", first_attempt},
+                              {"service", service},
+                              {"version", version.value_or("")},
+                              {"source", source}});
+  metrics_
+      .Counter("fuchsiaweir_streams_taken_up_total",
+               "Streams that callers took up, by where their software version was known.",
+               {{"source", source}})
+      .Increment();
+  co_return version;
+}
+
+}  // namespace fuchsiaweir
--- /dev/null
+++ b/src/gateway/stream_origins.h
@@ -0,0 +1,68 @@
+#ifndef FUCHSIAWEIR_GATEWAY_STREAM_ORIGINS_H_
+#define FUCHSIAWEIR_GATEWAY_STREAM_ORIGINS_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/listed_versions.h"
+#include "core/stream_origin_table.h"
+#include "gateway/fleet_view.h"
+#include "net/http_server.h"
+#include "net/metrics.h"
+
+namespace fuchsiaweir {
+
+/// Path under which a process tells which software version began a stream.
+inline constexpr char kStreamOriginPath[] = "/internal/v1/streams";
+
+/// Knows which software version began each recent stream, together with the other processes. A
+/// stream that its caller takes up may go on only at that version.
+///
+/// While a service has had one version for as long as streams last, nothing is told. Otherwise a
+/// gateway tells a few other processes of each stream before the caller gets its first event.
+class StreamOrigins : public Component {
+ public:
+  StreamOrigins(ComponentRegistry& components, FleetView& view);
+
+  /// Records that a runner of the version has begun a stream. `first_attempt` is the id of the
+  /// caller's attempt that got its first event.
+  void OnBegun(const std::string& service, const std::string& first_attempt,
+               const std::string& version);
+  /// Returns the version that began the stream, or nothing if neither this process nor those that
+  /// would have been told know it.
+  Awaitable<std::optional<std::string>> Find(std::string service, std::string first_attempt);
+
+  void OnMessage(const StreamsMessage& message);
+  /// Answers another process that looks for a stream.
+  HttpResponse Serve(const HttpTarget& target) const;
+
+ private:
+  /// The answers to a question that several processes were asked.
+  struct Inquiry;
+
+  void Tick();
+  SeenVersions Seen(const std::string& service) const;
+  /// Longest time within which callers take up a stream.
+  Duration Lifetime() const;
+  /// Returns the processes that are told of the stream.
+  std::vector<Endpoint> Holders(uint64_t key) const;
+  /// Tells the holders of streams of one service and version.
+  void Tell(const std::string& version, const std::vector<uint64_t>& keys);
+  Awaitable<void> Ask(Endpoint holder, std::string target, std::shared_ptr<Inquiry> inquiry);
+
+  boost::asio::io_context& io_;
+  FleetView& view_;
+  Metrics& metrics_;
+  PeerLink& link_;
+  HttpClient& client_;
+  StreamOriginTable table_;
+  ListedVersions listed_;
+  std::set<std::string> telling_;  ///< Services of which streams are told.
+};
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_GATEWAY_STREAM_ORIGINS_H_
