Let sidecars keep what began a stream, for take-ups after a kill of all gateways

Callers saw, on a system like this one: two versions were in service when all gateways were killed at once; the streams that they took up afterwards were joined from both (ORDER).

Cause: what the gateways knew of the streams was lost with them. With records at gateways alone, such take-ups are refused, which keeps ORDER and gives up the streams (LOST).

Change: a gateway tells one other gateway and two sidecars of each stream, chosen by its key from those whose reports arrive, since entries of sidecars that have left stay registered; three sidecars are asked. A gateway that has just started waits up to 0.3 s for their reports before it asks.

--- a/src/core/store_backoff.cc
+++ b/src/core/store_backoff.cc
@@ -8,8 +8,8 @@
 constexpr Duration kInitialPeriod = Millis(150);
 // A change must be in force within two seconds after the store accepts calls again.
 constexpr Duration kMaxPeriod = Millis(1200);
-// Shortest wait as a share of the period. Gateways lose the store at the same moment, and with equal
-// waits they would go on calling it at the same moments.
+// Shortest wait as a share of the period. Gateways lose the store at the same moment, and with
+// equal waits they would go on calling it at the same moments.
 constexpr double kMinShare = 0.5;
 
 }  // namespace
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -98,7 +98,7 @@
   };
   std::optional<Refusal> refusal = admission_.Admit(request);
   if (!refusal) refusal = planned_stop_.RefuseLate(request);
-  if (!refusal && request.takes_up()) refusal = co_await FindOrigin(request);
+  if (!refusal && request.takes_up()) refusal = co_await origins_.AdmitTakeUp(request);
   if (refusal) {
     co_await refusals_.Send(request, *refusal);
     co_return;
@@ -107,15 +107,6 @@
   planned_stop_.OnRequestEnd(request, SteadyNow());
 }
 
-Awaitable<std::optional<Refusal>> Forwarder::FindOrigin(ForwardedRequest& request) {
-  std::string service = request.service;
-  std::string first_attempt = request.caller.first_attempt;
-  request.stream_version = co_await origins_.Find(std::move(service), std::move(first_attempt));
-  if (request.stream_version) co_return std::nullopt;
-  co_return Refusal{503, ErrorCode::kNoTarget, RunState::kNotRun,
-                    "the software version that began the stream is not known", Duration{0}};
-}
-
 void Forwarder::EndRequests() {
   const TimePoint now = SteadyNow();
   for (ForwardedRequest* request : requests_) {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -55,9 +55,6 @@
  private:
   enum class AttemptResult;
 
-  /// Finds out which software version has begun the stream that the caller takes up. Returns a
-  /// refusal if nobody knows.
-  Awaitable<std::optional<Refusal>> FindOrigin(ForwardedRequest& request);
   Awaitable<void> ProcessRequest(ForwardedRequest& request);
   /// Sends the request to the runner once.
   Awaitable<AttemptResult> RunAttempt(ForwardedRequest& request, const Placement& placement);
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -25,9 +25,16 @@
 /// The attempts of a caller together last no longer than this multiple of a route's timeout.
 constexpr int64_t kTimeoutsOfLifetime = 2;
 /// Gateways that are told of a stream, besides the one that forwards it.
-constexpr size_t kGatewayHolders = 2;
+constexpr size_t kGatewayHolders = 1;
+/// Sidecars that are told: all gateways may be killed at once, and two sidecars leave seldom
+/// together.
+constexpr size_t kSidecarHolders = 2;
 /// Streams in one message, which has to fit into one Ethernet frame.
 constexpr size_t kMaxKeys = 50;
+/// More are asked than are told: two processes may differ in which sidecars they take for alive.
+constexpr size_t kAskedSidecars = 3;
+/// Time after the first list of runners until each sidecar that is alive has reported.
+constexpr Duration kReportWait = Millis(300);
 constexpr Duration kAskTimeout = Millis(300);
 constexpr Duration kAskPollInterval = Millis(5);
 constexpr int64_t kMaxAnswerBytes = 100'000;
@@ -76,6 +83,7 @@
     versions[state.record.service].insert(state.record.version);
   }
   const std::optional<Duration> age = view_.RunnerListAge();
+  if (age && !first_list_at_) first_list_at_ = now;
   if (age && *age <= kMaxListAge) listed_.OnListed(versions, now);
   for (const auto& [service, ignored] : versions) {
     if (OnlyVersion({Seen(service)}, lifetime)) {
@@ -92,20 +100,41 @@
       .Set(static_cast<double>(table_.size()));
 }
 
-std::vector<Endpoint> StreamOrigins::Holders(uint64_t key) const {
+bool StreamOrigins::ReportsKnown() const {
+  return first_list_at_ && SuspendAwareNow() - *first_list_at_ >= kReportWait;
+}
+
+std::vector<std::string> StreamOrigins::LiveSidecars() const {
+  // Entries of sidecars that have left stay registered. A sidecar reports the runner on its host.
+  std::set<std::string> reporting;
+  const TimePoint now = SteadyNow();
+  for (const auto& [id, state] : view_.runner_registry().runners()) {
+    if (state.ReportFresh(now)) reporting.insert(state.record.address);
+  }
+  std::vector<std::string> live;
+  for (const auto& [name, peer] : view_.peers()) {
+    if (!peer.gateway && reporting.count(peer.endpoint.address) > 0) live.push_back(name);
+  }
+  return live;
+}
+
+std::vector<Endpoint> StreamOrigins::Holders(uint64_t key, size_t sidecars) const {
   std::vector<std::string> gateways = view_.live_gateways();
   std::erase(gateways, view_.settings().name);
-  std::vector<Endpoint> holders;
-  for (const std::string& name : RendezvousTop(KeyText(key), gateways, kGatewayHolders)) {
-    holders.push_back(view_.peers().at(name).endpoint);
+  std::vector<std::string> holders = RendezvousTop(KeyText(key), gateways, kGatewayHolders);
+  for (std::string& name : RendezvousTop(KeyText(key), LiveSidecars(), sidecars)) {
+    holders.push_back(std::move(name));
   }
-  return holders;
+  std::vector<Endpoint> endpoints;
+  endpoints.reserve(holders.size());
+  for (const std::string& name : holders) endpoints.push_back(view_.peers().at(name).endpoint);
+  return endpoints;
 }
 
 void StreamOrigins::Tell(const std::string& version, const std::vector<uint64_t>& keys) {
   std::map<std::string, std::pair<Endpoint, StreamsMessage>> messages;
   for (const uint64_t key : keys) {
-    for (const Endpoint& holder : Holders(key)) {
+    for (const Endpoint& holder : Holders(key, kSidecarHolders)) {
       auto& [endpoint, message] = messages[ToString(holder)];
       endpoint = holder;
       message.version = version;
@@ -170,6 +199,15 @@
   }
 }
 
+Awaitable<std::optional<Refusal>> StreamOrigins::AdmitTakeUp(ForwardedRequest& request) {
+  std::string service = request.service;
+  std::string first_attempt = request.caller.first_attempt;
+  request.stream_version = co_await Find(std::move(service), std::move(first_attempt));
+  if (request.stream_version) co_return std::nullopt;
+  co_return Refusal{503, ErrorCode::kNoTarget, RunState::kNotRun,
+                    "the software version that began the stream is not known", Duration{0}};
+}
+
 Awaitable<std::optional<std::string>> StreamOrigins::Find(std::string service,
                                                           std::string first_attempt) {
   const uint64_t key = StreamOriginTable::Key(service, first_attempt);
@@ -187,13 +225,16 @@
     const std::string target =
         absl::StrCat(kStreamOriginPath, "?service=", PercentEncode(service), "&key=", KeyText(key));
     const TimePoint asked_at = SteadyNow();
-    for (const Endpoint& holder : Holders(key)) {
+    while (!ReportsKnown() && SteadyNow() - asked_at < kReportWait * 2) {
+      co_await SleepFor(kAskPollInterval);
+    }
+    for (const Endpoint& holder : Holders(key, kAskedSidecars)) {
       ++inquiry->unanswered;
       Spawn(io_, "stream_origin",
             [this, holder, target, inquiry]() { return Ask(holder, target, inquiry); });
     }
     while (inquiry->unanswered > 0 && !inquiry->version &&
-           SteadyNow() - asked_at < kAskTimeout * 2) {
+           SteadyNow() - asked_at < kReportWait * 2 + kAskTimeout * 2) {
       co_await SleepFor(kAskPollInterval);
     }
     version = inquiry->version;
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -4,12 +4,14 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "core/listed_versions.h"
 #include "core/stream_origin_table.h"
 #include "gateway/fleet_view.h"
+#include "gateway/forwarded_request.h"
 #include "net/http_server.h"
 #include "net/metrics.h"
 
@@ -31,9 +33,9 @@
   /// caller's attempt that got its first event.
   void OnBegun(const std::string& service, const std::string& first_attempt,
                const std::string& version);
-  /// Returns the version that began the stream, or nothing if neither this process nor those that
-  /// would have been told know it.
-  Awaitable<std::optional<std::string>> Find(std::string service, std::string first_attempt);
+  /// Sets the version that began the stream that the request takes up. Returns a refusal if neither
+  /// this process nor those that would have been told know it.
+  Awaitable<std::optional<Refusal>> AdmitTakeUp(ForwardedRequest& request);
 
   void OnMessage(const StreamsMessage& message);
   /// Answers another process that looks for a stream.
@@ -43,12 +45,18 @@
   /// The answers to a question that several processes were asked.
   struct Inquiry;
 
+  /// Returns the version that began the stream, if it can be found out.
+  Awaitable<std::optional<std::string>> Find(std::string service, std::string first_attempt);
   void Tick();
   SeenVersions Seen(const std::string& service) const;
   /// Longest time within which callers take up a stream.
   Duration Lifetime() const;
-  /// Returns the processes that are told of the stream.
-  std::vector<Endpoint> Holders(uint64_t key) const;
+  /// Names of the sidecars whose reports arrive.
+  std::vector<std::string> LiveSidecars() const;
+  /// Whether the sidecars have had time to report since this process has the list of runners.
+  bool ReportsKnown() const;
+  /// Returns the processes that are told of the stream: a gateway and this number of sidecars.
+  std::vector<Endpoint> Holders(uint64_t key, size_t sidecars) const;
   /// Tells the holders of streams of one service and version.
   void Tell(const std::string& version, const std::vector<uint64_t>& keys);
   Awaitable<void> Ask(Endpoint holder, std::string target, std::shared_ptr<Inquiry> inquiry);
@@ -60,7 +68,8 @@
   HttpClient& client_;
   StreamOriginTable table_;
   ListedVersions listed_;
-  std::set<std::string> telling_;  ///< Services of which streams are told.
+  std::optional<TimePoint> first_list_at_;  ///< By `SuspendAwareNow`.
+  std::set<std::string> telling_;           ///< Services of which streams are told.
 };
 
 }  // namespace fuchsiaweir
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -66,8 +66,8 @@
   Reply Call(const std::string& path, const std::string& body, int gateway = 0,
              const std::string& key = "key-1", int deadline_ms = 3'000);
   /// Sends a request to a gateway, with further header fields, and returns the bytes that arrive
-  /// until it closes the connection, also those of a response that is cut. `id` is the request's id;
-  /// empty: a new one.
+  /// until it closes the connection, also those of a response that is cut. `id` is the request's
+  /// id; empty: a new one.
   std::string CallForBytes(const std::string& path, const std::string& body, int gateway = 0,
                            const std::string& id = "", const HttpHeaders& fields = {});
   /// Sends a request to the first gateway with this id.
