Refuse a stream at once when no runner of its software version is left

Change: the wait ends when the only obstacle is that no runner of the version is listed, or that all of them leave.

--- a/src/gateway/request_placer.cc
+++ b/src/gateway/request_placer.cc
@@ -118,6 +118,11 @@
     const bool timed_out = now - started_at + kPlacementPollInterval > limit ||
                            now + kPlacementPollInterval > request.deadline;
     if (timed_out || placement.retry_after > limit * kMaxExpectedWaitFactor) co_return placement;
+    // Only runners of the version that began the stream may go on with it, and none is left.
+    if (request.stream_version && (placement.refusal == PlacementRefusal::kNoRunner ||
+                                   placement.refusal == PlacementRefusal::kLeaving)) {
+      co_return placement;
+    }
     // The end of a pause is known, unlike that of an overload.
     if (placement.refusal == PlacementRefusal::kPaused &&
         now + placement.retry_after > started_at + limit) {
