Tell other processes anew what began a stream when their holders leave

Change: a sidecar whose runner announces its end is no holder, and when the set of live sidecars changes, each gateway tells of those of its streams whose holders are others now. The lifetime of streams goes with records and questions, since sidecars do not read the desired state that it follows from; versions of runners that left long ago are forgotten.

--- a/src/core/listed_versions.cc
+++ b/src/core/listed_versions.cc
@@ -15,6 +15,12 @@
   for (const auto& [service, versions] : by_service) {
     for (const std::string& version : versions) last_listed_[service][version] = now;
   }
+  // Entries of other writers may name ever new services and versions.
+  for (auto& [service, versions] : last_listed_) {
+    std::erase_if(versions,
+                  [&](const auto& item) { return now - item.second > kMaxStreamLifetime; });
+  }
+  std::erase_if(last_listed_, [](const auto& item) { return item.second.empty(); });
 }
 
 SeenVersions ListedVersions::Seen(const std::string& service, Duration lifetime,
--- a/src/core/listed_versions.h
+++ b/src/core/listed_versions.h
@@ -11,6 +11,9 @@
 
 namespace fuchsiaweir {
 
+/// Longest time for which a version counts after its runners have left.
+inline constexpr Duration kMaxStreamLifetime = Seconds(3'600);
+
 /// What one process has seen of the software versions of a service's runners.
 struct SeenVersions {
   std::set<std::string> versions;  ///< Listed within the lifetime of streams.
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -118,7 +118,10 @@
   for (const uint64_t key : message.keys) {
     keys.emplace_back(absl::StrCat(absl::Hex(key, absl::kZeroPad16)));
   }
-  return {{"type", "streams"}, {"version", message.version}, {"keys", std::move(keys)}};
+  return {{"type", "streams"},
+          {"version", message.version},
+          {"keys", std::move(keys)},
+          {"lifetime_ms", ToMillis(message.lifetime)}};
 }
 
 json::object Encode(const RolloutEvidenceMessage& message) { return EncodeMessage(message); }
@@ -202,7 +205,9 @@
     return message;
   }
   if (type == "streams") {
-    StreamsMessage message{std::string(object.at("version").as_string()), {}};
+    StreamsMessage message;
+    message.version = std::string(object.at("version").as_string());
+    message.lifetime = DecodeAge(object.at("lifetime_ms"));
     for (const std::string& text : DecodeList(object.at("keys"))) {
       uint64_t key = 0;
       if (!absl::SimpleHexAtoi(text, &key)) throw std::invalid_argument("not a key of a stream");
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -76,6 +76,7 @@
 struct StreamsMessage {
   std::string version;
   std::vector<uint64_t> keys;  ///< See `StreamOriginTable::Key`.
+  Duration lifetime{0};        ///< How long callers may take the streams up.
 };
 
 using PeerMessage =
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -20,8 +20,9 @@
 constexpr Duration kTickPeriod = Millis(200);
 /// An older list of runners may lack a version that other gateways use.
 constexpr Duration kMaxListAge = Seconds(3);
-/// Shortest lifetime of a stream over a caller's attempts.
+/// Limits of the lifetime of a stream over a caller's attempts.
 constexpr Duration kMinLifetime = Seconds(30);
+constexpr Duration kMaxLifetime = kMaxStreamLifetime;
 /// The attempts of a caller together last no longer than this multiple of a route's timeout.
 constexpr int64_t kTimeoutsOfLifetime = 2;
 /// Gateways that are told of a stream, besides the one that forwards it.
@@ -67,7 +68,7 @@
       longest = std::max(longest, route.timeout * kTimeoutsOfLifetime);
     }
   }
-  return longest;
+  return std::min(longest, kMaxLifetime);
 }
 
 SeenVersions StreamOrigins::Seen(const std::string& service) const {
@@ -77,7 +78,7 @@
 void StreamOrigins::Tick() {
   const TimePoint now = SuspendAwareNow();
   const Duration lifetime = Lifetime();
-  table_.Expire(now - lifetime);
+  table_.Expire(now - std::max(lifetime, told_lifetime_));
   std::map<std::string, std::set<std::string>> versions;
   for (const auto& [id, state] : view_.runner_registry().runners()) {
     versions[state.record.service].insert(state.record.version);
@@ -85,15 +86,14 @@
   const std::optional<Duration> age = view_.RunnerListAge();
   if (age && !first_list_at_) first_list_at_ = now;
   if (age && *age <= kMaxListAge) listed_.OnListed(versions, now);
+  const std::vector<std::string> sidecars = std::exchange(sidecars_, LiveSidecars());
   for (const auto& [service, ignored] : versions) {
     if (OnlyVersion({Seen(service)}, lifetime)) {
       telling_.erase(service);
     } else if (telling_.insert(service).second) {
-      std::map<std::string, std::vector<uint64_t>> begun;
-      for (const StreamOriginTable::Begun& stream : table_.BegunHere(service)) {
-        begun[stream.version].push_back(stream.key);
-      }
-      for (const auto& [version, keys] : begun) Tell(version, keys);
+      TellBegun(service, std::nullopt);
+    } else if (sidecars != sidecars_) {
+      TellBegun(service, sidecars);
     }
   }
   metrics_.Gauge("fuchsiaweir_stream_origins", "Streams whose software version is known.")
@@ -105,11 +105,12 @@
 }
 
 std::vector<std::string> StreamOrigins::LiveSidecars() const {
-  // Entries of sidecars that have left stay registered. A sidecar reports the runner on its host.
+  // Entries of sidecars that have left stay registered. A sidecar reports the runner on its host,
+  // and leaves with it.
   std::set<std::string> reporting;
   const TimePoint now = SteadyNow();
   for (const auto& [id, state] : view_.runner_registry().runners()) {
-    if (state.ReportFresh(now)) reporting.insert(state.record.address);
+    if (state.ReportFresh(now) && !state.record.draining) reporting.insert(state.record.address);
   }
   std::vector<std::string> live;
   for (const auto& [name, peer] : view_.peers()) {
@@ -118,12 +119,13 @@
   return live;
 }
 
-std::vector<Endpoint> StreamOrigins::Holders(uint64_t key, size_t sidecars) const {
+std::vector<Endpoint> StreamOrigins::Holders(uint64_t key, const std::vector<std::string>& sidecars,
+                                             size_t count) const {
   std::vector<std::string> gateways = view_.live_gateways();
   std::erase(gateways, view_.settings().name);
   std::vector<std::string> holders = RendezvousTop(KeyText(key), gateways, kGatewayHolders);
-  for (std::string& name : RendezvousTop(KeyText(key), LiveSidecars(), sidecars)) {
-    holders.push_back(std::move(name));
+  for (std::string& name : RendezvousTop(KeyText(key), sidecars, count)) {
+    if (view_.peers().count(name) > 0) holders.push_back(std::move(name));
   }
   std::vector<Endpoint> endpoints;
   endpoints.reserve(holders.size());
@@ -131,13 +133,26 @@
   return endpoints;
 }
 
+void StreamOrigins::TellBegun(const std::string& service,
+                              const std::optional<std::vector<std::string>>& told_sidecars) {
+  std::map<std::string, std::vector<uint64_t>> begun;
+  for (const StreamOriginTable::Begun& stream : table_.BegunHere(service)) {
+    const std::string key = KeyText(stream.key);
+    const bool told = told_sidecars && RendezvousTop(key, *told_sidecars, kSidecarHolders) ==
+                                           RendezvousTop(key, sidecars_, kSidecarHolders);
+    if (!told) begun[stream.version].push_back(stream.key);
+  }
+  for (const auto& [version, keys] : begun) Tell(version, keys);
+}
+
 void StreamOrigins::Tell(const std::string& version, const std::vector<uint64_t>& keys) {
   std::map<std::string, std::pair<Endpoint, StreamsMessage>> messages;
   for (const uint64_t key : keys) {
-    for (const Endpoint& holder : Holders(key, kSidecarHolders)) {
+    for (const Endpoint& holder : Holders(key, sidecars_, kSidecarHolders)) {
       auto& [endpoint, message] = messages[ToString(holder)];
       endpoint = holder;
       message.version = version;
+      message.lifetime = Lifetime();
       message.keys.push_back(key);
       if (message.keys.size() < kMaxKeys) continue;
       link_.Send(endpoint, message);
@@ -158,6 +173,7 @@
 }
 
 void StreamOrigins::OnMessage(const StreamsMessage& message) {
+  told_lifetime_ = std::max(told_lifetime_, std::min(message.lifetime, kMaxLifetime));
   for (const uint64_t key : message.keys) {
     table_.OnTold(key, message.version, SuspendAwareNow());
   }
@@ -166,7 +182,10 @@
 HttpResponse StreamOrigins::Serve(const HttpTarget& target) const {
   uint64_t key = 0;
   if (!absl::SimpleHexAtoi(target.Query("key"), &key)) return HttpResponse{400, {}, ""};
-  const SeenVersions seen = Seen(target.Query("service"));
+  // Sidecars do not read the desired state, which the lifetime follows from.
+  const Duration lifetime = Millis(std::clamp<int64_t>(
+      target.QueryInteger("lifetime_ms", 0), ToMillis(kMinLifetime), ToMillis(kMaxLifetime)));
+  const SeenVersions seen = listed_.Seen(target.Query("service"), lifetime, SuspendAwareNow());
   json::object body{{"seen", json::array(seen.versions.begin(), seen.versions.end())},
                     {"watched_ms", ToMillis(seen.watched)}};
   if (const std::optional<std::string> version = table_.Find(key)) body["version"] = *version;
@@ -223,12 +242,13 @@
     const auto inquiry = std::make_shared<Inquiry>();
     inquiry->seen.push_back(Seen(service));
     const std::string target =
-        absl::StrCat(kStreamOriginPath, "?service=", PercentEncode(service), "&key=", KeyText(key));
+        absl::StrCat(kStreamOriginPath, "?service=", PercentEncode(service), "&key=", KeyText(key),
+                     "&lifetime_ms=", ToMillis(Lifetime()));
     const TimePoint asked_at = SteadyNow();
     while (!ReportsKnown() && SteadyNow() - asked_at < kReportWait * 2) {
       co_await SleepFor(kAskPollInterval);
     }
-    for (const Endpoint& holder : Holders(key, kAskedSidecars)) {
+    for (const Endpoint& holder : Holders(key, LiveSidecars(), kAskedSidecars)) {
       ++inquiry->unanswered;
       Spawn(io_, "stream_origin",
             [this, holder, target, inquiry]() { return Ask(holder, target, inquiry); });
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -51,13 +51,18 @@
   SeenVersions Seen(const std::string& service) const;
   /// Longest time within which callers take up a stream.
   Duration Lifetime() const;
-  /// Names of the sidecars whose reports arrive.
+  /// Names of the sidecars whose reports arrive and whose runners do not leave.
   std::vector<std::string> LiveSidecars() const;
   /// Whether the sidecars have had time to report since this process has the list of runners.
   bool ReportsKnown() const;
-  /// Returns the processes that are told of the stream: a gateway and this number of sidecars.
-  std::vector<Endpoint> Holders(uint64_t key, size_t sidecars) const;
-  /// Tells the holders of streams of one service and version.
+  /// Returns the processes that are told of the stream: a gateway, and `count` of the sidecars.
+  std::vector<Endpoint> Holders(uint64_t key, const std::vector<std::string>& sidecars,
+                                size_t count) const;
+  /// Tells of the streams of the service that this process has begun. `told_sidecars`: only of
+  /// those whose holders are others than among these.
+  void TellBegun(const std::string& service,
+                 const std::optional<std::vector<std::string>>& told_sidecars);
+  /// Tells the holders of streams of one version.
   void Tell(const std::string& version, const std::vector<uint64_t>& keys);
   Awaitable<void> Ask(Endpoint holder, std::string target, std::shared_ptr<Inquiry> inquiry);
 
@@ -68,6 +73,8 @@
   HttpClient& client_;
   StreamOriginTable table_;
   ListedVersions listed_;
+  Duration told_lifetime_{0};          ///< Longest lifetime of streams that others have told of.
+  std::vector<std::string> sidecars_;  ///< That were alive at the last check.
   std::optional<TimePoint> first_list_at_;  ///< By `SuspendAwareNow`.
   std::set<std::string> telling_;           ///< Services of which streams are told.
 };
