Compute the lifetime of streams once for each desired state, and bound what others tell

The lifetime was found by a pass over all routes for each stream that is told of, and a peer's watch time could be any number. It is now taken when a desired state is adopted, and the number is clamped. Services without runners leave the set of those whose streams are told. SoftwareVersions.ARecordIsReadAsItWasWritten covers the message and its odd forms.

--- a/src/core/listed_versions.h
+++ b/src/core/listed_versions.h
@@ -11,7 +11,8 @@
 
 namespace fuchsiaweir {
 
-/// Longest time for which a version counts after its runners have left.
+/// Limits of the time for which a version counts after its runners have left.
+inline constexpr Duration kMinStreamLifetime = Seconds(30);
 inline constexpr Duration kMaxStreamLifetime = Seconds(3'600);
 
 /// What one process has seen of the software versions of a service's runners.
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -20,9 +20,6 @@
 constexpr Duration kTickPeriod = Millis(200);
 /// An older list of runners may lack a version that other gateways use.
 constexpr Duration kMaxListAge = Seconds(3);
-/// Limits of the lifetime of a stream over a caller's attempts.
-constexpr Duration kMinLifetime = Seconds(30);
-constexpr Duration kMaxLifetime = kMaxStreamLifetime;
 /// The attempts of a caller together last no longer than this multiple of a route's timeout.
 constexpr int64_t kTimeoutsOfLifetime = 2;
 /// Gateways that are told of a stream, besides the one that forwards it.
@@ -58,27 +55,26 @@
       client_(components.Find<HttpClients>("http_clients").external()) {
   components.Find<TimerService>("timer").Subscribe("stream_origins", kTickPeriod,
                                                    [this](TimePoint) { Tick(); });
+  view.AddTableListener([this](const RouteTable& table) { OnTable(table); });
 }
 
-Duration StreamOrigins::Lifetime() const {
-  Duration longest = kMinLifetime;
-  if (view_.table() == nullptr) return longest;
-  for (const Route& route : view_.table()->routes) {
+void StreamOrigins::OnTable(const RouteTable& table) {
+  lifetime_ = kMinStreamLifetime;
+  for (const Route& route : table.routes) {
     if (route.kind == RouteKind::kStream) {
-      longest = std::max(longest, route.timeout * kTimeoutsOfLifetime);
+      lifetime_ = std::max(lifetime_, route.timeout * kTimeoutsOfLifetime);
     }
   }
-  return std::min(longest, kMaxLifetime);
+  lifetime_ = std::min(lifetime_, kMaxStreamLifetime);
 }
 
 SeenVersions StreamOrigins::Seen(const std::string& service) const {
-  return listed_.Seen(service, Lifetime(), SuspendAwareNow());
+  return listed_.Seen(service, lifetime_, SuspendAwareNow());
 }
 
 void StreamOrigins::Tick() {
   const TimePoint now = SuspendAwareNow();
-  const Duration lifetime = Lifetime();
-  table_.Expire(now - std::max(lifetime, told_lifetime_));
+  table_.Expire(now - std::max(lifetime_, told_lifetime_));
   std::map<std::string, std::set<std::string>> versions;
   for (const auto& [id, state] : view_.runner_registry().runners()) {
     versions[state.record.service].insert(state.record.version);
@@ -86,9 +82,10 @@
   const std::optional<Duration> age = view_.RunnerListAge();
   if (age && !first_list_at_) first_list_at_ = now;
   if (age && *age <= kMaxListAge) listed_.OnListed(versions, now);
+  std::erase_if(telling_, [&](const std::string& name) { return versions.count(name) == 0; });
   const std::vector<std::string> sidecars = std::exchange(sidecars_, LiveSidecars());
   for (const auto& [service, ignored] : versions) {
-    if (OnlyVersion({Seen(service)}, lifetime)) {
+    if (OnlyVersion({Seen(service)}, lifetime_)) {
       telling_.erase(service);
     } else if (telling_.insert(service).second) {
       TellBegun(service, std::nullopt);
@@ -152,7 +149,7 @@
       auto& [endpoint, message] = messages[ToString(holder)];
       endpoint = holder;
       message.version = version;
-      message.lifetime = Lifetime();
+      message.lifetime = lifetime_;
       message.keys.push_back(key);
       if (message.keys.size() < kMaxKeys) continue;
       link_.Send(endpoint, message);
@@ -173,7 +170,7 @@
 }
 
 void StreamOrigins::OnMessage(const StreamsMessage& message) {
-  told_lifetime_ = std::max(told_lifetime_, std::min(message.lifetime, kMaxLifetime));
+  told_lifetime_ = std::max(told_lifetime_, std::min(message.lifetime, kMaxStreamLifetime));
   for (const uint64_t key : message.keys) {
     table_.OnTold(key, message.version, SuspendAwareNow());
   }
@@ -183,8 +180,9 @@
   uint64_t key = 0;
   if (!absl::SimpleHexAtoi(target.Query("key"), &key)) return HttpResponse{400, {}, ""};
   // Sidecars do not read the desired state, which the lifetime follows from.
-  const Duration lifetime = Millis(std::clamp<int64_t>(
-      target.QueryInteger("lifetime_ms", 0), ToMillis(kMinLifetime), ToMillis(kMaxLifetime)));
+  const Duration lifetime =
+      Millis(std::clamp<int64_t>(target.QueryInteger("lifetime_ms", 0),
+                                 ToMillis(kMinStreamLifetime), ToMillis(kMaxStreamLifetime)));
   const SeenVersions seen = listed_.Seen(target.Query("service"), lifetime, SuspendAwareNow());
   json::object body{{"seen", json::array(seen.versions.begin(), seen.versions.end())},
                     {"watched_ms", ToMillis(seen.watched)}};
@@ -208,7 +206,8 @@
     for (const json::value& version : body.at("seen").as_array()) {
       seen.versions.emplace(version.as_string());
     }
-    seen.watched = Millis(std::max<int64_t>(0, body.at("watched_ms").to_number<int64_t>()));
+    const int64_t watched_ms = body.at("watched_ms").to_number<int64_t>();
+    seen.watched = Millis(std::clamp<int64_t>(watched_ms, 0, ToMillis(kMaxStreamLifetime)));
     inquiry->seen.push_back(std::move(seen));
     if (const json::value* version = body.if_contains("version")) {
       inquiry->version = std::string(version->as_string());
@@ -235,7 +234,7 @@
   if (!first_attempt.empty()) version = table_.Find(key);
   if (!version) {
     source = "list";
-    version = OnlyVersion({Seen(service)}, Lifetime());
+    version = OnlyVersion({Seen(service)}, lifetime_);
   }
   if (!version) {
     source = "peer";
@@ -243,7 +242,7 @@
     inquiry->seen.push_back(Seen(service));
     const std::string target =
         absl::StrCat(kStreamOriginPath, "?service=", PercentEncode(service), "&key=", KeyText(key),
-                     "&lifetime_ms=", ToMillis(Lifetime()));
+                     "&lifetime_ms=", ToMillis(lifetime_));
     const TimePoint asked_at = SteadyNow();
     while (!ReportsKnown() && SteadyNow() - asked_at < kReportWait * 2) {
       co_await SleepFor(kAskPollInterval);
@@ -258,7 +257,7 @@
       co_await SleepFor(kAskPollInterval);
     }
     version = inquiry->version;
-    if (!version) version = OnlyVersion(inquiry->seen, Lifetime());
+    if (!version) version = OnlyVersion(inquiry->seen, lifetime_);
   }
   // The caller goes on to name the same attempt if this one is cut too.
   if (version && !first_attempt.empty()) OnBegun(service, first_attempt, *version);
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -47,10 +47,9 @@
 
   /// Returns the version that began the stream, if it can be found out.
   Awaitable<std::optional<std::string>> Find(std::string service, std::string first_attempt);
+  void OnTable(const RouteTable& table);
   void Tick();
   SeenVersions Seen(const std::string& service) const;
-  /// Longest time within which callers take up a stream.
-  Duration Lifetime() const;
   /// Names of the sidecars whose reports arrive and whose runners do not leave.
   std::vector<std::string> LiveSidecars() const;
   /// Whether the sidecars have had time to report since this process has the list of runners.
@@ -73,6 +72,8 @@
   HttpClient& client_;
   StreamOriginTable table_;
   ListedVersions listed_;
+  /// Longest time within which callers take up a stream, by the desired state.
+  Duration lifetime_ = kMinStreamLifetime;
   Duration told_lifetime_{0};          ///< Longest lifetime of streams that others have told of.
   std::vector<std::string> sidecars_;  ///< That were alive at the last check.
   std::optional<TimePoint> first_list_at_;  ///< By `SuspendAwareNow`.
--- a/test/process/software_versions.cc
+++ b/test/process/software_versions.cc
@@ -3,13 +3,18 @@
 #include <CppUTest/TestHarness.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
 
 #include <array>
 #include <csignal>
+#include <limits>
+#include <optional>
 #include <string>
 #include <thread>
+#include <variant>
 #include <vector>
 
+#include "gateway/peer_link.h"
 #include "platform/names.h"
 #include "process/fleet.h"
 
@@ -93,6 +98,23 @@
   }
 };
 
+// Guards against records that are lost, or that end a process, on their way to another one.
+TEST(SoftwareVersions, ARecordIsReadAsItWasWritten) {
+  StreamsMessage message;
+  message.version = "v1";
+  message.keys = {0, 42, std::numeric_limits<uint64_t>::max()};
+  message.lifetime = Seconds(30);
+  const std::string text = EncodePeerMessage(message);
+  const std::optional<PeerMessage> decoded = DecodePeerMessage(text);
+  const auto* streams = decoded ? std::get_if<StreamsMessage>(&*decoded) : nullptr;
+  CHECK(streams != nullptr);
+  STRCMP_EQUAL("v1", streams->version.c_str());
+  CHECK(message.keys == streams->keys);
+  CHECK(message.lifetime == streams->lifetime);
+  CHECK_FALSE(DecodePeerMessage(absl::StrReplaceAll(text, {{"000000000000002a", "key"}})));
+  CHECK_FALSE(DecodePeerMessage(absl::StrReplaceAll(text, {{"30000", "\"soon\""}})));
+}
+
 // Guards against an answer whose first events come from one software version and whose rest comes
 // from another.
 TEST(SoftwareVersions, AStreamGoesOnOnlyAtTheVersionThatBeganIt) {
