--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -78,7 +78,8 @@
       metrics_(components.Find<Metrics>("metrics")),
       store_(client_, settings.store_endpoint()),
       authority_(Millis(0)),
-      peers_(settings, role, components.Find<PeerLink>("peer_link")) {
+      peers_(settings, role, components.Find<PeerLink>("peer_link")),
+      store_backoff_(settings.name) {
   SetSettings(settings);
 
   components.Find<TimerService>("timer").Subscribe("fleet_view", kTickPeriod,
@@ -141,6 +142,12 @@
   return found == weights_.end() ? nullptr : &found->second;
 }
 
+std::optional<Duration> FleetView::RunnerListAge() const {
+  const auto found = kind_states_.find(platform::kRunnerKind);
+  if (!runners_listed_ || found == kind_states_.end()) return std::nullopt;
+  return SuspendAwareNow() - found->second.as_of;
+}
+
 int64_t FleetView::AuthorityAgeMs() const {
   const std::optional<Duration> age = authority_.Age(SuspendAwareNow());
   return age ? ToMillis(*age) : -1;
@@ -227,11 +234,16 @@
     // A relay that cannot reach the store counts as a failed source.
     const Duration max_lag = kind.urgent ? kMaxUrgentRelayLag : kMaxRelayLag;
     const bool stale = read.age > kind.watch_timeout + max_lag;
+    const bool regained = failures > 0 && !stale && !relay;
     failures = stale ? failures + 1 : 0;
     if (stale) LogStaleRelay(kind, read);
     // No store call would clear an earlier failure of a kind that is now read from a relay.
     if (relay && !stale) RecordHealth(kind, true, "");
     ApplyRead(kind, read, sent);
+    // Gateways without the store read from those whose hello tells a current desired state.
+    if (regained && kind.apply == &FleetView::ApplyConfig && role_ == PlatformRole::kGateway) {
+      peers_.BroadcastToGateways(MakeHello());
+    }
     Duration delay = role_ == PlatformRole::kGateway ? kind.watch_delay : kind.sidecar_watch_delay;
     if (relay) delay = stale ? kInitialBackoff : Duration{0};
     if (delay > Duration{0}) co_await SleepFor(delay);
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -69,6 +69,7 @@
       parts_(parts),
       metrics_(components.Find<Metrics>("metrics")),
       rollouts_(components.Find<RolloutControl>("rollout_control")),
+      origins_(components.Find<StreamOrigins>("stream_origins")),
       random_(RendezvousHash(view.settings().name) ^ static_cast<uint64_t>(UnixMillis())),
       channels_(components.io()),
       memory_(memory),
@@ -97,6 +98,7 @@
   };
   std::optional<Refusal> refusal = admission_.Admit(request);
   if (!refusal) refusal = planned_stop_.RefuseLate(request);
+  if (!refusal && request.takes_up()) refusal = co_await origins_.AdmitTakeUp(request);
   if (refusal) {
     co_await refusals_.Send(request, *refusal);
     co_return;
@@ -275,7 +277,8 @@
     co_return AttemptResult::kCallerGone;
   }
   if (now >= request.deadline) co_return AttemptResult::kDeadlineExceeded;
-  if (chosen == nullptr || !placer_.TakesRequests(*chosen, now)) {
+  if (chosen == nullptr || !placer_.TakesRequests(*chosen, now) ||
+      chosen->record.version != request.stream_version.value_or(chosen->record.version)) {
     channels_.Release(endpoint, std::move(acquired.channel));
     co_return AttemptResult::kNotSent;
   }
@@ -294,6 +297,7 @@
   request.channel = acquired.channel.get();
   request.runner = placement.runner;
   request.runner_started_ms = chosen->started_ms;
+  request.runner_version = chosen->record.version;
   request.sent_at = now;
   request.last_byte_at = now;
   request.silent_for = Duration{0};
@@ -460,6 +464,11 @@
           request.time_to_first_byte = SteadyNow() - request.arrived_at;
         }
       }
+      if (!request.stream_version) {
+        // Recorded before the caller has an event that it could name.
+        request.stream_version = request.runner_version;
+        origins_.OnBegun(request.service, request.caller.id, request.runner_version);
+      }
       const auto event_bytes = static_cast<int64_t>(events.size());
       BeginDelivery(request, memory.get());
       bool written = true;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -25,6 +25,7 @@
 #include "gateway/rollout_control.h"
 #include "gateway/runner_channel.h"
 #include "gateway/runner_check.h"
+#include "gateway/stream_origins.h"
 #include "gateway/work_observer.h"
 #include "net/http_server.h"
 
@@ -82,6 +83,7 @@
   PartWatch& parts_;
   Metrics& metrics_;
   RolloutControl& rollouts_;
+  StreamOrigins& origins_;
   RandomSequence random_;
   RunnerChannelPool channels_;
   MemoryBudget& memory_;
--- a/src/gateway/request_placer.cc
+++ b/src/gateway/request_placer.cc
@@ -15,7 +15,8 @@
 /// A request does not wait if the expected time until a runner accepts it exceeds this multiple of
 /// its limit.
 constexpr int64_t kMaxExpectedWaitFactor = 4;
-/// A stream that has begun waits longer, since its caller already has part of the response.
+/// A stream that has begun waits longer, since its caller already has part of the response and
+/// fewer runners may go on with it.
 constexpr Duration kResumePlacementTimeout = Millis(1200);
 /// Share of the deadline for new weights after which runners with replaced weights get no requests.
 /// The rest covers the time that a request waits at its runner before it starts.
@@ -66,6 +67,7 @@
   query.version_rule = rollouts_.Rule(request.service, now);
   query.data_centre = view_.settings().data_centre;
   query.prefix_hash = request.prefix_hash;
+  if (request.stream_version) query.software_version = &*request.stream_version;
   query.closed_data_centres = &request.closed_data_centres;
   query.tried = &request.tried;
   query.self = view_.settings().name;
@@ -101,7 +103,7 @@
   ReleaseReservation(request);
   const TimePoint started_at = SteadyNow();
   const Duration limit =
-      request.exchange.streaming()
+      request.exchange.streaming() || request.takes_up()
           ? kResumePlacementTimeout
           : Micros(static_cast<int64_t>(static_cast<double>(request.route->objective.count()) *
                                         kPlacementWaitShare));
@@ -116,6 +118,11 @@
     const bool timed_out = now - started_at + kPlacementPollInterval > limit ||
                            now + kPlacementPollInterval > request.deadline;
     if (timed_out || placement.retry_after > limit * kMaxExpectedWaitFactor) co_return placement;
+    // Only runners of the version that began the stream may go on with it, and none is left.
+    if (request.stream_version && (placement.refusal == PlacementRefusal::kNoRunner ||
+                                   placement.refusal == PlacementRefusal::kLeaving)) {
+      co_return placement;
+    }
     // The end of a pause is known, unlike that of an overload.
     if (placement.refusal == PlacementRefusal::kPaused &&
         now + placement.retry_after > started_at + limit) {
--- /dev/null
+++ b/src/gateway/stream_origins.cc
@@ -0,0 +1,277 @@
+#include "gateway/stream_origins.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <map>
+#include <utility>
+
+#include "core/rendezvous.h"
+#include "net/log.h"
+#include "net/timer_service.h"
+
+namespace fuchsiaweir {
+namespace {
+
+namespace json = boost::json;
+
+constexpr Duration kTickPeriod = Millis(200);
+/// An older list of runners may lack a version that other gateways use.
+constexpr Duration kMaxListAge = Seconds(3);
+/// The attempts of a caller together last no longer than this multiple of a route's timeout.
+constexpr int64_t kTimeoutsOfLifetime = 2;
+/// Gateways that are told of a stream, besides the one that forwards it.
+constexpr size_t kGatewayHolders = 1;
+/// Sidecars that are told: all gateways may be killed at once, and two sidecars leave seldom
+/// together.
+constexpr size_t kSidecarHolders = 2;
+/// Streams in one message, which has to fit into one Ethernet frame.
+constexpr size_t kMaxKeys = 50;
+/// More are asked than are told: two processes may differ in which sidecars they take for alive.
+constexpr size_t kAskedSidecars = 3;
+/// Time after the first list of runners until each sidecar that is alive has reported.
+constexpr Duration kReportWait = Millis(300);
+constexpr Duration kAskTimeout = Millis(300);
+constexpr Duration kAskPollInterval = Millis(5);
+constexpr int64_t kMaxAnswerBytes = 100'000;
+
+std::string KeyText(uint64_t key) { return absl::StrCat(absl::Hex(key, absl::kZeroPad16)); }
+
+}  // namespace
+
+struct StreamOrigins::Inquiry {
+  size_t unanswered = 0;
+  std::optional<std::string> version;  ///< Of the stream, as a holder recorded it.
+  std::vector<SeenVersions> seen;
+};
+
+StreamOrigins::StreamOrigins(ComponentRegistry& components, FleetView& view)
+    : io_(components.io()),
+      view_(view),
+      metrics_(components.Find<Metrics>("metrics")),
+      link_(components.Find<PeerLink>("peer_link")),
+      client_(components.Find<HttpClients>("http_clients").external()) {
+  components.Find<TimerService>("timer").Subscribe("stream_origins", kTickPeriod,
+                                                   [this](TimePoint) { Tick(); });
+  view.AddTableListener([this](const RouteTable& table) { OnTable(table); });
+}
+
+void StreamOrigins::OnTable(const RouteTable& table) {
+  lifetime_ = kMinStreamLifetime;
+  for (const Route& route : table.routes) {
+    if (route.kind == RouteKind::kStream) {
+      lifetime_ = std::max(lifetime_, route.timeout * kTimeoutsOfLifetime);
+    }
+  }
+  lifetime_ = std::min(lifetime_, kMaxStreamLifetime);
+}
+
+SeenVersions StreamOrigins::Seen(const std::string& service) const {
+  return listed_.Seen(service, lifetime_, SuspendAwareNow());
+}
+
+void StreamOrigins::Tick() {
+  const TimePoint now = SuspendAwareNow();
+  table_.Expire(now - std::max(lifetime_, told_lifetime_));
+  std::map<std::string, std::set<std::string>> versions;
+  for (const auto& [id, state] : view_.runner_registry().runners()) {
+    versions[state.record.service].insert(state.record.version);
+  }
+  const std::optional<Duration> age = view_.RunnerListAge();
+  if (age && !first_list_at_) first_list_at_ = now;
+  if (age && *age <= kMaxListAge) listed_.OnListed(versions, now);
+  std::erase_if(telling_, [&](const std::string& name) { return versions.count(name) == 0; });
+  const std::vector<std::string> sidecars = std::exchange(sidecars_, LiveSidecars());
+  for (const auto& [service, ignored] : versions) {
+    if (OnlyVersion({Seen(service)}, lifetime_)) {
+      telling_.erase(service);
+    } else if (telling_.insert(service).second) {
+      TellBegun(service, std::nullopt);
+    } else if (sidecars != sidecars_) {
+      TellBegun(service, sidecars);
+    }
+  }
+  metrics_.Gauge("fuchsiaweir_stream_origins", "Streams whose software version is known.")
+      .Set(static_cast<double>(table_.size()));
+}
+
+bool StreamOrigins::ReportsKnown() const {
+  return first_list_at_ && SuspendAwareNow() - *first_list_at_ >= kReportWait;
+}
+
+std::vector<std::string> StreamOrigins::LiveSidecars() const {
+  // Entries of sidecars that have left stay registered. A sidecar reports the runner on its host,
+  // and leaves with it.
+  std::set<std::string> reporting;
+  const TimePoint now = SteadyNow();
+  for (const auto& [id, state] : view_.runner_registry().runners()) {
+    if (state.ReportFresh(now) && !state.record.draining) reporting.insert(state.record.address);
+  }
+  std::vector<std::string> live;
+  for (const auto& [name, peer] : view_.peers()) {
+    if (!peer.gateway && reporting.count(peer.endpoint.address) > 0) live.push_back(name);
+  }
+  return live;
+}
+
+std::vector<Endpoint> StreamOrigins::Holders(uint64_t key, const std::vector<std::string>& sidecars,
+                                             size_t count) const {
+  std::vector<std::string> gateways = view_.live_gateways();
+  std::erase(gateways, view_.settings().name);
+  std::vector<std::string> holders = RendezvousTop(KeyText(key), gateways, kGatewayHolders);
+  for (std::string& name : RendezvousTop(KeyText(key), sidecars, count)) {
+    if (view_.peers().count(name) > 0) holders.push_back(std::move(name));
+  }
+  std::vector<Endpoint> endpoints;
+  endpoints.reserve(holders.size());
+  for (const std::string& name : holders) endpoints.push_back(view_.peers().at(name).endpoint);
+  return endpoints;
+}
+
+void StreamOrigins::TellBegun(const std::string& service,
+                              const std::optional<std::vector<std::string>>& told_sidecars) {
+  std::map<std::string, std::vector<uint64_t>> begun;
+  for (const StreamOriginTable::Begun& stream : table_.BegunHere(service)) {
+    const std::string key = KeyText(stream.key);
+    const bool told = told_sidecars && RendezvousTop(key, *told_sidecars, kSidecarHolders) ==
+                                           RendezvousTop(key, sidecars_, kSidecarHolders);
+    if (!told) begun[stream.version].push_back(stream.key);
+  }
+  for (const auto& [version, keys] : begun) Tell(version, keys);
+}
+
+void StreamOrigins::Tell(const std::string& version, const std::vector<uint64_t>& keys) {
+  std::map<std::string, std::pair<Endpoint, StreamsMessage>> messages;
+  for (const uint64_t key : keys) {
+    for (const Endpoint& holder : Holders(key, sidecars_, kSidecarHolders)) {
+      auto& [endpoint, message] = messages[ToString(holder)];
+      endpoint = holder;
+      message.version = version;
+      message.lifetime = lifetime_;
+      message.keys.push_back(key);
+      if (message.keys.size() < kMaxKeys) continue;
+      link_.Send(endpoint, message);
+      message.keys.clear();
+    }
+  }
+  for (const auto& [address, item] : messages) {
+    if (!item.second.keys.empty()) link_.Send(item.first, item.second);
+  }
+}
+
+void StreamOrigins::OnBegun(const std::string& service, const std::string& first_attempt,
+                            const std::string& version) {
+  if (first_attempt.empty()) return;  // No caller can name it.
+  const uint64_t key = StreamOriginTable::Key(service, first_attempt);
+  table_.OnBegun(service, key, version, SuspendAwareNow());
+  if (telling_.count(service) > 0) Tell(version, {key});
+}
+
+void StreamOrigins::OnMessage(const StreamsMessage& message) {
+  told_lifetime_ = std::max(told_lifetime_, std::min(message.lifetime, kMaxStreamLifetime));
+  for (const uint64_t key : message.keys) {
+    table_.OnTold(key, message.version, SuspendAwareNow());
+  }
+}
+
+HttpResponse StreamOrigins::Serve(const HttpTarget& target) const {
+  uint64_t key = 0;
+  if (!absl::SimpleHexAtoi(target.Query("key"), &key)) return HttpResponse{400, {}, ""};
+  // Sidecars do not read the desired state, which the lifetime follows from.
+  const Duration lifetime =
+      Millis(std::clamp<int64_t>(target.QueryInteger("lifetime_ms", 0),
+                                 ToMillis(kMinStreamLifetime), ToMillis(kMaxStreamLifetime)));
+  const SeenVersions seen = listed_.Seen(target.Query("service"), lifetime, SuspendAwareNow());
+  json::object body{{"seen", json::array(seen.versions.begin(), seen.versions.end())},
+                    {"watched_ms", ToMillis(seen.watched)}};
+  if (const std::optional<std::string> version = table_.Find(key)) body["version"] = *version;
+  return JsonResponse(200, json::serialize(body));
+}
+
+Awaitable<void> StreamOrigins::Ask(Endpoint holder, std::string target,
+                                   std::shared_ptr<Inquiry> inquiry) {
+  HttpRequest request{"GET", std::move(target), {}, ""};
+  CallOptions options;
+  options.timeout = kAskTimeout;
+  options.connect_timeout = kAskTimeout;
+  options.max_body_bytes = kMaxAnswerBytes;
+  const HttpResult result = co_await client_.Call(std::move(holder), std::move(request), options);
+  --inquiry->unanswered;
+  if (!result.ok()) co_return;
+  try {
+    const json::object body = json::parse(result.response->body).as_object();
+    SeenVersions seen;
+    for (const json::value& version : body.at("seen").as_array()) {
+      seen.versions.emplace(version.as_string());
+    }
+    const int64_t watched_ms = body.at("watched_ms").to_number<int64_t>();
+    seen.watched = Millis(std::clamp<int64_t>(watched_ms, 0, ToMillis(kMaxStreamLifetime)));
+    inquiry->seen.push_back(std::move(seen));
+    if (const json::value* version = body.if_contains("version")) {
+      inquiry->version = std::string(version->as_string());
+    }
+  } catch (const std::exception& e) {
+    LogWarning("stream_origin_malformed", {{"reason", e.what()}});
+  }
+}
+
+Awaitable<std::optional<Refusal>> StreamOrigins::AdmitTakeUp(ForwardedRequest& request) {
+  std::string service = request.service;
+  std::string first_attempt = request.caller.first_attempt;
+  request.stream_version = co_await Find(std::move(service), std::move(first_attempt));
+  if (request.stream_version) co_return std::nullopt;
+  co_return Refusal{503, ErrorCode::kNoTarget, RunState::kNotRun,
+                    "the software version that began the stream is not known", Duration{0}};
+}
+
+Awaitable<std::optional<std::string>> StreamOrigins::Find(std::string service,
+                                                          std::string first_attempt) {
+  const uint64_t key = StreamOriginTable::Key(service, first_attempt);
+  const char* source = "record";
+  std::optional<std::string> version;
+  if (!first_attempt.empty()) version = table_.Find(key);
+  if (!version) {
+    source = "list";
+    version = OnlyVersion({Seen(service)}, lifetime_);
+  }
+  if (!version) {
+    source = "peer";
+    const auto inquiry = std::make_shared<Inquiry>();
+    inquiry->seen.push_back(Seen(service));
+    const std::string target =
+        absl::StrCat(kStreamOriginPath, "?service=", PercentEncode(service), "&key=", KeyText(key),
+                     "&lifetime_ms=", ToMillis(lifetime_));
+    const TimePoint asked_at = SteadyNow();
+    while (!ReportsKnown() && SteadyNow() - asked_at < kReportWait * 2) {
+      co_await SleepFor(kAskPollInterval);
+    }
+    for (const Endpoint& holder : Holders(key, LiveSidecars(), kAskedSidecars)) {
+      ++inquiry->unanswered;
+      Spawn(io_, "stream_origin",
+            [this, holder, target, inquiry]() { return Ask(holder, target, inquiry); });
+    }
+    while (inquiry->unanswered > 0 && !inquiry->version &&
+           SteadyNow() - asked_at < kReportWait * 2 + kAskTimeout * 2) {
+      co_await SleepFor(kAskPollInterval);
+    }
+    version = inquiry->version;
+    if (!version) version = OnlyVersion(inquiry->seen, lifetime_);
+  }
+  // The caller goes on to name the same attempt if this one is cut too.
+  if (version && !first_attempt.empty()) OnBegun(service, first_attempt, *version);
+  if (!version) source = "unknown";
+  LogInfo("stream_taken_up", {{"first_attempt", first_attempt},
+                              {"service", service},
+                              {"version", version.value_or("")},
+                              {"source", source}});
+  metrics_
+      .Counter("fuchsiaweir_streams_taken_up_total",
+               "Streams that callers took up, by where their software version was known.",
+               {{"source", source}})
+      .Increment();
+  co_return version;
+}
+
+}  // namespace fuchsiaweir
--- /dev/null
+++ b/src/gateway/stream_origins.h
@@ -0,0 +1,85 @@
+#ifndef FUCHSIAWEIR_GATEWAY_STREAM_ORIGINS_H_
+#define FUCHSIAWEIR_GATEWAY_STREAM_ORIGINS_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/listed_versions.h"
+#include "core/stream_origin_table.h"
+#include "gateway/fleet_view.h"
+#include "gateway/forwarded_request.h"
+#include "net/http_server.h"
+#include "net/metrics.h"
+
+namespace fuchsiaweir {
+
+/// Path under which a process tells which software version began a stream.
+inline constexpr char kStreamOriginPath[] = "/internal/v1/streams";
+
+/// Knows which software version began each recent stream, together with the other processes. A
+/// stream that its caller takes up may go on only at that version.
+///
+/// While a service has had one version for as long as streams last, nothing is told. Otherwise a
+/// gateway tells a few other processes of each stream before the caller gets its first event.
+class StreamOrigins : public Component {
+ public:
+  StreamOrigins(ComponentRegistry& components, FleetView& view);
+
+  /// Records that a runner of the version has begun a stream. `first_attempt` is the id of the
+  /// caller's attempt that got its first event.
+  void OnBegun(const std::string& service, const std::string& first_attempt,
+               const std::string& version);
+  /// Sets the version that began the stream that the request takes up. Returns a refusal if neither
+  /// this process nor those that would have been told know it.
+  Awaitable<std::optional<Refusal>> AdmitTakeUp(ForwardedRequest& request);
+
+  void OnMessage(const StreamsMessage& message);
+  /// Answers another process that looks for a stream.
+  HttpResponse Serve(const HttpTarget& target) const;
+
+ private:
+  /// The answers to a question that several processes were asked.
+  struct Inquiry;
+
+  /// Returns the version that began the stream, if it can be found out.
+  Awaitable<std::optional<std::string>> Find(std::string service, std::string first_attempt);
+  void OnTable(const RouteTable& table);
+  void Tick();
+  SeenVersions Seen(const std::string& service) const;
+  /// Names of the sidecars whose reports arrive and whose runners do not leave.
+  std::vector<std::string> LiveSidecars() const;
+  /// Whether the sidecars have had time to report since this process has the list of runners.
+  bool ReportsKnown() const;
+  /// Returns the processes that are told of the stream: a gateway, and `count` of the sidecars.
+  std::vector<Endpoint> Holders(uint64_t key, const std::vector<std::string>& sidecars,
+                                size_t count) const;
+  /// Tells of the streams of the service that this process has begun. `told_sidecars`: only of
+  /// those whose holders are others than among these.
+  void TellBegun(const std::string& service,
+                 const std::optional<std::vector<std::string>>& told_sidecars);
+  /// Tells the holders of streams of one version.
+  void Tell(const std::string& version, const std::vector<uint64_t>& keys);
+  Awaitable<void> Ask(Endpoint holder, std::string target, std::shared_ptr<Inquiry> inquiry);
+
+  boost::asio::io_context& io_;
+  FleetView& view_;
+  Metrics& metrics_;
+  PeerLink& link_;
+  HttpClient& client_;
+  StreamOriginTable table_;
+  ListedVersions listed_;
+  /// Longest time within which callers take up a stream, by the desired state.
+  Duration lifetime_ = kMinStreamLifetime;
+  Duration told_lifetime_{0};          ///< Longest lifetime of streams that others have told of.
+  std::vector<std::string> sidecars_;  ///< That were alive at the last check.
+  std::optional<TimePoint> first_list_at_;  ///< By `SuspendAwareNow`.
+  std::set<std::string> telling_;           ///< Services of which streams are told.
+};
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_GATEWAY_STREAM_ORIGINS_H_
