--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -34,6 +34,8 @@
 /// Time after the first list of runners until each sidecar that is alive has reported.
 constexpr Duration kReportWait = Millis(300);
 constexpr Duration kAskTimeout = Millis(300);
+/// The same where the answers only confirm what the list of runners says.
+constexpr Duration kConfirmTimeout = Millis(100);
 constexpr Duration kAskPollInterval = Millis(5);
 constexpr int64_t kMaxAnswerBytes = 100'000;
 
@@ -226,6 +228,29 @@
                     "the software version that began the stream is not known", Duration{0}};
 }
 
+Awaitable<std::shared_ptr<const StreamOrigins::Inquiry>> StreamOrigins::AskHolders(
+    std::string service, uint64_t key, Duration timeout) {
+  const auto inquiry = std::make_shared<Inquiry>();
+  const TimePoint started_at = SteadyNow();
+  while (!ReportsKnown() && SteadyNow() - started_at < kReportWait * 2) {
+    co_await SleepFor(kAskPollInterval);
+  }
+  const std::string target =
+      absl::StrCat(kStreamOriginPath, "?service=", PercentEncode(service), "&key=", KeyText(key),
+                   "&lifetime_ms=", ToMillis(lifetime_));
+  const TimePoint asked_at = SteadyNow();
+  for (const Endpoint& holder : Holders(key, LiveSidecars(), kAskedSidecars)) {
+    ++inquiry->unanswered;
+    Spawn(io_, "stream_origin",
+          [this, holder, target, inquiry]() { return Ask(holder, target, inquiry); });
+  }
+  while (inquiry->unanswered > 0 && !inquiry->version && SteadyNow() - asked_at < timeout) {
+    co_await SleepFor(kAskPollInterval);
+  }
+  inquiry->seen.push_back(Seen(service));
+  co_return inquiry;
+}
+
 Awaitable<std::optional<std::string>> StreamOrigins::Find(std::string service,
                                                           std::string first_attempt) {
   const uint64_t key = StreamOriginTable::Key(service, first_attempt);
@@ -233,31 +258,13 @@
   std::optional<std::string> version;
   if (!first_attempt.empty()) version = table_.Find(key);
   if (!version) {
-    source = "list";
-    version = OnlyVersion({Seen(service)}, lifetime_);
-  }
-  if (!version) {
-    source = "peer";
-    const auto inquiry = std::make_shared<Inquiry>();
-    inquiry->seen.push_back(Seen(service));
-    const std::string target =
-        absl::StrCat(kStreamOriginPath, "?service=", PercentEncode(service), "&key=", KeyText(key),
-                     "&lifetime_ms=", ToMillis(lifetime_));
-    const TimePoint asked_at = SteadyNow();
-    while (!ReportsKnown() && SteadyNow() - asked_at < kReportWait * 2) {
-      co_await SleepFor(kAskPollInterval);
-    }
-    for (const Endpoint& holder : Holders(key, LiveSidecars(), kAskedSidecars)) {
-      ++inquiry->unanswered;
-      Spawn(io_, "stream_origin",
-            [this, holder, target, inquiry]() { return Ask(holder, target, inquiry); });
-    }
-    while (inquiry->unanswered > 0 && !inquiry->version &&
-           SteadyNow() - asked_at < kReportWait * 2 + kAskTimeout * 2) {
-      co_await SleepFor(kAskPollInterval);
-    }
-    version = inquiry->version;
-    if (!version) version = OnlyVersion(inquiry->seen, lifetime_);
+    // Also if this process has seen one version only: the list is up to some seconds old, and the
+    // stream may have begun at a version that is new on it.
+    const std::optional<std::string> listed = OnlyVersion({Seen(service)}, lifetime_);
+    const std::shared_ptr<const Inquiry> inquiry =
+        co_await AskHolders(service, key, listed ? kConfirmTimeout : kAskTimeout);
+    source = inquiry->version ? "peer" : "list";
+    version = inquiry->version ? inquiry->version : OnlyVersion(inquiry->seen, lifetime_);
   }
   // The caller goes on to name the same attempt if this one is cut too.
   if (version && !first_attempt.empty()) OnBegun(service, first_attempt, *version);
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -63,6 +63,10 @@
                  const std::optional<std::vector<std::string>>& told_sidecars);
   /// Tells the holders of streams of one version.
   void Tell(const std::string& version, const std::vector<uint64_t>& keys);
+  /// Asks the holders of a stream, and adds what this process has seen. Ends with the first record,
+  /// with the last answer, or after `timeout`.
+  Awaitable<std::shared_ptr<const Inquiry>> AskHolders(std::string service, uint64_t key,
+                                                       Duration timeout);
   Awaitable<void> Ask(Endpoint holder, std::string target, std::shared_ptr<Inquiry> inquiry);
 
   boost::asio::io_context& io_;
