--- a/src/core/listed_versions.h
+++ b/src/core/listed_versions.h
@@ -36,7 +36,7 @@
   TimePoint listed_at_;
 };
 
-/// Returns the version that has begun every stream of a service that may still be taken up, by what
+/// Returns the version that has begun every stream of a service that may still be resumed, by what
 /// several processes have seen of it; nothing if there were several, or if none of them has watched
 /// for the whole lifetime of streams.
 std::optional<std::string> OnlyVersion(const std::vector<SeenVersions>& seen, Duration lifetime);
--- a/src/core/stream_origin_table.cc
+++ b/src/core/stream_origin_table.cc
@@ -7,7 +7,7 @@
 namespace fuchsiaweir {
 namespace {
 
-/// Limit of the records, about 3 MB. A stream that is forgotten early can only not be taken up.
+/// Limit of the records, about 3 MB. A stream that is forgotten early cannot be resumed.
 constexpr size_t kMaxRecords = 20'000;
 
 }  // namespace
@@ -23,7 +23,7 @@
   Record(key, version, now);
 }
 
-void StreamOriginTable::OnTold(uint64_t key, const std::string& version, TimePoint now) {
+void StreamOriginTable::OnReplicated(uint64_t key, const std::string& version, TimePoint now) {
   Record(key, version, now);
 }
 
--- a/src/core/stream_origin_table.h
+++ b/src/core/stream_origin_table.h
@@ -31,7 +31,7 @@
   /// Records a stream that this process has begun.
   void OnBegun(const std::string& service, uint64_t key, const std::string& version, TimePoint now);
   /// Records a stream that another process has begun.
-  void OnTold(uint64_t key, const std::string& version, TimePoint now);
+  void OnReplicated(uint64_t key, const std::string& version, TimePoint now);
   /// Returns the version that began the stream; nothing if it is not known.
   std::optional<std::string> Find(uint64_t key) const;
   /// Forgets streams that were last recorded before `limit`.
--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -62,7 +62,7 @@
   const Duration time_left = request.caller.time_left.value_or(kDefaultTimeLeft);
   request.deadline = request.arrived_at +
                      (route.timeout > Duration{0} ? std::min(time_left, route.timeout) : time_left);
-  // A stream that is taken up stays at the service that began it.
+  // A stream that is resumed stays at the service that began it.
   const std::string& stream =
       request.caller.first_attempt.empty() ? request.caller.id : request.caller.first_attempt;
   request.service =
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -107,7 +107,7 @@
   std::vector<std::string> SharedParts() const;
   bool is_stream() const { return route->kind == RouteKind::kStream; }
   /// Whether the caller has events of the stream already, from an earlier attempt.
-  bool takes_up() const {
+  bool resumes_stream() const {
     return is_stream() && (caller.resume_after > 0 || !caller.first_attempt.empty());
   }
 };
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -98,7 +98,7 @@
   };
   std::optional<Refusal> refusal = admission_.Admit(request);
   if (!refusal) refusal = planned_stop_.RefuseLate(request);
-  if (!refusal && request.takes_up()) refusal = co_await origins_.AdmitTakeUp(request);
+  if (!refusal && request.resumes_stream()) refusal = co_await origins_.AdmitResumption(request);
   if (refusal) {
     co_await refusals_.Send(request, *refusal);
     co_return;
--- a/src/gateway/request_placer.cc
+++ b/src/gateway/request_placer.cc
@@ -103,7 +103,7 @@
   ReleaseReservation(request);
   const TimePoint started_at = SteadyNow();
   const Duration limit =
-      request.exchange.streaming() || request.takes_up()
+      request.exchange.streaming() || request.resumes_stream()
           ? kResumePlacementTimeout
           : Micros(static_cast<int64_t>(static_cast<double>(request.route->objective.count()) *
                                         kPlacementWaitShare));
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -22,14 +22,15 @@
 constexpr Duration kMaxListAge = Seconds(3);
 /// The attempts of a caller together last no longer than this multiple of a route's timeout.
 constexpr int64_t kTimeoutsOfLifetime = 2;
-/// Gateways that are told of a stream, besides the one that forwards it.
+/// Other gateways that hold the record of a stream.
 constexpr size_t kGatewayHolders = 1;
-/// Sidecars that are told: all gateways may be killed at once, and two sidecars leave seldom
+/// Sidecars that hold the record: all gateways may be killed at once, and two sidecars seldom leave
 /// together.
 constexpr size_t kSidecarHolders = 2;
 /// Streams in one message, which has to fit into one Ethernet frame.
 constexpr size_t kMaxKeys = 50;
-/// More are asked than are told: two processes may differ in which sidecars they take for alive.
+/// More are asked than hold the record: two processes may differ in which sidecars they take for
+/// alive.
 constexpr size_t kAskedSidecars = 3;
 /// Time after the first list of runners until each sidecar that is alive has reported.
 constexpr Duration kReportWait = Millis(300);
@@ -76,7 +77,7 @@
 
 void StreamOrigins::Tick() {
   const TimePoint now = SuspendAwareNow();
-  table_.Expire(now - std::max(lifetime_, told_lifetime_));
+  table_.Expire(now - std::max(lifetime_, replicated_lifetime_));
   std::map<std::string, std::set<std::string>> versions;
   for (const auto& [id, state] : view_.runner_registry().runners()) {
     versions[state.record.service].insert(state.record.version);
@@ -84,15 +85,16 @@
   const std::optional<Duration> age = view_.RunnerListAge();
   if (age && !first_list_at_) first_list_at_ = now;
   if (age && *age <= kMaxListAge) listed_.OnListed(versions, now);
-  std::erase_if(telling_, [&](const std::string& name) { return versions.count(name) == 0; });
+  std::erase_if(replicated_services_,
+                [&](const std::string& name) { return versions.count(name) == 0; });
   const std::vector<std::string> sidecars = std::exchange(sidecars_, LiveSidecars());
   for (const auto& [service, ignored] : versions) {
     if (OnlyVersion({Seen(service)}, lifetime_)) {
-      telling_.erase(service);
-    } else if (telling_.insert(service).second) {
-      TellBegun(service, std::nullopt);
+      replicated_services_.erase(service);
+    } else if (replicated_services_.insert(service).second) {
+      ReplicateBegun(service, std::nullopt);
     } else if (sidecars != sidecars_) {
-      TellBegun(service, sidecars);
+      ReplicateBegun(service, sidecars);
     }
   }
   metrics_.Gauge("fuchsiaweir_stream_origins", "Streams whose software version is known.")
@@ -132,19 +134,19 @@
   return endpoints;
 }
 
-void StreamOrigins::TellBegun(const std::string& service,
-                              const std::optional<std::vector<std::string>>& told_sidecars) {
+void StreamOrigins::ReplicateBegun(const std::string& service,
+                                   const std::optional<std::vector<std::string>>& former_sidecars) {
   std::map<std::string, std::vector<uint64_t>> begun;
   for (const StreamOriginTable::Begun& stream : table_.BegunHere(service)) {
     const std::string key = KeyText(stream.key);
-    const bool told = told_sidecars && RendezvousTop(key, *told_sidecars, kSidecarHolders) ==
-                                           RendezvousTop(key, sidecars_, kSidecarHolders);
-    if (!told) begun[stream.version].push_back(stream.key);
+    const bool held = former_sidecars && RendezvousTop(key, *former_sidecars, kSidecarHolders) ==
+                                             RendezvousTop(key, sidecars_, kSidecarHolders);
+    if (!held) begun[stream.version].push_back(stream.key);
   }
-  for (const auto& [version, keys] : begun) Tell(version, keys);
+  for (const auto& [version, keys] : begun) Replicate(version, keys);
 }
 
-void StreamOrigins::Tell(const std::string& version, const std::vector<uint64_t>& keys) {
+void StreamOrigins::Replicate(const std::string& version, const std::vector<uint64_t>& keys) {
   std::map<std::string, std::pair<Endpoint, StreamsMessage>> messages;
   for (const uint64_t key : keys) {
     for (const Endpoint& holder : Holders(key, sidecars_, kSidecarHolders)) {
@@ -168,13 +170,14 @@
   if (first_attempt.empty()) return;  // No caller can name it.
   const uint64_t key = StreamOriginTable::Key(service, first_attempt);
   table_.OnBegun(service, key, version, SuspendAwareNow());
-  if (telling_.count(service) > 0) Tell(version, {key});
+  if (replicated_services_.count(service) > 0) Replicate(version, {key});
 }
 
 void StreamOrigins::OnMessage(const StreamsMessage& message) {
-  told_lifetime_ = std::max(told_lifetime_, std::min(message.lifetime, kMaxStreamLifetime));
+  replicated_lifetime_ =
+      std::max(replicated_lifetime_, std::min(message.lifetime, kMaxStreamLifetime));
   for (const uint64_t key : message.keys) {
-    table_.OnTold(key, message.version, SuspendAwareNow());
+    table_.OnReplicated(key, message.version, SuspendAwareNow());
   }
 }
 
@@ -219,7 +222,7 @@
   }
 }
 
-Awaitable<std::optional<Refusal>> StreamOrigins::AdmitTakeUp(ForwardedRequest& request) {
+Awaitable<std::optional<Refusal>> StreamOrigins::AdmitResumption(ForwardedRequest& request) {
   std::string service = request.service;
   std::string first_attempt = request.caller.first_attempt;
   request.stream_version = co_await Find(std::move(service), std::move(first_attempt));
@@ -269,13 +272,13 @@
   // The caller goes on to name the same attempt if this one is cut too.
   if (version && !first_attempt.empty()) OnBegun(service, first_attempt, *version);
   if (!version) source = "unknown";
-  LogInfo("stream_taken_up", {{"first_attempt", first_attempt},
-                              {"service", service},
-                              {"version", version.value_or("")},
-                              {"source", source}});
+  LogInfo("stream_resumed", {{"first_attempt", first_attempt},
+                             {"service", service},
+                             {"version", version.value_or("")},
+                             {"source", source}});
   metrics_
-      .Counter("fuchsiaweir_streams_taken_up_total",
-               "Streams that callers took up, by where their software version was known.",
+      .Counter("fuchsiaweir_streams_resumed_total",
+               "Streams that callers resumed, by where their software version was known.",
                {{"source", source}})
       .Increment();
   co_return version;
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -17,14 +17,15 @@
 
 namespace fuchsiaweir {
 
-/// Path under which a process tells which software version began a stream.
+/// Path under which a process returns which software version began a stream.
 inline constexpr char kStreamOriginPath[] = "/internal/v1/streams";
 
 /// Knows which software version began each recent stream, together with the other processes. A
-/// stream that its caller takes up may go on only at that version.
+/// stream that its caller resumes may go on only at that version.
 ///
-/// While a service has had one version for as long as streams last, nothing is told. Otherwise a
-/// gateway tells a few other processes of each stream before the caller gets its first event.
+/// While a service has had one version for as long as streams last, nothing is replicated.
+/// Otherwise a gateway sends the record of each stream to a few other processes, its holders,
+/// before the caller gets the first event.
 class StreamOrigins : public Component {
  public:
   StreamOrigins(ComponentRegistry& components, FleetView& view);
@@ -33,9 +34,9 @@
   /// caller's attempt that got its first event.
   void OnBegun(const std::string& service, const std::string& first_attempt,
                const std::string& version);
-  /// Sets the version that began the stream that the request takes up. Returns a refusal if neither
-  /// this process nor those that would have been told know it.
-  Awaitable<std::optional<Refusal>> AdmitTakeUp(ForwardedRequest& request);
+  /// Sets the version that began the stream that the request resumes. Returns a refusal if neither
+  /// this process nor the holders know it.
+  Awaitable<std::optional<Refusal>> AdmitResumption(ForwardedRequest& request);
 
   void OnMessage(const StreamsMessage& message);
   /// Answers another process that looks for a stream.
@@ -54,15 +55,15 @@
   std::vector<std::string> LiveSidecars() const;
   /// Whether the sidecars have had time to report since this process has the list of runners.
   bool ReportsKnown() const;
-  /// Returns the processes that are told of the stream: a gateway, and `count` of the sidecars.
+  /// Returns the holders of the stream's record: a gateway, and `count` of the sidecars.
   std::vector<Endpoint> Holders(uint64_t key, const std::vector<std::string>& sidecars,
                                 size_t count) const;
-  /// Tells of the streams of the service that this process has begun. `told_sidecars`: only of
-  /// those whose holders are others than among these.
-  void TellBegun(const std::string& service,
-                 const std::optional<std::vector<std::string>>& told_sidecars);
-  /// Tells the holders of streams of one version.
-  void Tell(const std::string& version, const std::vector<uint64_t>& keys);
+  /// Replicates the records of the service's streams that this process has begun.
+  /// `former_sidecars`: only of those whose holders are others than among these.
+  void ReplicateBegun(const std::string& service,
+                      const std::optional<std::vector<std::string>>& former_sidecars);
+  /// Sends the records of streams of one version to their holders.
+  void Replicate(const std::string& version, const std::vector<uint64_t>& keys);
   /// Asks the holders of a stream, and adds what this process has seen. Ends with the first record,
   /// with the last answer, or after `timeout`.
   Awaitable<std::shared_ptr<const Inquiry>> AskHolders(std::string service, uint64_t key,
@@ -76,12 +77,12 @@
   HttpClient& client_;
   StreamOriginTable table_;
   ListedVersions listed_;
-  /// Longest time within which callers take up a stream, by the desired state.
+  /// Longest time within which callers resume a stream, by the desired state.
   Duration lifetime_ = kMinStreamLifetime;
-  Duration told_lifetime_{0};          ///< Longest lifetime of streams that others have told of.
-  std::vector<std::string> sidecars_;  ///< That were alive at the last check.
-  std::optional<TimePoint> first_list_at_;  ///< By `SuspendAwareNow`.
-  std::set<std::string> telling_;           ///< Services of which streams are told.
+  Duration replicated_lifetime_{0};            ///< The same, by the records of others.
+  std::vector<std::string> sidecars_;          ///< That were alive at the last check.
+  std::optional<TimePoint> first_list_at_;     ///< By `SuspendAwareNow`.
+  std::set<std::string> replicated_services_;  ///< Whose records are replicated.
 };
 
 }  // namespace fuchsiaweir
--- a/test/process/software_versions.cc
+++ b/test/process/software_versions.cc
@@ -72,7 +72,7 @@
   }
 
   /// Takes all streams up at the gateway as their callers do. Returns how many were completed.
-  int TakeUp(Fleet & fleet, int gateway) {
+  int Resume(Fleet & fleet, int gateway) {
     int completed = 0;
     for (int i = 0; i < kStreams; ++i) {
       const int last = LastEvent(received_[static_cast<size_t>(i)]);
@@ -132,7 +132,7 @@
   }
 }
 
-// Guards against a stream that its caller takes up at another software version, after its gateway
+// Guards against a stream that its caller resumes at another software version, after its gateway
 // was killed.
 TEST(SoftwareVersions, ATakeUpGoesOnAtTheVersionThatBeganTheStream) {
   Fleet fleet(2, kRunners, true);
@@ -143,7 +143,7 @@
   fleet.Signal("gateway0", SIGKILL);
   JoinCallers();
   fleet.InjectFault("runner0", "{}");
-  LONGS_EQUAL(kStreams, TakeUp(fleet, 1));
+  LONGS_EQUAL(kStreams, Resume(fleet, 1));
   LONGS_EQUAL(0, RunsOfNewVersion(fleet));
 }
 
@@ -158,7 +158,7 @@
   JoinCallers();
   Restart(fleet, kGateways);
   fleet.InjectFault("runner0", "{}");
-  CHECK(TakeUp(fleet, 1) > kStreams / 2);
+  CHECK(Resume(fleet, 1) > kStreams / 2);
   LONGS_EQUAL(0, RunsOfNewVersion(fleet));
 }
 
@@ -172,7 +172,7 @@
   JoinCallers();
   fleet.Delete(platform::kRunnerKind, "runner0");
   Restart(fleet, 1);
-  LONGS_EQUAL(0, TakeUp(fleet, 0));
+  LONGS_EQUAL(0, Resume(fleet, 0));
   LONGS_EQUAL(0, RunsOfNewVersion(fleet));
 }
 
