Check a placed request's software version where all placed requests are checked

The forwarder compared the runner's version with that of the stream beside its call of TakesRequests, and a runner that was reserved for the next attempt was taken without that comparison, so that it was refused one step later at the cost of an attempt. TakesRequest now has the request and makes the comparison for both. A reservation whose runner's record has changed its version is released and the stream is placed anew; all else behaves as before.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -277,8 +277,7 @@
     co_return AttemptResult::kCallerGone;
   }
   if (now >= request.deadline) co_return AttemptResult::kDeadlineExceeded;
-  if (chosen == nullptr || !placer_.TakesRequests(*chosen, now) ||
-      chosen->record.version != request.stream_version.value_or(chosen->record.version)) {
+  if (chosen == nullptr || !placer_.TakesRequest(request, *chosen, now)) {
     channels_.Release(endpoint, std::move(acquired.channel));
     co_return AttemptResult::kNotSent;
   }
--- a/src/gateway/request_placer.cc
+++ b/src/gateway/request_placer.cc
@@ -97,7 +97,7 @@
 
 Awaitable<Placement> RequestPlacer::Wait(ForwardedRequest& request) {
   const RunnerState* const reserved = view_.runner_registry().Find(request.reserved.runner);
-  if (reserved != nullptr && TakesRequests(*reserved, SteadyNow())) {
+  if (reserved != nullptr && TakesRequest(request, *reserved, SteadyNow())) {
     co_return std::exchange(request.reserved, {});
   }
   ReleaseReservation(request);
@@ -132,10 +132,12 @@
   }
 }
 
-bool RequestPlacer::TakesRequests(const RunnerState& runner, TimePoint now) const {
+bool RequestPlacer::TakesRequest(const ForwardedRequest& request, const RunnerState& runner,
+                                 TimePoint now) const {
   const RunnerNotices& notices = view_.runner_registry().notices();
-  return !runner.record.draining && rollouts_.MayReceive(runner.record, now) &&
-         !notices.Leaving(runner.record.id) &&
+  const std::string& version = runner.record.version;
+  return request.stream_version.value_or(version) == version && !runner.record.draining &&
+         rollouts_.MayReceive(runner.record, now) && !notices.Leaving(runner.record.id) &&
          notices.PauseLeft(runner.record.id, now) == Duration{0} &&
          view_.evacuated().count(runner.record.data_centre) == 0;
 }
--- a/src/gateway/request_placer.h
+++ b/src/gateway/request_placer.h
@@ -32,8 +32,10 @@
   /// Counts the request at the runner, and in the demand for its service.
   void Count(const ForwardedRequest& request, const std::string& runner, TimePoint now);
   void ReleaseReservation(ForwardedRequest& request);
-  /// Whether the runner may get a request that was placed there; it may have asked for none since.
-  bool TakesRequests(const RunnerState& runner, TimePoint now) const;
+  /// Whether the runner may get the request, which was placed there; it may have asked for none
+  /// since, and its record may have changed.
+  bool TakesRequest(const ForwardedRequest& request, const RunnerState& runner,
+                    TimePoint now) const;
 
  private:
   PlacementQuery MakeQuery(ForwardedRequest& request, TimePoint now);
