Look for live sidecars only at gateways that replicate records

Each process built the set of live sidecars five times a second, also sidecars, which begin no streams, and gateways of services with one version, which replicate nothing; and the set of replicated services was kept up by three edits of it. The set is now derived from the services with several versions, and the sidecars are looked for only if there is one. No record or message changes; SoftwareVersions (five) pass.

--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -85,22 +85,29 @@
   const std::optional<Duration> age = view_.RunnerListAge();
   if (age && !first_list_at_) first_list_at_ = now;
   if (age && *age <= kMaxListAge) listed_.OnListed(versions, now);
-  std::erase_if(replicated_services_,
-                [&](const std::string& name) { return versions.count(name) == 0; });
-  const std::vector<std::string> sidecars = std::exchange(sidecars_, LiveSidecars());
+  std::set<std::string> several;
   for (const auto& [service, ignored] : versions) {
-    if (OnlyVersion({Seen(service)}, lifetime_)) {
-      replicated_services_.erase(service);
-    } else if (replicated_services_.insert(service).second) {
-      ReplicateBegun(service, std::nullopt);
-    } else if (sidecars != sidecars_) {
-      ReplicateBegun(service, sidecars);
-    }
+    if (!OnlyVersion({Seen(service)}, lifetime_)) several.insert(service);
   }
+  UpdateReplication(std::move(several));
   metrics_.Gauge("fuchsiaweir_stream_origins", "Streams whose software version is known.")
       .Set(static_cast<double>(table_.size()));
 }
 
+void StreamOrigins::UpdateReplication(std::set<std::string> services) {
+  // Sidecars, which do not read the desired state, begin no streams.
+  if (services.empty() || view_.table() == nullptr) return replicated_services_.clear();
+  const std::vector<std::string> former = std::exchange(sidecars_, LiveSidecars());
+  for (const std::string& service : services) {
+    if (replicated_services_.count(service) == 0) {
+      ReplicateBegun(service, std::nullopt);
+    } else if (former != sidecars_) {
+      ReplicateBegun(service, former);
+    }
+  }
+  replicated_services_ = std::move(services);
+}
+
 bool StreamOrigins::ReportsKnown() const {
   return first_list_at_ && SuspendAwareNow() - *first_list_at_ >= kReportWait;
 }
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -50,6 +50,9 @@
   Awaitable<std::optional<std::string>> Find(std::string service, std::string first_attempt);
   void OnTable(const RouteTable& table);
   void Tick();
+  /// From now on replicates the records of these services' streams. Holders of earlier records are
+  /// brought up to date.
+  void UpdateReplication(std::set<std::string> services);
   SeenVersions Seen(const std::string& service) const;
   /// Names of the sidecars whose reports arrive and whose runners do not leave.
   std::vector<std::string> LiveSidecars() const;
@@ -80,7 +83,7 @@
   /// Longest time within which callers resume a stream, by the desired state.
   Duration lifetime_ = kMinStreamLifetime;
   Duration replicated_lifetime_{0};            ///< The same, by the records of others.
-  std::vector<std::string> sidecars_;          ///< That were alive at the last check.
+  std::vector<std::string> sidecars_;          ///< That were alive at the last check of a gateway.
   std::optional<TimePoint> first_list_at_;     ///< By `SuspendAwareNow`.
   std::set<std::string> replicated_services_;  ///< Whose records are replicated.
 };
