Decode a holder's watch time like other fields of peers, and drop a method that only called another

The time that a peer tells was converted by hand beside platform/field_access, which is where the range of such numbers is checked; a missing or odd value counts as no time now, while the versions that came with it still count, which can only refuse more. StreamOriginTable::OnReplicated did nothing but call Record.

--- a/src/core/stream_origin_table.cc
+++ b/src/core/stream_origin_table.cc
@@ -23,10 +23,6 @@
   Record(key, version, now);
 }
 
-void StreamOriginTable::OnReplicated(uint64_t key, const std::string& version, TimePoint now) {
-  Record(key, version, now);
-}
-
 void StreamOriginTable::Record(uint64_t key, const std::string& version, TimePoint now) {
   // The first record counts: the others of a stream only renew it.
   versions_.try_emplace(key, Entry{version, now}).first->second.at = now;
--- a/src/core/stream_origin_table.h
+++ b/src/core/stream_origin_table.h
@@ -30,8 +30,8 @@
 
   /// Records a stream that this process has begun.
   void OnBegun(const std::string& service, uint64_t key, const std::string& version, TimePoint now);
-  /// Records a stream that another process has begun.
-  void OnReplicated(uint64_t key, const std::string& version, TimePoint now);
+  /// Records which version began a stream, or renews the record.
+  void Record(uint64_t key, const std::string& version, TimePoint now);
   /// Returns the version that began the stream; nothing if it is not known.
   std::optional<std::string> Find(uint64_t key) const;
   /// Forgets streams that were last recorded before `limit`.
@@ -46,8 +46,6 @@
     TimePoint at;
   };
 
-  void Record(uint64_t key, const std::string& version, TimePoint now);
-
   std::unordered_map<uint64_t, Entry> versions_;
   std::deque<std::pair<TimePoint, uint64_t>> order_;  ///< Of the records, oldest first.
   std::deque<Begun> begun_;                           ///< Oldest first.
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -11,6 +11,7 @@
 #include "core/rendezvous.h"
 #include "net/log.h"
 #include "net/timer_service.h"
+#include "platform/field_access.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -184,7 +185,7 @@
   replicated_lifetime_ =
       std::max(replicated_lifetime_, std::min(message.lifetime, kMaxStreamLifetime));
   for (const uint64_t key : message.keys) {
-    table_.OnReplicated(key, message.version, SuspendAwareNow());
+    table_.Record(key, message.version, SuspendAwareNow());
   }
 }
 
@@ -218,8 +219,8 @@
     for (const json::value& version : body.at("seen").as_array()) {
       seen.versions.emplace(version.as_string());
     }
-    const int64_t watched_ms = body.at("watched_ms").to_number<int64_t>();
-    seen.watched = Millis(std::clamp<int64_t>(watched_ms, 0, ToMillis(kMaxStreamLifetime)));
+    // Without it, the versions that the holder has seen count all the same.
+    seen.watched = platform::MillisAt(body, "watched_ms");
     inquiry->seen.push_back(std::move(seen));
     if (const json::value* version = body.if_contains("version")) {
       inquiry->version = std::string(version->as_string());
--- a/test/correctness/stream_origins.cc
+++ b/test/correctness/stream_origins.cc
@@ -26,7 +26,7 @@
 // attempt that goes on with it records, another one later.
 TEST(StreamOriginTable, TheFirstVersionCounts) {
   const uint64_t key = StreamOriginTable::Key("llm", "attempt");
-  table_.OnReplicated(key, "v1", kStart);
+  table_.Record(key, "v1", kStart);
   table_.OnBegun("llm", key, "v2", kStart + kStep);
   STRCMP_EQUAL("v1", table_.Find(key)->c_str());
 }
@@ -35,8 +35,8 @@
 // against records that stay for ever.
 TEST(StreamOriginTable, ARecordIsKeptWhileItIsRenewed) {
   const uint64_t key = StreamOriginTable::Key("llm", "attempt");
-  table_.OnReplicated(key, "v1", kStart);
-  table_.OnReplicated(key, "v1", kStart + kLifetime);
+  table_.Record(key, "v1", kStart);
+  table_.Record(key, "v1", kStart + kLifetime);
   table_.Expire(kStart + kLifetime);
   CHECK(table_.Find(key).has_value());
   table_.Expire(kStart + kLifetime * 2);
@@ -46,7 +46,7 @@
 
 // Guards against the wrong version for equal ids at different services.
 TEST(StreamOriginTable, ServicesAreKeptApart) {
-  table_.OnReplicated(StreamOriginTable::Key("llm", "attempt"), "v1", kStart);
+  table_.Record(StreamOriginTable::Key("llm", "attempt"), "v1", kStart);
   CHECK_FALSE(table_.Find(StreamOriginTable::Key("tts", "attempt")).has_value());
 }
 
