Let the stand-in of the store name no revision beyond the changes that it returns

StoreFaults.OneGatewayThatReadsTheStoreInformsTheOthers failed in 6 of 25 plays of the test alone, with no gateway that adopted a version, and in none of 14 on. In the log of a failing play the one gateway that reaches the store had read up to the version's revision without the version.

Cause: a watch of the stand-in looked for changes, slept 10 ms and then named the store's newest revision, so that a change within the sleep was lost for the reader, which continues from that revision. The users' store names the revision of its answer. Gateways whose calls fall into step with the test's writes met it; the calls after an outage have other phases since, which is why it shows now.

No check, bound or time of a test changes.

--- a/test/standin/fleet_store.cc
+++ b/test/standin/fleet_store.cc
@@ -83,7 +83,11 @@
     const int64_t from = exchange.target().QueryInteger("watch", 0);
     const Duration wait = Millis(exchange.target().QueryInteger("wait_ms", 0));
     json::array events;
+    // A watch continues from the revision of the response, which must not be later than the changes
+    // that were looked at.
+    int64_t revision = revision_;
     for (Duration waited{0}; events.empty() && waited <= wait; waited += kWatchPollInterval) {
+      revision = revision_;
       if (from + 1 < history_begin_) {
         std::string response_body = "{}";
         co_return co_await SendJson(exchange, 410, std::move(response_body));
@@ -96,7 +100,7 @@
       while (IsSilent(exchange)) co_await SleepFor(kSilentPollInterval);
     }
     std::string body =
-        json::serialize(json::object{{"events", std::move(events)}, {"current_rev", revision_}});
+        json::serialize(json::object{{"events", std::move(events)}, {"current_rev", revision}});
     co_await SendJson(exchange, 200, std::move(body));
   }
 
