--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -237,6 +237,7 @@
     const bool regained = failures > 0 && !stale && !relay;
     failures = stale ? failures + 1 : 0;
     if (stale) LogStaleRelay(kind, read);
+    if (!stale) RecordSource(kind, read);
     // No store call would clear an earlier failure of a kind that is now read from a relay.
     if (relay && !stale) RecordHealth(kind, true, "");
     ApplyRead(kind, read, sent);
@@ -279,6 +280,17 @@
                           {"own_revision", absl::StrCat(kind_states_[kind.name].log.revision())}});
 }
 
+void FleetView::RecordSource(const WatchedKind& kind, const KindRead& read) {
+  KindState& state = kind_states_[kind.name];
+  if (state.source == read.Source()) return;
+  const std::string replaced = std::exchange(state.source, read.Source());
+  LogInfo("source_changed", {{"kind", kind.name},
+                             {"source", state.source},
+                             {"replaces", replaced},
+                             {"age_ms", absl::StrCat(ToMillis(read.age))},
+                             {"revision", absl::StrCat(read.result.revision)}});
+}
+
 std::optional<Endpoint> FleetView::ChooseRelay(const WatchedKind& kind, int64_t failures) {
   const bool use_relays = !kind.urgent || peers_.LocalGateways() >= kMinGatewaysForUrgentRelays;
   std::optional<Endpoint> preferred = use_relays ? peers_.PreferredRelay(kind.name) : std::nullopt;
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -120,6 +120,8 @@
   void ApplyRead(const WatchedKind& kind, KindRead& read, TimePoint sent);
   void ApplyResult(const WatchedKind& kind, KindRead& read);
   void LogStaleRelay(const WatchedKind& kind, const KindRead& read);
+  /// Logs from where the kind is read, when that changes.
+  void RecordSource(const WatchedKind& kind, const KindRead& read);
 
   void ApplyConfig(const platform::StoredObject& object);
   void ApplyRunner(const platform::StoredObject& object);
@@ -144,6 +146,7 @@
     std::vector<boost::asio::steady_timer*>
         relay_timers;  ///< Timers of relay calls that wait for changes.
     bool catching_up = false;
+    std::string source;  ///< Where the last current contents were read.
   };
 
   boost::asio::io_context& io_;
--- a/src/gateway/runner_channel.cc
+++ b/src/gateway/runner_channel.cc
@@ -142,6 +142,10 @@
 
 bool RunnerChannel::HasInput() const { return impl_->transport.HasUnexpectedInput(); }
 
+int64_t RunnerChannel::UnacknowledgedBytes() const {
+  return impl_->transport.UnacknowledgedBytes();
+}
+
 bool RunnerChannel::Reusable() const {
   if (impl_->closed || !impl_->complete || !impl_->parser || !impl_->parser->keep_alive()) {
     return false;
--- a/src/gateway/runner_channel.h
+++ b/src/gateway/runner_channel.h
@@ -61,6 +61,8 @@
   bool HasRefused(const std::string& request_id) const;
   /// Whether the connection has input or its end to read.
   bool HasInput() const;
+  /// Bytes that were sent and that the runner's host has not acknowledged; -1 if that is not known.
+  int64_t UnacknowledgedBytes() const;
   /// Reason of the last failure.
   const std::string& failure() const { return failure_; }
   /// Idle timeout that the runner announced; zero if none.
--- a/src/net/http_transport.cc
+++ b/src/net/http_transport.cc
@@ -1,6 +1,8 @@
 #include "net/http_transport.h"
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -119,6 +121,13 @@
   return ready > 0 || (ready < 0 && errno != EINTR);
 }
 
+int64_t HttpTransport::UnacknowledgedBytes() {
+  int bytes = 0;
+  const bool known =
+      tcp().socket().is_open() && ioctl(tcp().socket().native_handle(), SIOCOUTQ, &bytes) == 0;
+  return known ? bytes : -1;
+}
+
 void HttpTransport::Close() {
   ErrorCode ignored;
   tcp().socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
--- a/src/net/http_transport.h
+++ b/src/net/http_transport.h
@@ -9,6 +9,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/ssl/ssl_stream.hpp>
+#include <cstdint>
 #include <memory>
 #include <string_view>
 
@@ -92,6 +93,9 @@
   void ConsumeInput(size_t bytes) { buffer_.consume(bytes); }
   /// Whether the peer has closed the connection or sent bytes that no request is waiting for.
   bool HasUnexpectedInput();
+  /// Bytes that were written and that the peer's host has not acknowledged; -1 if that is not
+  /// known.
+  int64_t UnacknowledgedBytes();
   boost::beast::tcp_stream& tcp();
 
  private:
