Show that a runner whose host stands still gets requests once its reports are too old

Operators saw requests that reached runners after their callers had left (GONE).

Without a usable report, placement counts only a gateway's own requests and no memory, so the runner looks idle.

--- a/test/process/slow_runners.cc
+++ b/test/process/slow_runners.cc
@@ -1,9 +1,12 @@
 // Tests of requests whose runners, sidecars or gateway are slow or suspended, but work.
 
 #include <CppUTest/TestHarness.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 
 #include <atomic>
 #include <csignal>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -113,4 +116,80 @@
   LONGS_EQUAL(kCallers, complete);
 }
 
+/// Three runners with sidecars, the first of which stands still with its sidecar.
+TEST_GROUP(HostThatStandsStill) {
+  Fleet fleet{1, 3, /*sidecars=*/true};
+
+  /// Returns how many requests were sent to the runner, or those while its load was known.
+  int64_t Sent(const std::string& runner, bool load_known = false) {
+    int64_t sent = 0;
+    std::istringstream log(fleet.Log("gateway0"));
+    for (std::string line; std::getline(log, line);) {
+      const bool counts = absl::StrContains(line, R"("event":"request_sent")") &&
+                          absl::StrContains(line, absl::StrCat(R"("runner":")", runner, "\"")) &&
+                          !(load_known && absl::StrContains(line, R"("report_age_ms":"-1")"));
+      sent += counts ? 1 : 0;
+    }
+    return sent;
+  }
+  int64_t SentToFirst() { return Sent("runner0"); }
+
+  /// Starts everything and waits until the reports of all runners arrive.
+  bool StartWithReports() {
+    fleet.Start();
+    return Eventually([&]() {
+      fleet.Call("/safe/", "x");
+      return Sent("runner0", true) > 0 && Sent("runner1", true) > 0 && Sent("runner2", true) > 0;
+    });
+  }
+
+  /// Calls the route from all callers again and again while this object lives.
+  class Callers {
+   public:
+    Callers(Fleet& fleet, const std::string& path, int deadline_ms) {
+      for (int i = 0; i < kCallers; ++i) {
+        threads_.emplace_back([&fleet, path, deadline_ms](const std::stop_token& stop) {
+          while (!stop.stop_requested()) {
+            fleet.Call(path, "x", 0, "key-1", deadline_ms);
+            SleepMillis(20);
+          }
+        });
+      }
+    }
+
+   private:
+    std::vector<std::jthread> threads_;
+  };
+
+  void Suspend(int signal) {
+    for (const char* process : {"runner0", "sidecar0"}) fleet.Signal(process, signal);
+  }
+};
+
+// Guards against requests that are sent to a host that stands still, and reach its runner when it
+// goes on, after their callers have left: once the last report was too old, the runner looked idle.
+TEST(HostThatStandsStill, GetsNoRequestsOnceItsSilenceIsKnown) {
+  CHECK(StartWithReports());
+  Suspend(SIGSTOP);
+  SleepMillis(1'400);  // Its last report is too old to be used.
+  const int64_t sent = SentToFirst();
+  const Callers callers(fleet, "/unsafe/", 2'900);
+  SleepMillis(1'000);
+  const int64_t sent_later = SentToFirst() - sent;
+  Suspend(SIGCONT);
+  LONGS_EQUAL(0, sent_later);
+  CHECK(Eventually([&]() { return SentToFirst() > sent; }));
+}
+
+// Guards against a runner that gets no requests because its sidecar has ended.
+TEST(HostThatStandsStill, GetsRequestsIfOnlyItsSidecarIsSuspended) {
+  CHECK(StartWithReports());
+  fleet.Signal("sidecar0", SIGSTOP);
+  SleepMillis(2'000);  // No caller and no report tells of the runner.
+  const int64_t sent = SentToFirst();
+  const Callers callers(fleet, "/safe/", 2'000);
+  CHECK(Eventually([&]() { return SentToFirst() > sent; }, Seconds(2)));
+  fleet.Signal("sidecar0", SIGCONT);
+}
+
 }  // namespace fuchsiaweir::testing
