Show that a gateway which reaches the store waits for a relay that does not

From six on, a gateway reads the desired state from a relay.

The test cuts all of eleven gateways but one off from the store, and that one is not a relay. In the log of the one, source_changed shows that it reads the store, returns to its relay at once, and learns only 2.1 s later that the relay's contents are old, again and again every 2.96 s: the relay has fallen back to the gateways that read from it. A change that is written just after it has read the store is adopted after 2.64 to 2.66 s; the stated bound is 2 s.

--- a/test/process/store_faults.cc
+++ b/test/process/store_faults.cc
@@ -4,7 +4,9 @@
 #include <absl/strings/str_cat.h>
 
 #include <string>
+#include <vector>
 
+#include "core/relay_choice.h"
 #include "platform/names.h"
 #include "process/fleet.h"
 
@@ -30,6 +32,23 @@
       absl::StrCat(R"("event":"data_centre_evacuated","data_centre":")", data_centre, "\""));
 }
 
+bool HasAdopted(const Fleet& fleet, const std::string& gateway, int64_t revision) {
+  const std::string adopted =
+      absl::StrCat(R"("event":"desired_state_adopted","revision":")", revision, "\"");
+  return fleet.Log(gateway).find(adopted) != std::string::npos;
+}
+
+/// Returns the first of the gateways that reads the desired state from another one.
+int FirstReaderOfARelay(int gateways) {
+  std::vector<std::string> names;
+  for (int i = 0; i < gateways; ++i) names.push_back(absl::StrCat("gateway", i));
+  int reader = 0;
+  while (!PreferredRelay(platform::kConfigKind, names.at(static_cast<size_t>(reader)), names)) {
+    ++reader;
+  }
+  return reader;
+}
+
 }  // namespace
 
 TEST_GROUP(StoreFaults){};
@@ -98,4 +117,27 @@
   }
 }
 
+// Guards against a gateway that reaches the store, but reads it through a relay that does not: the
+// relay fell back to the other gateways, and so each waited for the other to bring a change.
+TEST(StoreFaults, AGatewayThatReachesTheStoreWaitsForNoRelay) {
+  constexpr int kGateways = 11;
+  Fleet fleet(kGateways, 1);
+  const int sound = FirstReaderOfARelay(kGateways);
+  for (int i = 0; i < kGateways; ++i) {
+    if (i != sound) fleet.UseSecondStorePort(i);
+  }
+  fleet.Start();
+  SleepMillis(3'000);  // The gateways have listed each other, and read from relays.
+  fleet.InjectFault("store", absl::StrCat(R"({"silence_port": )", fleet.second_store_port(), "}"));
+  int64_t revision = 3;
+  // The gateway has just read the store when the next change is written.
+  for (const int64_t settle_ms : {2'500, 100, 200, 300}) {
+    SleepMillis(settle_ms);
+    CHECK(fleet.PutDesiredState({"key-1"}));
+    revision += 3;
+    CHECK(Eventually([&]() { return HasAdopted(fleet, absl::StrCat("gateway", sound), revision); },
+                     kDesiredStateBound));
+  }
+}
+
 }  // namespace fuchsiaweir::testing
