Place no requests at runners that have fallen silent while others report

Cause: hosts of runners stood still, with their sidecars. A load report is used for 1.2 s. After that a runner was treated like one that never had a sidecar, by this gateway's own requests alone, so it looked emptier than all others. The class: silence was forgotten at the moment at which it became certain.

Change: the registry counts for each runner the time since its last report or answer, while reports of other runners arrive, so that a gateway that stands still or loses its network suspects nobody. After 0.8 s the runner counts as silent: it gets requests only if no other runner takes them, and attempts without a first byte there may move. Before that, after 0.5 s, the gateway asks the runner itself for its report, so that one whose sidecar alone has ended is not lost.

--- a/src/core/runner_registry.cc
+++ b/src/core/runner_registry.cc
@@ -9,6 +9,12 @@
 
 // Reports arrive several times per second; an older one does not reflect the current load.
 constexpr Duration kMaxReportAge = Millis(1200);
+// Longer than a sidecar takes for one report that fails (520 ms), with the next one.
+constexpr Duration kMaxSilence = Millis(800);
+// A runner whose sidecar has ended is asked for its report before it counts as silent.
+constexpr Duration kReportOverdue = Millis(500);
+// Longest time between two reports of any runners that counts as time in which they were heard.
+constexpr Duration kMaxReportGap = Millis(300);
 // Records that expired while the list was unavailable are published again within about 2 s after it
 // is available. A runner that left in the meantime must get no requests 2 s after its record
 // expired, and the expiry is seen up to 0.5 s late.
@@ -57,6 +63,10 @@
   return report_failed_at != TimePoint{} && now - report_failed_at < kMaxReportAge;
 }
 
+bool RunnerState::Silent() const { return report && unheard >= kMaxSilence; }
+
+bool RunnerState::ReportOverdue() const { return report && unheard >= kReportOverdue; }
+
 double RunnerState::Load(TimePoint now, int64_t gateways) const {
   if (!ReportFresh(now)) return static_cast<double>(in_flight * std::max<int64_t>(1, gateways));
   const int64_t reported = report->running + report->waiting + sent_since_report;
@@ -136,8 +146,10 @@
 void RunnerRegistry::OnReport(const std::string& address, uint16_t port,
                               const std::optional<EngineReport>& report, Duration cold_time,
                               TimePoint now) {
+  AdvanceUnheard(now);
   for (auto& [id, state] : runners_) {
     if (state.record.port != port || state.record.address != address) continue;
+    state.unheard = Duration{0};
     state.report_failed_at = report ? TimePoint{} : now;
     if (!report || Overtaken(state, *report)) continue;
     // The report of a restarted runner arrives before its record.
@@ -157,6 +169,21 @@
   }
 }
 
+// Load pattern: a host stands still with its runner and its sidecar, and what is sent to it waits.
+// Nothing tells that but the end of its reports and answers. The time counts only while reports of
+// other runners arrive: this gateway may have stood still, or lost its network.
+void RunnerRegistry::AdvanceUnheard(TimePoint now) {
+  const Duration elapsed = last_report_at_ == TimePoint{} ? Duration{0} : now - last_report_at_;
+  const Duration step = std::clamp(elapsed, Duration{0}, kMaxReportGap);
+  last_report_at_ = now;
+  for (auto& [id, state] : runners_) state.unheard += step;
+}
+
+void RunnerRegistry::OnHeard(const std::string& id) {
+  RunnerState* state = Find(id);
+  if (state != nullptr) state->unheard = Duration{0};
+}
+
 void RunnerRegistry::OnPlaced(const std::string& id, int64_t tokens, TimePoint now) {
   RunnerState* state = Find(id);
   if (state == nullptr) return;
@@ -189,6 +216,7 @@
       no_connection || outcome == AttemptOutcome::kBroken || outcome == AttemptOutcome::kSilent;
   if (outcome == AttemptOutcome::kServed) {
     state->consecutive_failures = 0;
+    state->unheard = Duration{0};
     return;
   }
   if (!no_answer) return;
--- a/src/core/runner_registry.h
+++ b/src/core/runner_registry.h
@@ -39,6 +39,7 @@
   std::optional<EngineReport> report;
   TimePoint reported_at;
   TimePoint report_failed_at;       ///< Last message that the runner does not answer its sidecar.
+  Duration unheard{0};              ///< Time since its last sign in which other runners were heard.
   int64_t in_flight = 0;            ///< This gateway's requests at the runner.
   int64_t sent_since_report = 0;    ///< Requests placed since the last report.
   int64_t tokens_since_report = 0;  ///< Their prompt and output tokens.
@@ -63,8 +64,13 @@
   bool ReportFresh(TimePoint now) const;
   /// Whether the runner currently does not answer its sidecar.
   bool ReportFailed(TimePoint now) const;
+  /// Whether a runner that has reported is no longer heard, while others are: its host may stand
+  /// still.
+  bool Silent() const;
+  /// Whether the runner is to be asked for its report, since its sidecar is not heard.
+  bool ReportOverdue() const;
   /// Whether there are signs that the runner does not answer.
-  bool Suspected(TimePoint now) const { return Avoided(now) || ReportFailed(now); }
+  bool Suspected(TimePoint now) const { return Avoided(now) || ReportFailed(now) || Silent(); }
 };
 
 /// The known runners by id, with their state from records, load reports and request outcomes.
@@ -84,6 +90,9 @@
   void OnReport(const std::string& address, uint16_t port,
                 const std::optional<EngineReport>& report, Duration cold_time, TimePoint now);
 
+  /// Records that bytes of the runner's answer arrived.
+  void OnHeard(const std::string& id);
+
   /// Counts a request from its placement on, before it is sent, so that concurrent placements take
   /// it into account.
   void OnPlaced(const std::string& id, int64_t tokens, TimePoint now);
@@ -104,10 +113,13 @@
   const std::map<std::string, RunnerState>& runners() const { return runners_; }
 
  private:
+  /// Advances the time in which each runner was not heard. Called with each report.
+  void AdvanceUnheard(TimePoint now);
   /// Marks all runners at the address as replaced, except the one that started last.
   void MarkReplaced(const std::string& address, uint16_t port);
 
   std::map<std::string, RunnerState> runners_;
+  TimePoint last_report_at_;  ///< Of any runner.
   RunnerNotices notices_;
   WorkEstimates work_;
 };
--- a/src/gateway/attempt_monitor.cc
+++ b/src/gateway/attempt_monitor.cc
@@ -75,7 +75,7 @@
   if (!request.repeatable() || request.runs >= request.route->attempts) return false;
   const RunnerState* runner = view_.runner_registry().Find(request.runner);
   // A runner that sends is alive, even if it does not answer its sidecar for a while.
-  const bool dead = runner != nullptr && runner->ReportFailed(now) &&
+  const bool dead = runner != nullptr && (runner->ReportFailed(now) || runner->Silent()) &&
                     (!request.first_byte_received || request.silent_for >= kMaxEventPause);
   const bool late =
       !request.first_byte_received && request.silent_for >= FirstByteTimeout(request, runner, now);
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -74,6 +74,7 @@
       channels_(components.io()),
       memory_(memory),
       runner_check_(components.io(), view, channels_),
+      report_probe_(components.io(), view, components.Find<HttpClients>("http_clients").external()),
       crash_attribution_(view, metrics_),
       notice_reports_(view, metrics_),
       admission_(view, crash_attribution_, metrics_),
@@ -337,6 +338,7 @@
   if (received) received = co_await channel.ReadHeader(request.caller.id, runner_header);
   if (!received) co_return RecordBrokenAttempt(request, channel, runner);
   request.last_byte_at = SteadyNow();
+  runner_registry.OnHeard(runner);
   const platform::RunnerAnswer& answer = runner_header.answer;
   const bool success = answer.status / 100 == 2;
   notice_reports_.OnAnswer(runner, request.runner_started_ms, answer);
@@ -369,6 +371,7 @@
   while (read == RunnerChannel::Read::kData) {
     read = co_await channel.ReadBody(body);
     request.last_byte_at = SteadyNow();
+    if (read != RunnerChannel::Read::kBroken) runner_registry.OnHeard(runner);
     if (!memory->Resize(static_cast<int64_t>(body.size()))) read = RunnerChannel::Read::kBroken;
   }
   memory->Complete();
@@ -443,7 +446,10 @@
   const std::unique_ptr<MemoryBudget::Share> memory = HoldAnswer(memory_, request, header);
   while (true) {
     RunnerChannel::Read read = co_await channel.ReadBody(received);
-    if (!received.empty()) request.last_byte_at = SteadyNow();
+    if (!received.empty()) {
+      request.last_byte_at = SteadyNow();
+      view_.runner_registry().OnHeard(runner);
+    }
     splitter.Add(received);
     received.clear();
     std::string events;
@@ -550,6 +556,7 @@
 
 void Forwarder::Tick(TimePoint now) {
   monitor_.OnTimer(now, kTickPeriod);
+  report_probe_.OnTimer();
   for (ForwardedRequest* request : requests_) CheckAttempt(*request, now);
   crash_attribution_.ConfirmCrashes(now);
   channels_.CloseExpired(now);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -21,6 +21,7 @@
 #include "gateway/part_watch.h"
 #include "gateway/planned_stop.h"
 #include "gateway/refusal_writer.h"
+#include "gateway/report_probe.h"
 #include "gateway/request_placer.h"
 #include "gateway/rollout_control.h"
 #include "gateway/runner_channel.h"
@@ -90,6 +91,7 @@
   RunnerChannelPool channels_;
   MemoryBudget& memory_;
   RunnerCheck runner_check_;
+  ReportProbe report_probe_;
   CrashAttribution crash_attribution_;
   NoticeReports notice_reports_;
   AdmissionController admission_;
