Pass over a relay that does not read the store itself

Cause: a circle of sources. A relay of the desired state that loses the store falls back to other gateways, which read from it. Ages are true, so both notice after 1.5 s and one held read; the reader then read the store once and returned to the relay, so that it learned of changes only every 2.96 s although its own path to the store was sound. The class: a source that passes on what its reader told it.

Change: an answer of a relay says whether it was read from the store; if not, it is not held. A read that waits at a relay ends when the relay loses the store, or when the contents become old. A reader goes to the store at once after a relay that fails, is old or is no longer a reader of the store, and passes it over for 3 s (SourceChoice, without I/O). The contents of a kind and the reads that wait for them are a part of their own (WatchedContents).

A gateway that has lost the store itself learns of changes as before.

--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -101,8 +101,8 @@
     }
   }
   for (const WatchedKind& kind : kWatchedKinds) {
-    const auto state = kind_states_.find(kind.name);
-    if (!kind.urgent || state == kind_states_.end()) continue;
+    const auto state = contents_.find(kind.name);
+    if (!kind.urgent || state == contents_.end()) continue;
     hello.changes.push_back({kind.name, state->second.log.changed_revision()});
   }
   return hello;
@@ -143,8 +143,8 @@
 }
 
 std::optional<Duration> FleetView::RunnerListAge() const {
-  const auto found = kind_states_.find(platform::kRunnerKind);
-  if (!runners_listed_ || found == kind_states_.end()) return std::nullopt;
+  const auto found = contents_.find(platform::kRunnerKind);
+  if (!runners_listed_ || found == contents_.end()) return std::nullopt;
   return SuspendAwareNow() - found->second.as_of;
 }
 
@@ -179,10 +179,17 @@
 /// A read of one kind from the store or from a relay.
 struct FleetView::KindRead {
   StoreResult result;
+  ReadSource from = ReadSource::kStore;
+  TimePoint sent;                 ///< By `SuspendAwareNow`.
   bool full = false;              ///< The objects are the whole contents, not only changes.
   std::optional<Endpoint> relay;  ///< Nothing if the store was read.
   Duration age{0};                ///< Time since the relay's contents were known to be current.
   bool outage = false;            ///< The relay reports an outage of the store.
+  bool relayed = false;           ///< The relay did not read its contents from the store.
+
+  /// When the contents were current. The store does not say when during a wait it produced its
+  /// response, so this is at most the begin of the call.
+  TimePoint AsOf() const { return sent - age; }
 
   std::string Source() const { return relay ? ToString(*relay) : "store"; }
 };
@@ -190,16 +197,17 @@
 Awaitable<FleetView::KindRead> FleetView::ReadStore(const WatchedKind& kind, Duration wait) {
   const std::string name = kind.name;
   KindRead read;
-  read.full = kind_states_[name].log.revision() == 0;
+  read.sent = SuspendAwareNow();
+  read.full = contents_[name].log.revision() == 0;
   if (read.full) {
     read.result = co_await store_.List(name);
   } else {
-    read.result = co_await store_.Watch(name, kind_states_[name].log.revision(), wait);
+    read.result = co_await store_.Watch(name, contents_[name].log.revision(), wait);
   }
   RecordStoreCall(kind, read.result);
   if (read.result.outcome == StoreOutcome::kHistoryGone) {
     LogInfo("store_history_gone",
-            {{"kind", name}, {"revision", absl::StrCat(kind_states_[name].log.revision())}});
+            {{"kind", name}, {"revision", absl::StrCat(contents_[name].log.revision())}});
     read.result = co_await store_.List(name);
     RecordStoreCall(kind, read.result);
     read.full = true;
@@ -207,55 +215,71 @@
   co_return read;
 }
 
+Awaitable<FleetView::KindRead> FleetView::ReadNext(const WatchedKind& kind) {
+  WatchedContents& state = contents_[kind.name];
+  const bool use_relays = !kind.urgent || peers_.LocalGateways() >= kMinGatewaysForUrgentRelays;
+  std::optional<Endpoint> relay = use_relays ? peers_.PreferredRelay(kind.name) : std::nullopt;
+  ReadSource from =
+      state.choice.Next(relay.has_value(), store_backoff_.Active(SteadyNow()), SteadyNow());
+  if (from == ReadSource::kStore) relay = std::nullopt;
+  if (from == ReadSource::kOtherGateway) relay = peers_.NextRelay();
+  if (!relay) from = ReadSource::kStore;
+  // After a failure the sources are polled until one is current. A watch would last for its whole
+  // timeout at each source that does not reach the store either.
+  const Duration longest = relay && kind.urgent ? kUrgentRelayWait : kind.watch_timeout;
+  const Duration wait = state.choice.failures() == 0 ? longest : Duration{0};
+  KindRead read;
+  if (relay) {
+    read = co_await ReadRelay(kind, std::move(*relay), wait);
+  } else {
+    read = co_await ReadStore(kind, wait);
+  }
+  read.from = from;
+  co_return read;
+}
+
 Awaitable<void> FleetView::WatchKind(const WatchedKind& kind) {
+  WatchedContents& state = contents_[kind.name];
   Duration backoff = kInitialBackoff;
-  int64_t failures = 0;
   while (!stopping_) {
-    std::optional<Endpoint> relay = ChooseRelay(kind, failures);
-    // After a failure the sources are polled until one is current. A watch would last for its whole
-    // timeout at each source that does not reach the store either.
-    const Duration longest = relay && kind.urgent ? kUrgentRelayWait : kind.watch_timeout;
-    const Duration wait = failures == 0 ? longest : Duration{0};
-    const TimePoint sent = SuspendAwareNow();
-    KindRead read;
-    if (relay) {
-      Endpoint endpoint = *relay;
-      read = co_await ReadRelay(kind, std::move(endpoint), wait);
-    } else {
-      read = co_await ReadStore(kind, wait);
-    }
-    if (read.result.outcome != StoreOutcome::kDone) {
-      ++failures;
-      co_await SleepFor(backoff);
+    KindRead read = co_await ReadNext(kind);
+    const bool done = read.result.outcome == StoreOutcome::kDone;
+    const bool fresh = done && SuspendAwareNow() - read.AsOf() <= MaxAge(kind);
+    // The contents of a relay that reads from other gateways may be those of this process.
+    const bool current = fresh && !(read.from == ReadSource::kPreferredRelay && read.relayed);
+    const bool regained = state.choice.failures() > 0 && current && !read.relay;
+    state.choice.OnRead(read.from, current, SteadyNow());
+    state.SetFromStore(done && !read.relay);
+    // The store is read at once in place of its relay.
+    const bool at_once = !current && read.from == ReadSource::kPreferredRelay;
+    if (!done) {
+      if (!at_once) co_await SleepFor(backoff);
       backoff = std::min(kMaxBackoff, backoff * 2);
       continue;
     }
     backoff = kInitialBackoff;
-    // A relay that cannot reach the store counts as a failed source.
-    const Duration max_lag = kind.urgent ? kMaxUrgentRelayLag : kMaxRelayLag;
-    const bool stale = read.age > kind.watch_timeout + max_lag;
-    const bool regained = failures > 0 && !stale && !relay;
-    failures = stale ? failures + 1 : 0;
-    if (stale) LogStaleRelay(kind, read);
-    if (!stale) RecordSource(kind, read);
+    if (!current) LogStaleRelay(kind, read);
+    if (fresh) RecordSource(kind, read);
     // No store call would clear an earlier failure of a kind that is now read from a relay.
-    if (relay && !stale) RecordHealth(kind, true, "");
-    ApplyRead(kind, read, sent);
+    if (read.relay && fresh) RecordHealth(kind, true, "");
+    ApplyRead(kind, read);
     // Gateways without the store read from those whose hello tells a current desired state.
     if (regained && kind.apply == &FleetView::ApplyConfig && role_ == PlatformRole::kGateway) {
       peers_.BroadcastToGateways(MakeHello());
     }
     Duration delay = role_ == PlatformRole::kGateway ? kind.watch_delay : kind.sidecar_watch_delay;
-    if (relay) delay = stale ? kInitialBackoff : Duration{0};
+    if (read.relay) delay = current || at_once ? Duration{0} : kInitialBackoff;
     if (delay > Duration{0}) co_await SleepFor(delay);
   }
 }
 
-void FleetView::ApplyRead(const WatchedKind& kind, KindRead& read, TimePoint sent) {
-  // The state is only known to be current as of the call's start: the store does not say when
-  // during the wait it produced the response.
-  KindState& state = kind_states_[kind.name];
-  state.as_of = std::max(state.as_of, sent - read.age);
+Duration FleetView::MaxAge(const WatchedKind& kind) {
+  return kind.watch_timeout + (kind.urgent ? kMaxUrgentRelayLag : kMaxRelayLag);
+}
+
+void FleetView::ApplyRead(const WatchedKind& kind, KindRead& read) {
+  WatchedContents& state = contents_[kind.name];
+  state.as_of = std::max(state.as_of, read.AsOf());
   if (kind.apply == &FleetView::ApplyRunner) {
     health_.OnRunnerListRead(read.relay ? std::optional<bool>(read.outage) : std::nullopt,
                              SteadyNow());
@@ -265,23 +289,23 @@
 }
 
 Awaitable<void> FleetView::CatchUp(const WatchedKind& kind, Endpoint peer) {
-  const TimePoint sent = SuspendAwareNow();
-  KindState& state = kind_states_[kind.name];
+  WatchedContents& state = contents_[kind.name];
   const absl::Cleanup caught_up = [&state]() { state.catching_up = false; };
   KindRead read = co_await ReadRelay(kind, std::move(peer), Duration{0});
-  if (read.result.outcome == StoreOutcome::kDone) ApplyRead(kind, read, sent);
+  if (read.result.outcome == StoreOutcome::kDone) ApplyRead(kind, read);
 }
 
 void FleetView::LogStaleRelay(const WatchedKind& kind, const KindRead& read) {
   LogInfo("relay_stale", {{"kind", kind.name},
                           {"relay", read.Source()},
-                          {"age_ms", absl::StrCat(ToMillis(read.age))},
+                          {"age_ms", absl::StrCat(ToMillis(SuspendAwareNow() - read.AsOf()))},
+                          {"relayed", read.relayed ? "yes" : "no"},
                           {"revision", absl::StrCat(read.result.revision)},
-                          {"own_revision", absl::StrCat(kind_states_[kind.name].log.revision())}});
+                          {"own_revision", absl::StrCat(contents_[kind.name].log.revision())}});
 }
 
 void FleetView::RecordSource(const WatchedKind& kind, const KindRead& read) {
-  KindState& state = kind_states_[kind.name];
+  WatchedContents& state = contents_[kind.name];
   if (state.source == read.Source()) return;
   const std::string replaced = std::exchange(state.source, read.Source());
   LogInfo("source_changed", {{"kind", kind.name},
@@ -291,34 +315,20 @@
                              {"revision", absl::StrCat(read.result.revision)}});
 }
 
-std::optional<Endpoint> FleetView::ChooseRelay(const WatchedKind& kind, int64_t failures) {
-  const bool use_relays = !kind.urgent || peers_.LocalGateways() >= kMinGatewaysForUrgentRelays;
-  std::optional<Endpoint> preferred = use_relays ? peers_.PreferredRelay(kind.name) : std::nullopt;
-  // While calls fail, the store and any gateway take the place of the preferred source in turn.
-  const bool store_is_next = failures % 3 == 0 ? !preferred : failures % 3 == 1 && preferred;
-  if (store_is_next && store_backoff_.Active(SteadyNow())) return peers_.NextRelay();
-  switch (failures % 3) {
-    case 0:
-      return preferred;
-    case 1:
-      return preferred ? std::nullopt : peers_.NextRelay();
-    default:
-      return peers_.NextRelay();
-  }
-}
-
 Awaitable<FleetView::KindRead> FleetView::ReadRelay(const WatchedKind& kind, Endpoint relay,
                                                     Duration wait) {
   KindRead read;
+  read.sent = SuspendAwareNow();
   read.relay = relay;
   std::string name = kind.name;
-  const int64_t since = kind_states_[name].log.revision();
+  const int64_t since = contents_[name].log.revision();
   std::optional<ObjectChanges> changes =
       co_await ReadFromRelay(client_, std::move(relay), std::move(name), since, wait);
   if (!changes) co_return read;
   read.full = changes->full;
   read.age = changes->age;
   read.outage = changes->outage;
+  read.relayed = changes->relayed;
   read.result.revision = changes->revision;
   read.result.objects = std::move(changes->objects);
   if (changes->revision > 0) read.result.outcome = StoreOutcome::kDone;
@@ -326,7 +336,7 @@
 }
 
 void FleetView::ApplyResult(const WatchedKind& kind, KindRead& read) {
-  KindState& state = kind_states_[kind.name];
+  WatchedContents& state = contents_[kind.name];
   // A relay may be behind this process.
   if (read.result.revision < state.log.revision()) return;
   std::vector<StoredObject> changes;
@@ -349,7 +359,7 @@
   }
   if (first_listing_) MarkListed(kind);
   if (changes.empty()) return;
-  for (boost::asio::steady_timer* timer : state.relay_timers) timer->cancel();
+  state.EndWaitingReads();
 }
 
 void FleetView::MarkListed(const WatchedKind& kind) {
@@ -361,27 +371,18 @@
 }
 
 Awaitable<HttpResponse> FleetView::ServeRelay(HttpTarget target) {
-  const auto found = kind_states_.find(target.Query("kind"));
-  if (found == kind_states_.end() || found->second.log.revision() == 0) {
+  const auto found = contents_.find(target.Query("kind"));
+  if (found == contents_.end() || found->second.log.revision() == 0) {
     co_return HttpResponse{503, {}, ""};
   }
-  KindState& state = found->second;
-  const TimePoint received_at = SuspendAwareNow();
+  const auto kind =
+      std::find_if(std::begin(kWatchedKinds), std::end(kWatchedKinds),
+                   [&](const WatchedKind& item) { return item.name == found->first; });
+  if (kind == std::end(kWatchedKinds)) co_return HttpResponse{404, {}, ""};
   const int64_t since = target.QueryInteger("since", 0);
   const Duration wait =
       Millis(std::clamp<int64_t>(target.QueryInteger("wait_ms", 0), 0, ToMillis(kMaxRelayWait)));
-  if (!state.log.HasChangesSince(since)) {
-    boost::asio::steady_timer timer(io_);
-    timer.expires_after(wait);
-    state.relay_timers.push_back(&timer);
-    const absl::Cleanup waited = [&]() { std::erase(state.relay_timers, &timer); };
-    boost::system::error_code ignored;  // A cancelled wait means that there are changes.
-    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-  }
-  ObjectChanges changes = state.log.ChangesSince(since);
-  // The reader subtracts the age from the time of its call, so the wait for changes is no part of
-  // it.
-  changes.age = std::max(Duration{0}, received_at - state.as_of);
+  ObjectChanges changes = co_await found->second.Changes(io_, since, wait, MaxAge(*kind));
   changes.outage = health_.runner_outage();
   co_return JsonResponse(200, EncodeObjectChanges(changes));
 }
@@ -554,7 +555,7 @@
       .Gauge("fuchsiaweir_store_kinds_failing",
              "Kinds of objects whose last call to the platform's store failed.")
       .Set(static_cast<double>(health_.failing_kinds()));
-  for (const auto& [kind, state] : kind_states_) {
+  for (const auto& [kind, state] : contents_) {
     if (state.log.revision() == 0) continue;
     metrics_
         .Gauge("fuchsiaweir_contents_age_ms",
@@ -587,7 +588,7 @@
   for (const HelloMessage::Change& change : message.changes) {
     for (const WatchedKind& kind : kWatchedKinds) {
       if (kind.name != change.kind || !Watches(kind)) continue;
-      KindState& state = kind_states_[kind.name];
+      WatchedContents& state = contents_[kind.name];
       if (state.catching_up) continue;
       if (change.revision <= state.log.revision()) continue;
       state.catching_up = true;
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -1,7 +1,7 @@
 #ifndef FUCHSIAWEIR_GATEWAY_FLEET_VIEW_H_
 #define FUCHSIAWEIR_GATEWAY_FLEET_VIEW_H_
 
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -17,9 +17,9 @@
 #include "core/store_health.h"
 #include "core/weights_history.h"
 #include "gateway/gateway_settings.h"
-#include "gateway/object_log.h"
 #include "gateway/peer_directory.h"
 #include "gateway/peer_link.h"
+#include "gateway/watched_contents.h"
 #include "net/component_registry.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -105,19 +105,20 @@
 
   /// Whether this process follows the kind.
   bool Watches(const WatchedKind& kind) const;
+  /// Age up to which contents of the kind count as current.
+  static Duration MaxAge(const WatchedKind& kind);
   Awaitable<void> WatchKind(const WatchedKind& kind);
   /// Waits at most `wait` for changes.
   Awaitable<KindRead> ReadStore(const WatchedKind& kind, Duration wait);
   Awaitable<KindRead> ReadRelay(const WatchedKind& kind, Endpoint relay, Duration wait);
-  /// Returns the relay to read from, or nothing to read from the store itself. `failures` counts
-  /// the failed or stale reads since the last good one.
-  std::optional<Endpoint> ChooseRelay(const WatchedKind& kind, int64_t failures);
+  /// Reads from the source that is next.
+  Awaitable<KindRead> ReadNext(const WatchedKind& kind);
   void MarkListed(const WatchedKind& kind);
   /// Reads a change that a peer knows and this process does not.
   Awaitable<void> CatchUp(const WatchedKind& kind, Endpoint peer);
   HelloMessage MakeHello() const;
-  /// Takes over what a read that began at `sent` has returned.
-  void ApplyRead(const WatchedKind& kind, KindRead& read, TimePoint sent);
+  /// Takes over what a read has returned.
+  void ApplyRead(const WatchedKind& kind, KindRead& read);
   void ApplyResult(const WatchedKind& kind, KindRead& read);
   void LogStaleRelay(const WatchedKind& kind, const KindRead& read);
   /// Logs from where the kind is read, when that changes.
@@ -139,23 +140,13 @@
 
   static const WatchedKind kWatchedKinds[];
 
-  /// State of one watched kind.
-  struct KindState {
-    ObjectLog log;
-    TimePoint as_of;  ///< When the contents were last current, by `SuspendAwareNow`.
-    std::vector<boost::asio::steady_timer*>
-        relay_timers;  ///< Timers of relay calls that wait for changes.
-    bool catching_up = false;
-    std::string source;  ///< Where the last current contents were read.
-  };
-
   boost::asio::io_context& io_;
   GatewaySettings settings_;
   PlatformRole role_;
   HttpClient& client_;
   Metrics& metrics_;
   platform::ObjectStore store_;
-  std::map<std::string, KindState> kind_states_;  ///< By kind name.
+  std::map<std::string, WatchedContents> contents_;  ///< By kind name.
   AuthorityLease authority_;
   bool authority_held_ = false;
 
--- a/src/gateway/object_log.cc
+++ b/src/gateway/object_log.cc
@@ -48,7 +48,8 @@
   json::object head{{"all", changes.full},
                     {"revision", changes.revision},
                     {"age_ms", ToMillis(changes.age)},
-                    {"outage", changes.outage}};
+                    {"outage", changes.outage},
+                    {"relayed", changes.relayed}};
   // The contents are large. Each is serialized where it is, not copied into one tree first.
   std::string text = json::serialize(head);
   text.pop_back();
@@ -83,6 +84,12 @@
   changes.revision = platform::IntegerAt(fields, "revision");
   changes.age = platform::MillisAt(fields, "age_ms");
   changes.outage = platform::BooleanAt(fields, "outage");
+  // Processes of an earlier version do not send this field.
+  const std::string_view relayed = platform::FindMember(members, "relayed");
+  if (!relayed.empty()) {
+    fields["relayed"] = platform::ParsePiece(relayed, 1, error);
+    changes.relayed = platform::BooleanAt(fields, "relayed");
+  }
   const auto items = platform::SplitElements(platform::FindMember(members, "objects"));
   if (!items) return std::nullopt;
   for (const std::string_view item : *items) {
--- a/src/gateway/object_log.h
+++ b/src/gateway/object_log.h
@@ -19,6 +19,8 @@
   std::vector<platform::StoredObject> objects;
   Duration age{0};      ///< Time since this was known to be the current state.
   bool outage = false;  ///< The store is or was recently unavailable.
+  /// The process that tells this did not read it from the store, but from another one.
+  bool relayed = false;
 };
 
 std::string EncodeObjectChanges(const ObjectChanges& changes);
