Count each answer of the store as current, however long it takes

Cause: the age of a read is now taken when its answer arrives, for the sake of relays that hold a read, and that was applied to the store as well. Change: only reads of relays are judged by their age, as before.

--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -244,7 +244,8 @@
   while (!stopping_) {
     KindRead read = co_await ReadNext(kind);
     const bool done = read.result.outcome == StoreOutcome::kDone;
-    const bool fresh = done && SuspendAwareNow() - read.AsOf() <= MaxAge(kind);
+    // The store answers with its current state, however long that takes.
+    const bool fresh = done && (!read.relay || SuspendAwareNow() - read.AsOf() <= MaxAge(kind));
     // The contents of a relay that reads from other gateways may be those of this process.
     const bool current = fresh && !(read.from == ReadSource::kPreferredRelay && read.relayed);
     const bool regained = state.choice.failures() > 0 && current && !read.relay;
