Count the silence of runners in the pass that a report makes anyway

A report took two passes over all runners, one to count the time since each was heard and one to find the runner by its address. At the design size that is 600 runners and some thousand reports a second at each gateway.

One pass does both; the reason for the bound on gaps stands where the gap is computed.

--- a/src/core/runner_registry.cc
+++ b/src/core/runner_registry.cc
@@ -63,6 +63,8 @@
   return report_failed_at != TimePoint{} && now - report_failed_at < kMaxReportAge;
 }
 
+// Load pattern: a host stands still with its runner and its sidecar, and what is sent to it waits.
+// Nothing tells that but the end of its reports and answers.
 bool RunnerState::Silent() const { return report && unheard >= kMaxSilence; }
 
 bool RunnerState::ReportOverdue() const { return report && unheard >= kReportOverdue; }
@@ -146,8 +148,12 @@
 void RunnerRegistry::OnReport(const std::string& address, uint16_t port,
                               const std::optional<EngineReport>& report, Duration cold_time,
                               TimePoint now) {
-  AdvanceUnheard(now);
+  // A gap may be one in which this gateway stood still, or had lost its network.
+  const Duration elapsed = last_report_at_ == TimePoint{} ? Duration{0} : now - last_report_at_;
+  const Duration listened = std::clamp(elapsed, Duration{0}, kMaxReportGap);
+  last_report_at_ = now;
   for (auto& [id, state] : runners_) {
+    state.unheard += listened;
     if (state.record.port != port || state.record.address != address) continue;
     state.unheard = Duration{0};
     state.report_failed_at = report ? TimePoint{} : now;
@@ -169,16 +175,6 @@
   }
 }
 
-// Load pattern: a host stands still with its runner and its sidecar, and what is sent to it waits.
-// Nothing tells that but the end of its reports and answers. The time counts only while reports of
-// other runners arrive: this gateway may have stood still, or lost its network.
-void RunnerRegistry::AdvanceUnheard(TimePoint now) {
-  const Duration elapsed = last_report_at_ == TimePoint{} ? Duration{0} : now - last_report_at_;
-  const Duration step = std::clamp(elapsed, Duration{0}, kMaxReportGap);
-  last_report_at_ = now;
-  for (auto& [id, state] : runners_) state.unheard += step;
-}
-
 void RunnerRegistry::OnHeard(const std::string& id) {
   RunnerState* state = Find(id);
   if (state != nullptr) state->unheard = Duration{0};
--- a/src/core/runner_registry.h
+++ b/src/core/runner_registry.h
@@ -113,8 +113,6 @@
   const std::map<std::string, RunnerState>& runners() const { return runners_; }
 
  private:
-  /// Advances the time in which each runner was not heard. Called with each report.
-  void AdvanceUnheard(TimePoint now);
   /// Marks all runners at the address as replaced, except the one that started last.
   void MarkReplaced(const std::string& address, uint16_t port);
 
