Cancel attempts in the part that decides on them, and set the gauges of runners in a file of their own

AttemptMonitor, which decides which attempts are given up, now also closes their connections and logs it; the gauges of runners need the registry alone.

HostThatStandsStill, SlowRunners and DepartedCallers pass (8 tests).

--- a/src/gateway/attempt_monitor.cc
+++ b/src/gateway/attempt_monitor.cc
@@ -87,6 +87,31 @@
   return true;
 }
 
+void AttemptMonitor::Cancel(const ForwardedRequest& request, const std::string& cause,
+                            TimePoint now) {
+  const RunnerState* const state = view_.runner_registry().Find(request.runner);
+  const bool reported = state != nullptr && state->report;
+  const int64_t unacknowledged = request.channel->UnacknowledgedBytes();
+  LogInfo("attempt_cancelled",
+          {{"request", request.caller.id},
+           {"runner", request.runner},
+           {"cause", cause},
+           {"after_ms", Ms(now - request.sent_at)},
+           {"silent_ms", Ms(now - request.last_byte_at)},
+           {"report_age_ms", reported ? Ms(now - state->reported_at) : std::string("-1")},
+           {"unacknowledged_bytes", absl::StrCat(unacknowledged)}});
+  metrics_
+      .Counter("fuchsiaweir_attempts_cancelled_total",
+               "Attempts that were cancelled, by cause and by whether the runner's host had "
+               "acknowledged the whole request.",
+               {{"cause", cause},
+                {"acknowledged", unacknowledged == 0  ? "yes"
+                                 : unacknowledged > 0 ? "no"
+                                                      : "unknown"}})
+      .Increment();
+  request.channel->Close();
+}
+
 void AttemptMonitor::LogAbandoned(const ForwardedRequest& request, const RunnerState* runner,
                                   bool dead, TimePoint now) {
   const char* const cause = dead ? "runner_dead" : "no_first_byte";
--- a/src/gateway/attempt_monitor.h
+++ b/src/gateway/attempt_monitor.h
@@ -13,7 +13,7 @@
 
 namespace fuchsiaweir {
 
-/// Decides which attempts are given up in favour of another runner.
+/// Decides which attempts are given up in favour of another runner, and cancels attempts.
 class AttemptMonitor {
  public:
   AttemptMonitor(FleetView& view, AdmissionController& admission, Metrics& metrics);
@@ -24,6 +24,8 @@
   /// retry budget. `has_other` tells whether another runner takes the request.
   bool ShouldAbandon(ForwardedRequest& request, const std::function<bool()>& has_other,
                      TimePoint now);
+  /// Closes the connection of the attempt in progress, so that the runner cancels the request.
+  void Cancel(const ForwardedRequest& request, const std::string& cause, TimePoint now);
   /// Records that a runner of the service has begun to answer `after` a request was sent.
   void OnAnswer(const std::string& service, Duration after, TimePoint now);
 
--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -10,6 +10,7 @@
 
 #include "gateway/peer_registration.h"
 #include "gateway/relay_client.h"
+#include "gateway/runner_gauges.h"
 #include "net/log.h"
 #include "net/timer_service.h"
 #include "platform/decode.h"
@@ -564,23 +565,7 @@
                {{"kind", kind}})
         .Set(static_cast<double>(ToMillis(SuspendAwareNow() - state.as_of)));
   }
-  std::map<std::string, double> states{{"avoided", 0}, {"cold", 0},   {"leaving", 0},
-                                       {"missing", 0}, {"paused", 0}, {"in_use", 0}};
-  const RunnerNotices& notices = runner_registry_.notices();
-  for (const auto& [id, state] : runner_registry_.runners()) {
-    const bool leaving = state.record.draining || state.replaced || notices.Leaving(id);
-    const char* name = leaving                                    ? "leaving"
-                       : state.missing_since                      ? "missing"
-                       : state.Avoided(now)                       ? "avoided"
-                       : notices.PauseLeft(id, now) > Duration{0} ? "paused"
-                       : state.Cold(now)                          ? "cold"
-                                                                  : "in_use";
-    ++states[name];
-  }
-  for (const auto& [name, count] : states) {
-    metrics_.Gauge("fuchsiaweir_runners", "Runners by what is believed of them.", {{"state", name}})
-        .Set(count);
-  }
+  SetRunnerGauges(metrics_, runner_registry_, now);
 }
 
 void FleetView::OnHello(const HelloMessage& message) {
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -573,7 +573,7 @@
   if (!request.route) return;
   if (!request.caller_gone && request.exchange.peer_closed()) {
     request.caller_gone = true;
-    if (request.channel != nullptr) CancelAttempt(request, "caller_left", now);
+    if (request.channel != nullptr) monitor_.Cancel(request, "caller_left", now);
     return;
   }
   if (request.channel == nullptr || request.abandoned) return;
@@ -581,7 +581,7 @@
   if (request.is_stream() && !request.first_byte_received &&
       crash_attribution_.Refused(request, now)) {
     request.withdrawn = true;
-    CancelAttempt(request, "refused", now);
+    monitor_.Cancel(request, "refused", now);
     return;
   }
   Placement other;
@@ -594,32 +594,7 @@
   placer_.Count(request, other.runner, now);
   request.reserved = std::move(other);
   request.abandoned = true;
-  CancelAttempt(request, "abandoned", now);
-}
-
-void Forwarder::CancelAttempt(const ForwardedRequest& request, const std::string& cause,
-                              TimePoint now) {
-  const RunnerState* const state = view_.runner_registry().Find(request.runner);
-  const bool reported = state != nullptr && state->report;
-  const int64_t unacknowledged = request.channel->UnacknowledgedBytes();
-  LogInfo("attempt_cancelled",
-          {{"request", request.caller.id},
-           {"runner", request.runner},
-           {"cause", cause},
-           {"after_ms", Ms(now - request.sent_at)},
-           {"silent_ms", Ms(now - request.last_byte_at)},
-           {"report_age_ms", reported ? Ms(now - state->reported_at) : std::string("-1")},
-           {"unacknowledged_bytes", absl::StrCat(unacknowledged)}});
-  metrics_
-      .Counter("fuchsiaweir_attempts_cancelled_total",
-               "Attempts that were cancelled, by cause and by whether the runner's host had "
-               "acknowledged the whole request.",
-               {{"cause", cause},
-                {"acknowledged", unacknowledged == 0  ? "yes"
-                                 : unacknowledged > 0 ? "no"
-                                                      : "unknown"}})
-      .Increment();
-  request.channel->Close();
+  monitor_.Cancel(request, "abandoned", now);
 }
 
 }  // namespace fuchsiaweir
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -79,8 +79,6 @@
   void Tick(TimePoint now);
   /// Cancels the attempt if the caller has disconnected, or if a retry at another runner is due.
   void CheckAttempt(ForwardedRequest& request, TimePoint now);
-  /// Closes the connection of the attempt in progress, so that the runner cancels the request.
-  void CancelAttempt(const ForwardedRequest& request, const std::string& cause, TimePoint now);
 
   FleetView& view_;
   PartWatch& parts_;
