Judge a relay's age by two of its watches, as it is when the answer arrives

Cause: contents are as old as the begin of the watch that brought them, so that they are up to two watches old when the next one is about to end.

Change: the bound is two watches and the same margin.

--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -31,7 +31,8 @@
 constexpr Duration kInitialBackoff = Millis(150);
 constexpr Duration kMaxBackoff = Millis(600);
 constexpr Duration kMaxRelayWait = Seconds(5);
-/// A relay whose contents are older than one watch timeout plus this cannot reach the store.
+/// A relay whose contents are older than two watch timeouts plus this cannot reach the store.
+/// Contents are as old as the begin of the watch that brought them, until the next watch ends.
 constexpr Duration kMaxRelayLag = Millis(1200);
 /// The same for kinds whose changes must take effect within one or two seconds.
 constexpr Duration kMaxUrgentRelayLag = Millis(500);
@@ -276,7 +277,7 @@
 }
 
 Duration FleetView::MaxAge(const WatchedKind& kind) {
-  return kind.watch_timeout + (kind.urgent ? kMaxUrgentRelayLag : kMaxRelayLag);
+  return 2 * kind.watch_timeout + (kind.urgent ? kMaxUrgentRelayLag : kMaxRelayLag);
 }
 
 void FleetView::ApplyRead(const WatchedKind& kind, KindRead& read) {
--- a/test/process/store_faults.cc
+++ b/test/process/store_faults.cc
@@ -49,6 +49,13 @@
   return reader;
 }
 
+/// Whether a gateway last read the desired state from another one, by its log.
+bool ReadsDesiredStateFromRelay(const std::string& log) {
+  const std::string change = R"("event":"source_changed","kind":"config","source":")";
+  const size_t last = log.rfind(change);
+  return last != std::string::npos && log.compare(last + change.size(), 6, "store\"") != 0;
+}
+
 }  // namespace
 
 TEST_GROUP(StoreFaults){};
@@ -140,4 +147,24 @@
   }
 }
 
+// Guards against relays that are passed over although they reach the store, which then gets the
+// calls of all gateways: their contents are as old as two watches when the second one is about to
+// end.
+TEST(StoreFaults, RelaysThatReachTheStoreAreRead) {
+  constexpr int kGateways = 8;
+  constexpr int kSamples = 6;
+  Fleet fleet(kGateways, 1);
+  fleet.Start();
+  SleepMillis(4'000);  // The gateways have listed each other, and read from relays.
+  int from_relays = 0;
+  for (int sample = 0; sample < kSamples; ++sample) {
+    SleepMillis(700);
+    for (int i = 0; i < kGateways; ++i) {
+      from_relays += ReadsDesiredStateFromRelay(fleet.Log(absl::StrCat("gateway", i))) ? 1 : 0;
+    }
+  }
+  // Two of the gateways are the relays. A host that stood still may have missed a read.
+  CHECK(from_relays >= kSamples * (kGateways - 2) * 2 / 3);
+}
+
 }  // namespace fuchsiaweir::testing
