Log the store's history and contents that are dropped, and count reads of other gateways

Operators saw changes that never took effect after the store had come back. The hypotheses could not be told apart: a list that was dropped left no line, and nothing read which history an answer belongs to. store_history_changed and contents_dropped say so now; fuchsiaweir_store_history and fuchsiaweir_relay_reads_total show it on /metrics. No decision has changed.

--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -318,6 +318,29 @@
                              {"revision", absl::StrCat(read.result.revision)}});
 }
 
+void FleetView::LogDropped(const WatchedKind& kind, const KindRead& read) {
+  LogInfo("contents_dropped", {{"kind", kind.name},
+                               {"source", read.Source()},
+                               {"history", absl::StrCat(read.result.history)},
+                               {"revision", absl::StrCat(read.result.revision)},
+                               {"own_revision", absl::StrCat(contents_[kind.name].log.revision())},
+                               {"full", read.full ? "yes" : "no"}});
+}
+
+void FleetView::RecordHistory(const WatchedKind& kind, const StoreResult& result) {
+  if (result.history == 0 || result.history == store_history_) return;
+  const int64_t replaced = std::exchange(store_history_, result.history);
+  LogWarning("store_history_changed",
+             {{"kind", kind.name},
+              {"history", absl::StrCat(result.history)},
+              {"replaces", absl::StrCat(replaced)},
+              {"outcome", std::string(Name(result.outcome))},
+              {"revision", absl::StrCat(result.revision)},
+              {"own_revision", absl::StrCat(contents_[kind.name].log.revision())}});
+  metrics_.Gauge("fuchsiaweir_store_history", "History of the platform's store.")
+      .Set(static_cast<double>(store_history_));
+}
+
 Awaitable<FleetView::KindRead> FleetView::ReadRelay(const WatchedKind& kind, Endpoint relay,
                                                     Duration wait) {
   KindRead read;
@@ -327,6 +350,10 @@
   const int64_t since = contents_[name].log.revision();
   std::optional<ObjectChanges> changes =
       co_await ReadFromRelay(client_, std::move(relay), std::move(name), since, wait);
+  metrics_
+      .Counter("fuchsiaweir_relay_reads_total", "Reads of other gateways by outcome.",
+               {{"kind", kind.name}, {"outcome", changes ? "done" : "failed"}})
+      .Increment();
   if (!changes) co_return read;
   read.full = changes->full;
   read.age = changes->age;
@@ -341,7 +368,7 @@
 void FleetView::ApplyResult(const WatchedKind& kind, KindRead& read) {
   WatchedContents& state = contents_[kind.name];
   // A relay may be behind this process.
-  if (read.result.revision < state.log.revision()) return;
+  if (read.result.revision < state.log.revision()) return LogDropped(kind, read);
   std::vector<StoredObject> changes;
   first_listing_ = state.log.revision() == 0;
   source_ = read.Source();
@@ -391,6 +418,7 @@
 }
 
 void FleetView::RecordStoreCall(const WatchedKind& kind, const StoreResult& result) {
+  RecordHistory(kind, result);
   const bool succeeded =
       result.outcome == StoreOutcome::kDone || result.outcome == StoreOutcome::kHistoryGone;
   metrics_
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -121,6 +121,10 @@
   void ApplyRead(const WatchedKind& kind, KindRead& read);
   void ApplyResult(const WatchedKind& kind, KindRead& read);
   void LogStaleRelay(const WatchedKind& kind, const KindRead& read);
+  /// Logs contents that were not taken over because they are older than the own ones.
+  void LogDropped(const WatchedKind& kind, const KindRead& read);
+  /// Logs and shows which history the store's responses belong to, when that changes.
+  void RecordHistory(const WatchedKind& kind, const platform::StoreResult& result);
   /// Logs from where the kind is read, when that changes.
   void RecordSource(const WatchedKind& kind, const KindRead& read);
 
@@ -163,6 +167,7 @@
   PeerDirectory peers_;
   StoreHealth health_;
   StoreBackoff store_backoff_;
+  int64_t store_history_ = 0;   ///< Of the store's last response.
   bool first_listing_ = false;  ///< The changes being applied are the kind's first listing.
   std::string source_;          ///< Where the changes being applied were read.
 
