--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -220,6 +220,18 @@
   Send("POST", port, "/fault", json, {}, call_timeout_);
 }
 
+void Fleet::CopyStore() { InjectFault("store", R"({"save_copy": true})"); }
+
+void Fleet::RestoreStore(Duration away) {
+  InjectFault("store", absl::StrCat(R"({"restore_copy": )", ToMillis(away), "}"));
+}
+
+void Fleet::SkipStoreRevisions(int64_t count) {
+  InjectFault("store", absl::StrCat(R"({"skip_revisions": )", count, "}"));
+}
+
+json::object Fleet::StoreStats() { return Send("GET", store_port_, "/stats").json(); }
+
 int64_t Fleet::PeakMemoryMb(const std::string& name) const {
   std::ifstream file(absl::StrCat("/proc/", processes_.pid(name), "/status"));
   const std::string field = "VmHWM:";
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -76,6 +76,14 @@
 
   /// Injects a fault into the store or a runner; `json` is the body of the stand-in's /fault route.
   void InjectFault(const std::string& name, const std::string& json);
+  /// Makes the store copy its contents, from which `RestoreStore` restores it.
+  void CopyStore();
+  /// Makes the store come back with the copy. It takes writes at once, and reads after `away`.
+  void RestoreStore(Duration away);
+  /// Makes the store use up revisions, so that it passes those that processes know.
+  void SkipStoreRevisions(int64_t count);
+  /// Returns the number of reads that the store has got, by the names of its statistics.
+  boost::json::object StoreStats();
   boost::json::object Stats(int runner);
   bool Answers(int runner);
   /// Returns the number of runs that a runner has started.
--- a/test/standin/fleet_store.cc
+++ b/test/standin/fleet_store.cc
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "client_ports.h"
+#include "net/awaitable.h"
+#include "platform/names.h"
 #include "standin_server.h"
 
 namespace fuchsiaweir::standin {
@@ -37,14 +39,24 @@
 
 class FleetStore {
  public:
+  explicit FleetStore(boost::asio::io_context& io) : io_(io) {}
+
   Awaitable<void> Handle(HttpExchange& exchange) {
     const std::string path = exchange.target().path;
     if (path == "/fault") {
       SetFaults(json::parse(exchange.request().body).as_object());
       co_return co_await SendJson(exchange, 200, "{}");
     }
+    if (path == "/stats") {
+      std::string body = json::serialize(json::object{
+          {"lists", lists_}, {"watches", watches_}, {"gone", gone_}, {"rejected", rejected_}});
+      co_return co_await SendJson(exchange, 200, std::move(body));
+    }
     clients_.OnRequest(exchange);
     while (IsSilent(exchange)) co_await SleepFor(kSilentPollInterval);
+    const bool read = exchange.request().method == "GET";
+    if (away_ && read) co_return co_await DropResponse(exchange);
+    if (names_history_) exchange.AddHeader(platform::kStoreHistoryHeader, std::to_string(history_));
     if (down_) co_return co_await SendJson(exchange, 503, "{}");
     const std::string rest = path.substr(std::string("/objects/").size());
     const size_t slash = rest.find('/');
@@ -54,6 +66,13 @@
     const bool status = name.ends_with(suffix);
     if (status) name.resize(name.size() - suffix.size());
     const std::string& method = exchange.request().method;
+    if (method == "GET" && name.empty()) {
+      if (RejectsRead()) {
+        std::string response_body = "{}";
+        co_return co_await SendJson(exchange, 429, std::move(response_body));
+      }
+      ++(exchange.target().Query("watch").empty() ? lists_ : watches_);
+    }
     if (method == "GET" && name.empty() && !exchange.target().Query("watch").empty()) {
       co_return co_await Watch(exchange, kind);
     }
@@ -77,6 +96,50 @@
     }
     if (faults.contains("silence_open_connections")) clients_.Silence();
     if (faults.contains("forget_history")) history_begin_ = revision_ + 1;
+    if (const json::value* busy = faults.if_contains("busy")) busy_ = busy->as_bool();
+    if (const json::value* rate = faults.if_contains("reads_per_s")) {
+      reads_per_s_ = rate->to_number<int64_t>();
+    }
+    if (const json::value* gone = faults.if_contains("history_always_gone")) {
+      history_always_gone_ = gone->as_bool();
+    }
+    if (const json::value* none = faults.if_contains("no_history")) {
+      names_history_ = !none->as_bool();
+    }
+    if (faults.contains("save_copy")) copy_ = {objects_, revision_};
+    if (const json::value* away_ms = faults.if_contains("restore_copy")) {
+      Restore(Millis(away_ms->to_number<int64_t>()));
+    }
+    if (const json::value* skipped = faults.if_contains("skip_revisions")) {
+      revision_ += skipped->to_number<int64_t>();
+    }
+  }
+
+  void Restore(Duration away) {
+    objects_ = copy_.objects;
+    revision_ = copy_.revision;
+    std::erase_if(changes_,
+                  [this](const Change& change) { return change.revision > copy_.revision; });
+    ++history_;
+    away_ = true;
+    Spawn(io_, "away", [this, away]() { return EndAway(away); });
+  }
+
+  Awaitable<void> EndAway(Duration away) {
+    co_await SleepFor(away);
+    away_ = false;
+  }
+
+  /// Whether a read exceeds the rate, or all are rejected.
+  bool RejectsRead() {
+    const TimePoint now = SteadyNow();
+    if (now - second_begin_ >= Seconds(1)) {
+      second_begin_ = now;
+      reads_in_second_ = 0;
+    }
+    const bool rejects = busy_ || (reads_per_s_ > 0 && ++reads_in_second_ > reads_per_s_);
+    if (rejects) ++rejected_;
+    return rejects;
   }
 
   Awaitable<void> Watch(HttpExchange& exchange, std::string kind) {
@@ -86,9 +149,12 @@
     // A watch continues from the revision of the response, which must not be later than the changes
     // that were looked at.
     int64_t revision = revision_;
+    const int64_t history = history_;
     for (Duration waited{0}; events.empty() && waited <= wait; waited += kWatchPollInterval) {
+      if (history != history_) co_return co_await DropResponse(exchange);
       revision = revision_;
-      if (from + 1 < history_begin_) {
+      if (from + 1 < history_begin_ || from > revision_ || history_always_gone_) {
+        ++gone_;
         std::string response_body = "{}";
         co_return co_await SendJson(exchange, 410, std::move(response_body));
       }
@@ -164,13 +230,33 @@
     co_await SendJson(exchange, 200, std::move(response_body));
   }
 
-  std::map<std::string, std::map<std::string, json::object>> objects_;
+  using Objects = std::map<std::string, std::map<std::string, json::object>>;
+  struct Copy {
+    Objects objects;
+    int64_t revision = 1;
+  };
+
+  boost::asio::io_context& io_;
+  Objects objects_;
+  Copy copy_;
   std::vector<Change> changes_;
   int64_t revision_ = 1;
   int64_t history_begin_ = 0;  ///< Oldest revision whose change is available to watches.
   bool down_ = false;
   bool silent_ = false;
   uint16_t silent_port_ = 0;
+  int64_t history_ = 1;
+  bool names_history_ = true;
+  bool away_ = false;
+  bool history_always_gone_ = false;
+  bool busy_ = false;
+  int64_t reads_per_s_ = 0;
+  TimePoint second_begin_;
+  int64_t reads_in_second_ = 0;
+  int64_t lists_ = 0;
+  int64_t watches_ = 0;
+  int64_t gone_ = 0;
+  int64_t rejected_ = 0;
   ClientPorts clients_;
 };
 
@@ -178,7 +264,7 @@
 
 void RunFleetStore(int port, int second_port) {
   boost::asio::io_context io(1);
-  FleetStore store;
+  FleetStore store(io);
   Serve(io, std::vector<int>{port, second_port},
         [&store](HttpExchange& exchange) { return store.Handle(exchange); });
 }
