Split the mirror of the store's contents from the view of the fleet

ObjectMirror now reads each kind and serves it to other processes; FleetView has the table of kinds and decides what their objects mean. Behaviour is unchanged: StoreFaults passes as before.

--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -13,25 +13,20 @@
 #include "core/authority_lease.h"
 #include "core/route_table.h"
 #include "core/runner_registry.h"
-#include "core/store_backoff.h"
-#include "core/store_health.h"
 #include "core/weights_history.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/object_mirror.h"
 #include "gateway/peer_directory.h"
 #include "gateway/peer_link.h"
-#include "gateway/watched_contents.h"
 #include "net/component_registry.h"
-#include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/metrics.h"
 #include "platform/field_access.h"
-#include "platform/object_store.h"
 
 namespace fuchsiaweir {
 
 /// This process's view of the fleet: desired state, runners, evacuated data centres, named weights
-/// and peers. It is read from the platform's store, or from a relay: a gateway that serves the
-/// store's contents to other processes.
+/// and peers, decoded from the store's contents.
 class FleetView : public Component {
  public:
   FleetView(ComponentRegistry& components, const GatewaySettings& settings, PlatformRole role);
@@ -75,9 +70,10 @@
   void BroadcastToSidecars(const PeerMessage& message) { peers_.BroadcastToSidecars(message); }
   /// Processes a gateway's hello.
   void OnHello(const HelloMessage& message);
-  /// Serves the store's contents to another process. The target's query names the object kind, the
-  /// caller's revision and how long to wait for changes.
-  Awaitable<HttpResponse> ServeRelay(HttpTarget target);
+  /// Serves the store's contents to another process; see `ObjectMirror`.
+  Awaitable<HttpResponse> ServeRelay(HttpTarget target) {
+    return mirror_.ServeRelay(std::move(target));
+  }
 
   /// Applies changed settings.
   void SetSettings(const GatewaySettings& settings);
@@ -94,63 +90,35 @@
   /// Whether the orders to roll out versions have been read.
   bool rollouts_listed() const { return rollouts_listed_; }
 
-  platform::ObjectStore& store() { return store_; }
+  platform::ObjectStore& store() { return mirror_.store(); }
 
   void Start() override;
   Awaitable<void> Stop() override;
 
  private:
-  struct WatchedKind;
-  struct KindRead;
+  struct KindRow;
+  static const KindRow kKindRows[];
 
   /// Whether this process follows the kind.
-  bool Watches(const WatchedKind& kind) const;
-  /// Age up to which contents of the kind count as current.
-  static Duration MaxAge(const WatchedKind& kind);
-  Awaitable<void> WatchKind(const WatchedKind& kind);
-  /// Waits at most `wait` for changes.
-  Awaitable<KindRead> ReadStore(const WatchedKind& kind, Duration wait);
-  Awaitable<KindRead> ReadRelay(const WatchedKind& kind, Endpoint relay, Duration wait);
-  /// Reads from the source that is next.
-  Awaitable<KindRead> ReadNext(const WatchedKind& kind);
-  void MarkListed(const WatchedKind& kind);
-  /// Reads a change that a peer knows and this process does not.
-  Awaitable<void> CatchUp(const WatchedKind& kind, Endpoint peer);
+  bool Follows(const KindRow& row) const;
+  WatchedKind MakeKind(const KindRow& row);
   HelloMessage MakeHello() const;
-  /// Takes over what a read has returned.
-  void ApplyRead(const WatchedKind& kind, KindRead& read);
-  void ApplyResult(const WatchedKind& kind, KindRead& read);
-  void LogStaleRelay(const WatchedKind& kind, const KindRead& read);
-  /// Logs contents that were not taken over because they are older than the own ones.
-  void LogDropped(const WatchedKind& kind, const KindRead& read);
-  /// Logs and shows which history the store's responses belong to, when that changes.
-  void RecordHistory(const WatchedKind& kind, const platform::StoreResult& result);
-  /// Logs from where the kind is read, when that changes.
-  void RecordSource(const WatchedKind& kind, const KindRead& read);
-
-  void ApplyConfig(const platform::StoredObject& object);
-  void ApplyRunner(const platform::StoredObject& object);
+
+  void ApplyConfig(const platform::StoredObject& object, const ChangeOrigin& origin);
+  void ApplyRunner(const platform::StoredObject& object, const ChangeOrigin& origin);
   /// Logs and counts a runner's entry that cannot be read, once for each of its revisions.
   void RecordUnreadable(const platform::StoredObject& object, const platform::FieldError& error);
-  void ApplyEvacuation(const platform::StoredObject& object);
-  void ApplyWeights(const platform::StoredObject& object);
-  void ApplyPeer(const platform::StoredObject& object);
-  void ApplyRollout(const platform::StoredObject& object);
-  void RecordStoreCall(const WatchedKind& kind, const platform::StoreResult& result);
-  /// Records whether a kind could be read, and logs when that changes.
-  void RecordHealth(const WatchedKind& kind, bool succeeded, const std::string& reason);
+  void ApplyEvacuation(const platform::StoredObject& object, const ChangeOrigin& origin);
+  void ApplyWeights(const platform::StoredObject& object, const ChangeOrigin& origin);
+  void ApplyPeer(const platform::StoredObject& object, const ChangeOrigin& origin);
+  void ApplyRollout(const platform::StoredObject& object, const ChangeOrigin& origin);
   void Tick(TimePoint now);
   void UpdateGauges(TimePoint now);
 
-  static const WatchedKind kWatchedKinds[];
-
   boost::asio::io_context& io_;
   GatewaySettings settings_;
   PlatformRole role_;
-  HttpClient& client_;
   Metrics& metrics_;
-  platform::ObjectStore store_;
-  std::map<std::string, WatchedContents> contents_;  ///< By kind name.
   AuthorityLease authority_;
   bool authority_held_ = false;
 
@@ -165,13 +133,7 @@
   std::set<std::string> evacuated_;
   std::map<std::string, WeightsHistory> weights_;
   PeerDirectory peers_;
-  StoreHealth health_;
-  StoreBackoff store_backoff_;
-  int64_t store_history_ = 0;   ///< Of the store's last response.
-  bool first_listing_ = false;  ///< The changes being applied are the kind's first listing.
-  std::string source_;          ///< Where the changes being applied were read.
-
-  bool stopping_ = false;
+  ObjectMirror mirror_;
 };
 
 }  // namespace fuchsiaweir
--- /dev/null
+++ b/src/gateway/object_mirror.cc
@@ -0,0 +1,365 @@
+#include "gateway/object_mirror.h"
+
+#include <absl/cleanup/cleanup.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/relay_client.h"
+#include "net/log.h"
+
+namespace fuchsiaweir {
+namespace {
+
+using platform::StoredObject;
+using platform::StoreOutcome;
+using platform::StoreResult;
+
+constexpr Duration kInitialBackoff = Millis(150);
+constexpr Duration kMaxBackoff = Millis(600);
+constexpr Duration kMaxRelayWait = Seconds(5);
+/// A relay whose contents are older than two watch timeouts plus this cannot reach the store.
+/// Contents are as old as the begin of the watch that brought them, until the next watch ends.
+constexpr Duration kMaxRelayLag = Millis(1200);
+/// The same for kinds whose changes must take effect within one or two seconds.
+constexpr Duration kMaxUrgentRelayLag = Millis(500);
+/// How long a relay holds a read of such a kind. A relay that stands still is noticed after this
+/// time and the margin of the call.
+constexpr Duration kUrgentRelayWait = Millis(700);
+/// Live gateways of the data centre from which on such kinds are read from relays. Below, the store
+/// has few callers, and a relay that stands still would delay a large share of them.
+constexpr size_t kMinGatewaysForUrgentRelays = 6;
+
+}  // namespace
+
+ObjectMirror::ObjectMirror(boost::asio::io_context& io, HttpClient& client, Metrics& metrics,
+                           const GatewaySettings& settings, PeerDirectory& peers)
+    : io_(io),
+      client_(client),
+      metrics_(metrics),
+      store_(client, settings.store_endpoint()),
+      peers_(peers),
+      store_backoff_(settings.name) {}
+
+void ObjectMirror::Start() {
+  for (const WatchedKind& kind : kinds_) {
+    SpawnService(io_, absl::StrCat("watch_", kind.name),
+                 [this, &kind]() { return WatchKind(kind); });
+  }
+}
+
+void ObjectMirror::SetSettings(const GatewaySettings& settings) {
+  store_.SetEndpoint(settings.store_endpoint());
+}
+
+std::optional<Duration> ObjectMirror::Age(const std::string& kind) const {
+  const auto found = contents_.find(kind);
+  if (found == contents_.end() || found->second.log.revision() == 0) return std::nullopt;
+  return SuspendAwareNow() - found->second.as_of;
+}
+
+std::vector<HelloMessage::Change> ObjectMirror::NewestChanges() const {
+  std::vector<HelloMessage::Change> changes;
+  for (const WatchedKind& kind : kinds_) {
+    const auto state = contents_.find(kind.name);
+    if (!kind.urgent || state == contents_.end()) continue;
+    changes.push_back({kind.name, state->second.log.changed_revision()});
+  }
+  return changes;
+}
+
+void ObjectMirror::OnPeerChanges(const std::vector<HelloMessage::Change>& changes,
+                                 const Endpoint& peer) {
+  for (const HelloMessage::Change& change : changes) {
+    for (const WatchedKind& kind : kinds_) {
+      if (kind.name != change.kind) continue;
+      WatchedContents& state = contents_[kind.name];
+      if (state.catching_up) continue;
+      if (change.revision <= state.log.revision()) continue;
+      state.catching_up = true;
+      Spawn(io_, "catch_up", [this, &kind, peer]() { return CatchUp(kind, peer); });
+    }
+  }
+}
+
+/// A read of one kind from the store or from a relay.
+struct ObjectMirror::KindRead {
+  StoreResult result;
+  ReadSource from = ReadSource::kStore;
+  TimePoint sent;                 ///< By `SuspendAwareNow`.
+  bool full = false;              ///< The objects are the whole contents, not only changes.
+  std::optional<Endpoint> relay;  ///< Nothing if the store was read.
+  Duration age{0};                ///< Time since the relay's contents were known to be current.
+  bool outage = false;            ///< The relay reports an outage of the store.
+  bool relayed = false;           ///< The relay did not read its contents from the store.
+
+  /// When the contents were current. The store does not say when during a wait it produced its
+  /// response, so this is at most the begin of the call.
+  TimePoint AsOf() const { return sent - age; }
+
+  std::string Source() const { return relay ? ToString(*relay) : "store"; }
+};
+
+Awaitable<ObjectMirror::KindRead> ObjectMirror::ReadStore(const WatchedKind& kind, Duration wait) {
+  const std::string name = kind.name;
+  KindRead read;
+  read.sent = SuspendAwareNow();
+  read.full = contents_[name].log.revision() == 0;
+  if (read.full) {
+    read.result = co_await store_.List(name);
+  } else {
+    read.result = co_await store_.Watch(name, contents_[name].log.revision(), wait);
+  }
+  RecordStoreCall(kind, read.result);
+  if (read.result.outcome == StoreOutcome::kHistoryGone) {
+    LogInfo("store_history_gone",
+            {{"kind", name}, {"revision", absl::StrCat(contents_[name].log.revision())}});
+    read.result = co_await store_.List(name);
+    RecordStoreCall(kind, read.result);
+    read.full = true;
+  }
+  co_return read;
+}
+
+Awaitable<ObjectMirror::KindRead> ObjectMirror::ReadNext(const WatchedKind& kind) {
+  WatchedContents& state = contents_[kind.name];
+  const bool use_relays = !kind.urgent || peers_.LocalGateways() >= kMinGatewaysForUrgentRelays;
+  std::optional<Endpoint> relay = use_relays ? peers_.PreferredRelay(kind.name) : std::nullopt;
+  ReadSource from =
+      state.choice.Next(relay.has_value(), store_backoff_.Active(SteadyNow()), SteadyNow());
+  if (from == ReadSource::kStore) relay = std::nullopt;
+  if (from == ReadSource::kOtherGateway) relay = peers_.NextRelay();
+  if (!relay) from = ReadSource::kStore;
+  // After a failure the sources are polled until one is current. A watch would last for its whole
+  // timeout at each source that does not reach the store either.
+  const Duration longest = relay && kind.urgent ? kUrgentRelayWait : kind.watch_timeout;
+  const Duration wait = state.choice.failures() == 0 ? longest : Duration{0};
+  KindRead read;
+  if (relay) {
+    read = co_await ReadRelay(kind, std::move(*relay), wait);
+  } else {
+    read = co_await ReadStore(kind, wait);
+  }
+  read.from = from;
+  co_return read;
+}
+
+Awaitable<void> ObjectMirror::WatchKind(const WatchedKind& kind) {
+  WatchedContents& state = contents_[kind.name];
+  Duration backoff = kInitialBackoff;
+  while (!stopping_) {
+    KindRead read = co_await ReadNext(kind);
+    const bool done = read.result.outcome == StoreOutcome::kDone;
+    // The store answers with its current state, however long that takes.
+    const bool fresh = done && (!read.relay || SuspendAwareNow() - read.AsOf() <= MaxAge(kind));
+    // The contents of a relay that reads from other gateways may be those of this process.
+    const bool current = fresh && !(read.from == ReadSource::kPreferredRelay && read.relayed);
+    const bool regained = state.choice.failures() > 0 && current && !read.relay;
+    state.choice.OnRead(read.from, current, SteadyNow());
+    state.SetFromStore(done && !read.relay);
+    // The store is read at once in place of its relay.
+    const bool at_once = !current && read.from == ReadSource::kPreferredRelay;
+    if (!done) {
+      if (!at_once) co_await SleepFor(backoff);
+      backoff = std::min(kMaxBackoff, backoff * 2);
+      continue;
+    }
+    backoff = kInitialBackoff;
+    if (!current) LogStaleRelay(kind, read);
+    if (fresh) RecordSource(kind, read);
+    // No store call would clear an earlier failure of a kind that is now read from a relay.
+    if (read.relay && fresh) RecordHealth(kind, true, "");
+    ApplyRead(kind, read);
+    if (regained && kind.on_regained) kind.on_regained();
+    Duration delay = kind.watch_delay;
+    if (read.relay) delay = current || at_once ? Duration{0} : kInitialBackoff;
+    if (delay > Duration{0}) co_await SleepFor(delay);
+  }
+}
+
+Duration ObjectMirror::MaxAge(const WatchedKind& kind) {
+  return 2 * kind.watch_timeout + (kind.urgent ? kMaxUrgentRelayLag : kMaxRelayLag);
+}
+
+void ObjectMirror::ApplyRead(const WatchedKind& kind, KindRead& read) {
+  WatchedContents& state = contents_[kind.name];
+  state.as_of = std::max(state.as_of, read.AsOf());
+  if (kind.lists_runners) {
+    health_.OnRunnerListRead(read.relay ? std::optional<bool>(read.outage) : std::nullopt,
+                             SteadyNow());
+  }
+  ApplyResult(kind, read);
+  if (kind.on_current) kind.on_current(state.as_of);
+}
+
+Awaitable<void> ObjectMirror::CatchUp(const WatchedKind& kind, Endpoint peer) {
+  WatchedContents& state = contents_[kind.name];
+  const absl::Cleanup caught_up = [&state]() { state.catching_up = false; };
+  KindRead read = co_await ReadRelay(kind, std::move(peer), Duration{0});
+  if (read.result.outcome == StoreOutcome::kDone) ApplyRead(kind, read);
+}
+
+void ObjectMirror::LogStaleRelay(const WatchedKind& kind, const KindRead& read) {
+  LogInfo("relay_stale", {{"kind", kind.name},
+                          {"relay", read.Source()},
+                          {"age_ms", absl::StrCat(ToMillis(SuspendAwareNow() - read.AsOf()))},
+                          {"relayed", read.relayed ? "yes" : "no"},
+                          {"revision", absl::StrCat(read.result.revision)},
+                          {"own_revision", absl::StrCat(contents_[kind.name].log.revision())}});
+}
+
+void ObjectMirror::RecordSource(const WatchedKind& kind, const KindRead& read) {
+  WatchedContents& state = contents_[kind.name];
+  if (state.source == read.Source()) return;
+  const std::string replaced = std::exchange(state.source, read.Source());
+  LogInfo("source_changed", {{"kind", kind.name},
+                             {"source", state.source},
+                             {"replaces", replaced},
+                             {"age_ms", absl::StrCat(ToMillis(read.age))},
+                             {"revision", absl::StrCat(read.result.revision)}});
+}
+
+void ObjectMirror::LogDropped(const WatchedKind& kind, const KindRead& read) {
+  LogInfo("contents_dropped", {{"kind", kind.name},
+                               {"source", read.Source()},
+                               {"history", absl::StrCat(read.result.history)},
+                               {"revision", absl::StrCat(read.result.revision)},
+                               {"own_revision", absl::StrCat(contents_[kind.name].log.revision())},
+                               {"full", read.full ? "yes" : "no"}});
+}
+
+void ObjectMirror::RecordHistory(const WatchedKind& kind, const StoreResult& result) {
+  if (result.history == 0 || result.history == store_history_) return;
+  const int64_t replaced = std::exchange(store_history_, result.history);
+  LogWarning("store_history_changed",
+             {{"kind", kind.name},
+              {"history", absl::StrCat(result.history)},
+              {"replaces", absl::StrCat(replaced)},
+              {"outcome", std::string(Name(result.outcome))},
+              {"revision", absl::StrCat(result.revision)},
+              {"own_revision", absl::StrCat(contents_[kind.name].log.revision())}});
+  metrics_.Gauge("fuchsiaweir_store_history", "History of the platform's store.")
+      .Set(static_cast<double>(store_history_));
+}
+
+Awaitable<ObjectMirror::KindRead> ObjectMirror::ReadRelay(const WatchedKind& kind, Endpoint relay,
+                                                          Duration wait) {
+  KindRead read;
+  read.sent = SuspendAwareNow();
+  read.relay = relay;
+  std::string name = kind.name;
+  const int64_t since = contents_[name].log.revision();
+  std::optional<ObjectChanges> changes =
+      co_await ReadFromRelay(client_, std::move(relay), std::move(name), since, wait);
+  metrics_
+      .Counter("fuchsiaweir_relay_reads_total", "Reads of other gateways by outcome.",
+               {{"kind", kind.name}, {"outcome", changes ? "done" : "failed"}})
+      .Increment();
+  if (!changes) co_return read;
+  read.full = changes->full;
+  read.age = changes->age;
+  read.outage = changes->outage;
+  read.relayed = changes->relayed;
+  read.result.revision = changes->revision;
+  read.result.objects = std::move(changes->objects);
+  if (changes->revision > 0) read.result.outcome = StoreOutcome::kDone;
+  co_return read;
+}
+
+void ObjectMirror::ApplyResult(const WatchedKind& kind, KindRead& read) {
+  WatchedContents& state = contents_[kind.name];
+  // A relay may be behind this process.
+  if (read.result.revision < state.log.revision()) return LogDropped(kind, read);
+  std::vector<StoredObject> changes;
+  const ChangeOrigin origin{read.Source(), state.log.revision() == 0};
+  if (read.full) {
+    changes = state.log.Reset(std::move(read.result.objects), read.result.revision);
+  } else {
+    changes = std::move(read.result.objects);
+    state.log.Append(changes, read.result.revision);
+  }
+  for (const StoredObject& object : changes) {
+    try {
+      kind.apply(object, origin);
+    } catch (const std::exception& e) {
+      // One bad object must not hide those behind it.
+      LogError("object_rejected",
+               {{"kind", kind.name}, {"object", object.name}, {"reason", e.what()}});
+    }
+  }
+  if (origin.first_listing && kind.on_listed) kind.on_listed();
+  if (changes.empty()) return;
+  state.EndWaitingReads();
+}
+
+Awaitable<HttpResponse> ObjectMirror::ServeRelay(HttpTarget target) {
+  const auto found = contents_.find(target.Query("kind"));
+  if (found == contents_.end() || found->second.log.revision() == 0) {
+    co_return HttpResponse{503, {}, ""};
+  }
+  const auto kind = std::find_if(kinds_.begin(), kinds_.end(), [&](const WatchedKind& item) {
+    return item.name == found->first;
+  });
+  if (kind == kinds_.end()) co_return HttpResponse{404, {}, ""};
+  const int64_t since = target.QueryInteger("since", 0);
+  const Duration wait =
+      Millis(std::clamp<int64_t>(target.QueryInteger("wait_ms", 0), 0, ToMillis(kMaxRelayWait)));
+  ObjectChanges changes = co_await found->second.Changes(io_, since, wait, MaxAge(*kind));
+  changes.outage = health_.runner_outage();
+  co_return JsonResponse(200, EncodeObjectChanges(changes));
+}
+
+void ObjectMirror::RecordStoreCall(const WatchedKind& kind, const StoreResult& result) {
+  RecordHistory(kind, result);
+  const bool succeeded =
+      result.outcome == StoreOutcome::kDone || result.outcome == StoreOutcome::kHistoryGone;
+  metrics_
+      .Counter("fuchsiaweir_store_calls_total", "Calls to the platform's store by outcome.",
+               {{"kind", kind.name}, {"outcome", std::string(Name(result.outcome))}})
+      .Increment();
+  if (succeeded) {
+    store_backoff_.OnExecuted();
+  } else {
+    store_backoff_.OnRejected(SteadyNow());
+    LogInfo("store_call_failed", {{"kind", kind.name},
+                                  {"outcome", std::string(Name(result.outcome))},
+                                  {"reason", result.failure},
+                                  {"reused", result.reused ? "yes" : "no"},
+                                  {"took_ms", absl::StrCat(ToMillis(result.elapsed))}});
+    if (kind.lists_runners) health_.OnRunnerListReadFailed();
+  }
+  RecordHealth(kind, succeeded,
+               absl::StrCat(std::string(Name(result.outcome)), " ", result.failure));
+}
+
+void ObjectMirror::RecordHealth(const WatchedKind& kind, bool succeeded,
+                                const std::string& reason) {
+  switch (health_.OnCall(kind.name, succeeded)) {
+    case StoreHealth::Change::kUnavailable:
+      LogWarning("store_lost", {{"kind", kind.name}, {"reason", reason}});
+      break;
+    case StoreHealth::Change::kAvailable:
+      LogInfo("store_regained", {{"kind", kind.name}});
+      break;
+    case StoreHealth::Change::kNone:
+      break;
+  }
+}
+
+void ObjectMirror::UpdateGauges() const {
+  metrics_
+      .Gauge("fuchsiaweir_store_kinds_failing",
+             "Kinds of objects whose last call to the platform's store failed.")
+      .Set(static_cast<double>(health_.failing_kinds()));
+  for (const auto& [kind, state] : contents_) {
+    if (state.log.revision() == 0) continue;
+    metrics_
+        .Gauge("fuchsiaweir_contents_age_ms",
+               "Time since a kind of the store's objects was known to be current.",
+               {{"kind", kind}})
+        .Set(static_cast<double>(ToMillis(SuspendAwareNow() - state.as_of)));
+  }
+}
+
+}  // namespace fuchsiaweir
--- /dev/null
+++ b/src/gateway/object_mirror.h
@@ -0,0 +1,121 @@
+#ifndef FUCHSIAWEIR_GATEWAY_OBJECT_MIRROR_H_
+#define FUCHSIAWEIR_GATEWAY_OBJECT_MIRROR_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/store_backoff.h"
+#include "core/store_health.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/peer_directory.h"
+#include "gateway/peer_link.h"
+#include "gateway/watched_contents.h"
+#include "net/awaitable.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/metrics.h"
+#include "platform/object_store.h"
+
+namespace fuchsiaweir {
+
+/// Where a change of the store's contents comes from.
+struct ChangeOrigin {
+  std::string source;          ///< "store" or the address of a relay.
+  bool first_listing = false;  ///< The changes are the kind's first listing.
+};
+
+/// One kind of the store's objects that a process follows, and what it does with the changes.
+struct WatchedKind {
+  const char* name = "";
+  Duration watch_timeout{0};  ///< Longest time that one watch call stays open.
+  Duration watch_delay{0};    ///< Between two watches, so that one returns several changes.
+  /// Changes must take effect within one or two seconds: gateways tell each other of them, and only
+  /// large data centres read them from relays.
+  bool urgent = false;
+  bool lists_runners = false;  ///< Whether the store was unavailable is tracked by this kind.
+
+  std::function<void(const platform::StoredObject& object, const ChangeOrigin& origin)> apply;
+  std::function<void()> on_listed;  ///< All objects have been applied once.
+  /// The contents were current at `as_of`, by `SuspendAwareNow`.
+  std::function<void(TimePoint as_of)> on_current;
+  std::function<void()> on_regained;  ///< The store has been read again after failures.
+};
+
+/// Mirror of the platform's store in this process, by kind of object. Each kind is read from the
+/// platform's store, or from a relay: a gateway that serves the contents to other processes.
+class ObjectMirror {
+ public:
+  ObjectMirror(boost::asio::io_context& io, HttpClient& client, Metrics& metrics,
+               const GatewaySettings& settings, PeerDirectory& peers);
+
+  /// Adds a kind; call before `Start`.
+  void Add(WatchedKind kind) { kinds_.push_back(std::move(kind)); }
+  void Start();
+  void Stop() { stopping_ = true; }
+  /// Applies changed settings.
+  void SetSettings(const GatewaySettings& settings);
+
+  platform::ObjectStore& store() { return store_; }
+  /// Whether runners may be missing from the list only because the store was unavailable.
+  bool runner_outage() const { return health_.runner_outage(); }
+  /// Time since the kind was known to be current; nothing before it was read.
+  std::optional<Duration> Age(const std::string& kind) const;
+  /// Returns the newest change of each urgent kind, for a hello.
+  std::vector<HelloMessage::Change> NewestChanges() const;
+  /// Reads changes that a peer knows and this process does not.
+  void OnPeerChanges(const std::vector<HelloMessage::Change>& changes, const Endpoint& peer);
+  /// Serves the contents to another process. The target's query names the object kind, the caller's
+  /// revision and how long to wait for changes.
+  Awaitable<HttpResponse> ServeRelay(HttpTarget target);
+  void UpdateGauges() const;
+
+ private:
+  struct KindRead;
+
+  /// Age up to which contents of the kind count as current.
+  static Duration MaxAge(const WatchedKind& kind);
+  Awaitable<void> WatchKind(const WatchedKind& kind);
+  /// Waits at most `wait` for changes.
+  Awaitable<KindRead> ReadStore(const WatchedKind& kind, Duration wait);
+  Awaitable<KindRead> ReadRelay(const WatchedKind& kind, Endpoint relay, Duration wait);
+  /// Reads from the source that is next.
+  Awaitable<KindRead> ReadNext(const WatchedKind& kind);
+  /// Reads a change that a peer knows and this process does not.
+  Awaitable<void> CatchUp(const WatchedKind& kind, Endpoint peer);
+  /// Takes over what a read has returned.
+  void ApplyRead(const WatchedKind& kind, KindRead& read);
+  void ApplyResult(const WatchedKind& kind, KindRead& read);
+
+  void LogStaleRelay(const WatchedKind& kind, const KindRead& read);
+  /// Logs contents that were not taken over because they are older than the own ones.
+  void LogDropped(const WatchedKind& kind, const KindRead& read);
+  /// Logs and shows which history the store's responses belong to, when that changes.
+  void RecordHistory(const WatchedKind& kind, const platform::StoreResult& result);
+  /// Logs from where the kind is read, when that changes.
+  void RecordSource(const WatchedKind& kind, const KindRead& read);
+  void RecordStoreCall(const WatchedKind& kind, const platform::StoreResult& result);
+  /// Records whether a kind could be read, and logs when that changes.
+  void RecordHealth(const WatchedKind& kind, bool succeeded, const std::string& reason);
+
+  boost::asio::io_context& io_;
+  HttpClient& client_;
+  Metrics& metrics_;
+  platform::ObjectStore store_;
+  PeerDirectory& peers_;
+  std::vector<WatchedKind> kinds_;
+  std::map<std::string, WatchedContents> contents_;  ///< By kind name.
+  StoreHealth health_;
+  StoreBackoff store_backoff_;
+  int64_t store_history_ = 0;  ///< Of the store's last response.
+  bool stopping_ = false;
+};
+
+}  // namespace fuchsiaweir
+
+#endif  // FUCHSIAWEIR_GATEWAY_OBJECT_MIRROR_H_
