Take contents over by their position in the store's history

Cause: the state that a process has was named by a revision alone. After a restore the store's own list names a lower revision; it was dropped as that of a relay that is behind, yet confirmed the old state. Once the revisions had risen again the watch went on from the old one and missed all changes below it. Change: a position is a history (Store-Era) and a revision. Results, relays' answers, hellos and contents have positions. A later history begins with a list; an earlier one is dropped and confirms nothing. The list of an older copy undoes nothing that is known: versions only rise, entries of runners are compared by their sequence, removed runners stay gone and evacuations, rollouts and peers are kept for 5 s, after which the kind is listed once more. A gateway learns a newer desired state from hellos.

--- a/src/core/runner_registry.cc
+++ b/src/core/runner_registry.cc
@@ -19,6 +19,8 @@
 // is available. A runner that left in the meantime must get no requests 2 s after its record
 // expired, and the expiry is seen up to 0.5 s late.
 constexpr Duration kMissingGracePeriod = Millis(1500);
+// Longer than a copy is old from which the store that holds the records may be restored.
+constexpr Duration kDepartureMemory = Seconds(60);
 // The avoidance of an unreachable runner doubles with each further failure, up to the maximum.
 constexpr Duration kInitialAvoidPeriod = Millis(300);
 constexpr Duration kMaxAvoidPeriod = Millis(2400);
@@ -79,6 +81,9 @@
   const auto [it, created] = runners_.try_emplace(record.id);
   RunnerState& state = it->second;
   if (!created && record.started_ms < state.record.started_ms) return;
+  // The list may come from a copy of the store that is older than what it said before.
+  const bool same_start = !created && record.started_ms == state.record.started_ms;
+  if (same_start && record.sequence < state.record.sequence) return;
   const bool restarted = !created && state.record.started_ms != record.started_ms;
   // A record from before the runner's last start does not describe its current state.
   const bool current = record.started_ms >= state.started_ms;
@@ -115,11 +120,24 @@
     if (!it->second.missing_since) it->second.missing_since = now;
   } else {
     const RunnerRecord removed = it->second.record;
-    runners_.erase(it);
+    Erase(it, now);
     MarkReplaced(removed.address, removed.port);
   }
 }
 
+std::map<std::string, RunnerState>::iterator RunnerRegistry::Erase(
+    std::map<std::string, RunnerState>::iterator runner, TimePoint now) {
+  std::erase_if(departed_,
+                [&](const auto& item) { return now - item.second.at > kDepartureMemory; });
+  departed_[runner->first] = {runner->second.record.started_ms, now};
+  return runners_.erase(runner);
+}
+
+bool RunnerRegistry::Departed(const std::string& id, int64_t started_ms) const {
+  const auto found = departed_.find(id);
+  return found != departed_.end() && started_ms <= found->second.started_ms;
+}
+
 void RunnerRegistry::MarkReplaced(const std::string& address, uint16_t port) {
   int64_t newest = 0;
   for (const auto& [id, state] : runners_) {
@@ -140,7 +158,7 @@
     const bool ended =
         it->second.missing_since && now - *it->second.missing_since > kMissingGracePeriod;
     if (ended) expired.push_back(it->first);
-    it = ended ? runners_.erase(it) : std::next(it);
+    it = ended ? Erase(it, now) : std::next(it);
   }
   return expired;
 }
--- a/src/core/runner_registry.h
+++ b/src/core/runner_registry.h
@@ -76,12 +76,15 @@
 /// The known runners by id, with their state from records, load reports and request outcomes.
 class RunnerRegistry {
  public:
-  /// Adds or updates a runner. A record of an earlier start is ignored.
+  /// Adds or updates a runner. A record of an earlier start, or an earlier one of this start, is
+  /// ignored.
   void Upsert(const RunnerRecord& record, TimePoint now);
 
   /// Removes a runner that is no longer listed. With `retain` it stays usable for a grace period,
   /// because records that expired while the list was unavailable are published again.
   void Remove(const std::string& id, bool retain, TimePoint now);
+  /// Whether a runner of this start, or a later one with the same id, was removed some time ago.
+  bool Departed(const std::string& id, int64_t started_ms) const;
   /// Removes retained runners whose grace period has ended and returns their ids.
   std::vector<std::string> Expire(TimePoint now);
 
@@ -116,7 +119,17 @@
   /// Marks all runners at the address as replaced, except the one that started last.
   void MarkReplaced(const std::string& address, uint16_t port);
 
+  struct Departure {
+    int64_t started_ms = 0;
+    TimePoint at;
+  };
+
+  /// Removes a runner and returns the next one.
+  std::map<std::string, RunnerState>::iterator Erase(
+      std::map<std::string, RunnerState>::iterator runner, TimePoint now);
+
   std::map<std::string, RunnerState> runners_;
+  std::map<std::string, Departure> departed_;
   TimePoint last_report_at_;  ///< Of any runner.
   RunnerNotices notices_;
   WorkEstimates work_;
--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/rendezvous.h"
 #include "gateway/peer_registration.h"
 #include "gateway/runner_gauges.h"
 #include "net/log.h"
@@ -32,6 +33,9 @@
   Duration watch_delay;
   Duration sidecar_watch_delay;  ///< Same for sidecars; zero: they do not follow the kind.
   bool urgent;
+  /// See `WatchedKind`.
+  bool keeps_missing;
+  bool (*newer)(const StoredObject& known, const StoredObject& read);
   void (FleetView::*apply)(const StoredObject& object, const ChangeOrigin& origin);
 };
 
@@ -40,13 +44,18 @@
 // kind that stalls is passed over: hellos of other gateways name the newest change, and the next
 // read goes to the store.
 const FleetView::KindRow FleetView::kKindRows[] = {
-    {platform::kConfigKind, Millis(1000), Millis(0), Millis(0), true, &FleetView::ApplyConfig},
-    {platform::kRunnerKind, Millis(500), Millis(400), Millis(1500), false, &FleetView::ApplyRunner},
-    {platform::kEvacuationKind, Millis(2500), Millis(50), Millis(0), true,
+    {platform::kConfigKind, Millis(1000), Millis(0), Millis(0), true, true,
+     &platform::IsLaterVersion, &FleetView::ApplyConfig},
+    {platform::kRunnerKind, Millis(500), Millis(400), Millis(1500), false, false,
+     &platform::IsLaterRunnerEntry, &FleetView::ApplyRunner},
+    {platform::kEvacuationKind, Millis(2500), Millis(50), Millis(0), true, true, nullptr,
      &FleetView::ApplyEvacuation},
-    {platform::kRolloutKind, Millis(2500), Millis(50), Millis(0), true, &FleetView::ApplyRollout},
-    {platform::kVersionKind, Millis(2500), Millis(50), Millis(50), false, &FleetView::ApplyWeights},
-    {kPeerKind, Millis(4000), Millis(500), Millis(1000), false, &FleetView::ApplyPeer},
+    {platform::kRolloutKind, Millis(2500), Millis(50), Millis(0), true, true, nullptr,
+     &FleetView::ApplyRollout},
+    {platform::kVersionKind, Millis(2500), Millis(50), Millis(50), false, true,
+     &platform::IsLaterVersion, &FleetView::ApplyWeights},
+    {kPeerKind, Millis(4000), Millis(500), Millis(1000), false, true, nullptr,
+     &FleetView::ApplyPeer},
 };
 
 FleetView::FleetView(ComponentRegistry& components, const GatewaySettings& settings,
@@ -101,6 +110,15 @@
   });
 }
 
+void FleetView::LearnNewestState() {
+  if (role_ != PlatformRole::kGateway || table_ == nullptr || !peers_.listed()) return;
+  std::vector<std::string> others = peers_.live_gateways();
+  std::erase(others, settings_.name);
+  if (others.empty()) return;
+  const std::string peer = RendezvousTop(settings_.name, others, 1).front();
+  mirror_.LearnFrom(platform::kConfigKind, peers_.peers().at(peer).endpoint);
+}
+
 bool FleetView::Follows(const KindRow& row) const {
   if (role_ == PlatformRole::kSidecar && row.sidecar_watch_delay == Duration{0}) return false;
   return row.apply != &FleetView::ApplyRollout || settings_.rollouts_enabled();
@@ -112,6 +130,8 @@
   kind.watch_timeout = row.watch_timeout;
   kind.watch_delay = role_ == PlatformRole::kGateway ? row.watch_delay : row.sidecar_watch_delay;
   kind.urgent = row.urgent;
+  kind.keeps_missing = row.keeps_missing;
+  kind.newer = row.newer;
   kind.lists_runners = row.apply == &FleetView::ApplyRunner;
   kind.apply = [this, &row](const StoredObject& object, const ChangeOrigin& origin) {
     (this->*row.apply)(object, origin);
@@ -119,9 +139,13 @@
   if (row.apply == &FleetView::ApplyRunner) kind.on_listed = [this]() { runners_listed_ = true; };
   if (row.apply == &FleetView::ApplyRollout) kind.on_listed = [this]() { rollouts_listed_ = true; };
   if (row.apply == &FleetView::ApplyPeer) {
-    kind.on_listed = [this]() { peers_.MarkListed(SteadyNow()); };
+    kind.on_listed = [this]() {
+      peers_.MarkListed(SteadyNow());
+      LearnNewestState();
+    };
   }
   if (row.apply != &FleetView::ApplyConfig) return kind;
+  kind.on_listed = [this]() { LearnNewestState(); };
   kind.on_current = [this](TimePoint as_of) {
     if (table_ != nullptr) authority_.Confirm(as_of);
   };
@@ -200,7 +224,7 @@
   if (rollout_listener_) rollout_listener_(object, origin.first_listing);
 }
 
-void FleetView::ApplyRunner(const StoredObject& object, const ChangeOrigin&) {
+void FleetView::ApplyRunner(const StoredObject& object, const ChangeOrigin& origin) {
   const TimePoint now = SteadyNow();
   std::optional<RunnerRecord> record;
   if (!object.removed) {
@@ -221,6 +245,10 @@
     return;
   }
   unreadable_revisions_.erase(object.name);
+  if (origin.older_copy && runner_registry_.Departed(record->id, record->started_ms)) {
+    return LogInfo("departed_runner_ignored",
+                   {{"runner", record->id}, {"sequence", absl::StrCat(record->sequence)}});
+  }
   if (known == nullptr || known->record.draining != record->draining ||
       known->record.started_ms != record->started_ms || record->cold_left > Duration{0}) {
     LogInfo("runner_listed", {{"runner", record->id},
@@ -312,6 +340,10 @@
   const Peer* const sender = peers_.OnHello(message);
   if (sender == nullptr) return;
   mirror_.OnPeerChanges(message.changes, sender->endpoint);
+  // The sender may know a desired state that the store has lost.
+  if (table_ != nullptr && message.revision > table_->revision) {
+    mirror_.LearnFrom(platform::kConfigKind, sender->endpoint);
+  }
   for (const HelloMessage::Weights& item : message.weights) {
     // A peer may know earlier versions, and when each was named.
     weights_[item.model].Name(item.version, SteadyNow() - item.age);
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -91,6 +91,8 @@
   bool rollouts_listed() const { return rollouts_listed_; }
 
   platform::ObjectStore& store() { return mirror_.store(); }
+  /// See `ObjectMirror::history`.
+  int64_t store_history() const { return mirror_.history(); }
 
   void Start() override;
   Awaitable<void> Stop() override;
@@ -101,6 +103,9 @@
 
   /// Whether this process follows the kind.
   bool Follows(const KindRow& row) const;
+  /// Asks another gateway for a newer desired state. A store that came back from an older copy may
+  /// have one that is older than what this process's callers have seen in force.
+  void LearnNewestState();
   WatchedKind MakeKind(const KindRow& row);
   HelloMessage MakeHello() const;
 
--- a/src/gateway/object_log.cc
+++ b/src/gateway/object_log.cc
@@ -18,8 +18,9 @@
 /// Bound of the entries of removed objects. A process that is further behind gets all objects.
 constexpr size_t kMaxRemovedBytes = 262'144;
 
-/// Decodes an object of a relay's response. Its content may come from another writer.
-std::optional<StoredObject> DecodeObject(std::string_view text) {
+/// Decodes an object of a relay's response, of this history unless it names another. Its content
+/// may come from another writer.
+std::optional<StoredObject> DecodeObject(std::string_view text, int64_t history) {
   const platform::JsonMembers members = platform::SplitMembers(text);
   json::object fields;
   std::string error;
@@ -30,6 +31,12 @@
   StoredObject object;
   object.name = platform::StringAt(fields, "name");
   object.revision = platform::IntegerAt(fields, "revision");
+  object.history = history;
+  const std::string_view own_history = platform::FindMember(members, "history");
+  if (!own_history.empty()) {
+    fields["history"] = platform::ParsePiece(own_history, 1, error);
+    object.history = platform::IntegerAt(fields, "history");
+  }
   object.removed = platform::BooleanAt(fields, "removed");
   platform::DecodeContent(platform::FindMember(members, "content"), object);
   platform::DecodeStatus(platform::FindMember(members, "status"), object);
@@ -46,7 +53,8 @@
 
 std::string EncodeObjectChanges(const ObjectChanges& changes) {
   json::object head{{"all", changes.full},
-                    {"revision", changes.revision},
+                    {"history", changes.position.history},
+                    {"revision", changes.position.revision},
                     {"age_ms", ToMillis(changes.age)},
                     {"outage", changes.outage},
                     {"relayed", changes.relayed}};
@@ -55,10 +63,11 @@
   text.pop_back();
   text += ",\"objects\":[";
   for (const StoredObject& object : changes.objects) {
-    const json::object fields{{"name", object.name},
-                              {"revision", object.revision},
-                              {"removed", object.removed},
-                              {"unreadable", object.unreadable}};
+    json::object fields{{"name", object.name},
+                        {"revision", object.revision},
+                        {"removed", object.removed},
+                        {"unreadable", object.unreadable}};
+    if (object.history != changes.position.history) fields["history"] = object.history;
     if (text.back() != '[') text += ',';
     text += json::serialize(fields);
     text.pop_back();
@@ -81,41 +90,53 @@
   if (!error.empty()) return std::nullopt;
   ObjectChanges changes;
   changes.full = platform::BooleanAt(fields, "all");
-  changes.revision = platform::IntegerAt(fields, "revision");
+  changes.position.revision = platform::IntegerAt(fields, "revision");
   changes.age = platform::MillisAt(fields, "age_ms");
   changes.outage = platform::BooleanAt(fields, "outage");
-  // Processes of an earlier version do not send this field.
-  const std::string_view relayed = platform::FindMember(members, "relayed");
-  if (!relayed.empty()) {
-    fields["relayed"] = platform::ParsePiece(relayed, 1, error);
-    changes.relayed = platform::BooleanAt(fields, "relayed");
+  // Processes of an earlier version do not send these fields.
+  for (const char* name : {"relayed", "history"}) {
+    const std::string_view text = platform::FindMember(members, name);
+    if (!text.empty()) fields[name] = platform::ParsePiece(text, 1, error);
+  }
+  if (fields.contains("relayed")) changes.relayed = platform::BooleanAt(fields, "relayed");
+  if (fields.contains("history")) {
+    changes.position.history = platform::IntegerAt(fields, "history");
   }
   const auto items = platform::SplitElements(platform::FindMember(members, "objects"));
   if (!items) return std::nullopt;
   for (const std::string_view item : *items) {
-    if (std::optional<StoredObject> object = DecodeObject(item)) {
+    if (std::optional<StoredObject> object = DecodeObject(item, changes.position.history)) {
       changes.objects.push_back(std::move(*object));
     }
   }
   return changes;
 }
 
-std::vector<StoredObject> ObjectLog::Reset(std::vector<StoredObject> objects, int64_t revision) {
+std::vector<StoredObject> ObjectLog::Reset(std::vector<StoredObject> objects,
+                                           StorePosition position) {
   std::set<std::string> names;
   for (const StoredObject& object : objects) names.insert(object.name);
   std::vector<StoredObject> changes = std::move(objects);
   for (const Entry& entry : entries_) {
     const StoredObject& object = entry.object;
     if (object.removed || names.count(object.name) > 0) continue;
-    changes.push_back({object.name, revision, true, nullptr});
+    StoredObject removed;
+    removed.name = object.name;
+    removed.revision = position.revision;
+    removed.removed = true;
+    removed.history = position.history;
+    changes.push_back(std::move(removed));
   }
   entries_.clear();
   by_name_.clear();
   removed_bytes_ = 0;
-  history_begin_ = revision;
-  revision_ = revision;
+  if (history_ != position.history) changed_revision_ = 0;
+  history_ = position.history;
+  history_begin_ = position.revision;
+  revision_ = position.revision;
+  changed_revision_ = std::min(changed_revision_, revision_);
   for (const StoredObject& change : changes) {
-    RecordChange(change, revision);
+    RecordChange(change, revision_);
     if (!change.removed) Put(change);
   }
   return changes;
@@ -151,23 +172,33 @@
 }
 
 void ObjectLog::RecordChange(const StoredObject& change, int64_t revision) {
-  // The store does not say at which revision an object was removed.
-  changed_revision_ = std::max(changed_revision_, change.removed ? revision : change.revision);
+  // The store does not say at which revision an object was removed, and the revision of an object
+  // of an earlier history says nothing in this one.
+  const bool known = !change.removed && change.history == history_;
+  changed_revision_ =
+      std::max(changed_revision_, known ? std::min(change.revision, revision) : revision);
 }
 
-ObjectChanges ObjectLog::ChangesSince(int64_t revision) const {
+ObjectChanges ObjectLog::ChangesSince(StorePosition since) const {
   ObjectChanges changes;
-  changes.revision = std::max(revision, revision_);
-  changes.full = revision < history_begin_;
+  changes.full = since.history != history_ || since.revision < history_begin_;
+  changes.position = {history_, changes.full ? revision_ : std::max(since.revision, revision_)};
   for (const Entry& entry : entries_) {
-    const bool wanted = changes.full ? !entry.object.removed : entry.revision > revision;
+    const bool wanted = changes.full ? !entry.object.removed : entry.revision > since.revision;
     if (wanted) changes.objects.push_back(entry.object);
   }
   return changes;
 }
 
-bool ObjectLog::HasChangesSince(int64_t revision) const {
-  return revision < history_begin_ || (!entries_.empty() && entries_.back().revision > revision);
+bool ObjectLog::HasChangesSince(StorePosition since) const {
+  return since.history != history_ || since.revision < history_begin_ ||
+         (!entries_.empty() && entries_.back().revision > since.revision);
+}
+
+const StoredObject* ObjectLog::Find(const std::string& name) const {
+  const auto found = by_name_.find(name);
+  if (found == by_name_.end() || found->second->object.removed) return nullptr;
+  return &found->second->object;
 }
 
 }  // namespace fuchsiaweir
--- a/src/gateway/object_log.h
+++ b/src/gateway/object_log.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "core/store_position.h"
 #include "platform/store_page.h"
 
 namespace fuchsiaweir {
@@ -15,7 +16,7 @@
 /// Objects of one kind in the store, or their changes since a revision.
 struct ObjectChanges {
   bool full = false;  ///< The objects are the whole contents, not only changes.
-  int64_t revision = 0;
+  StorePosition position;
   std::vector<platform::StoredObject> objects;
   Duration age{0};      ///< Time since this was known to be the current state.
   bool outage = false;  ///< The store is or was recently unavailable.
@@ -34,19 +35,22 @@
  public:
   /// Replaces the contents. Returns the new objects, and those that are gone marked as removed.
   std::vector<platform::StoredObject> Reset(std::vector<platform::StoredObject> objects,
-                                            int64_t revision);
-  /// Applies changes up to a revision.
+                                            StorePosition position);
+  /// Applies changes up to a revision of the same history.
   void Append(const std::vector<platform::StoredObject>& changes, int64_t revision);
 
-  /// Returns the objects that changed since a revision, or all objects if it is not known which
-  /// were removed since then.
-  ObjectChanges ChangesSince(int64_t revision) const;
-  /// Whether there are changes since a revision.
-  bool HasChangesSince(int64_t revision) const;
+  /// Returns the objects that changed since a position, or all objects if it is of another history
+  /// or it is not known which were removed since then.
+  ObjectChanges ChangesSince(StorePosition since) const;
+  /// Whether there are changes since a position.
+  bool HasChangesSince(StorePosition since) const;
+  /// Returns the object, or null if there is none.
+  const platform::StoredObject* Find(const std::string& name) const;
 
-  int64_t revision() const { return revision_; }
-  /// Highest known revision of a change; at most `revision()`.
-  int64_t changed_revision() const { return changed_revision_; }
+  /// Revision 0: nothing has been read.
+  StorePosition position() const { return {history_, revision_}; }
+  /// Position of the newest known change; at most `position()`.
+  StorePosition changed_position() const { return {history_, changed_revision_}; }
 
  private:
   struct Entry {
@@ -62,6 +66,7 @@
   Entries entries_;  ///< The last change of each object, oldest first.
   std::map<std::string, Entries::iterator> by_name_;
   size_t removed_bytes_ = 0;   ///< Size of the entries of removed objects.
+  int64_t history_ = 0;        ///< Of the store, to which the revisions belong.
   int64_t history_begin_ = 0;  ///< Revision from which all removed objects are known.
   int64_t revision_ = 0;
   int64_t changed_revision_ = 0;
--- a/src/gateway/object_mirror.cc
+++ b/src/gateway/object_mirror.cc
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "gateway/relay_client.h"
@@ -16,6 +17,8 @@
 using platform::StoreOutcome;
 using platform::StoreResult;
 
+/// Time in which operators and runners write again what the store has lost.
+constexpr Duration kRestoreGrace = Seconds(5);
 constexpr Duration kInitialBackoff = Millis(150);
 constexpr Duration kMaxBackoff = Millis(600);
 constexpr Duration kMaxRelayWait = Seconds(5);
@@ -55,7 +58,7 @@
 
 std::optional<Duration> ObjectMirror::Age(const std::string& kind) const {
   const auto found = contents_.find(kind);
-  if (found == contents_.end() || found->second.log.revision() == 0) return std::nullopt;
+  if (found == contents_.end() || found->second.log.position().revision == 0) return std::nullopt;
   return SuspendAwareNow() - found->second.as_of;
 }
 
@@ -64,7 +67,7 @@
   for (const WatchedKind& kind : kinds_) {
     const auto state = contents_.find(kind.name);
     if (!kind.urgent || state == contents_.end()) continue;
-    changes.push_back({kind.name, state->second.log.changed_revision()});
+    changes.push_back({kind.name, state->second.log.changed_position()});
   }
   return changes;
 }
@@ -76,7 +79,7 @@
       if (kind.name != change.kind) continue;
       WatchedContents& state = contents_[kind.name];
       if (state.catching_up) continue;
-      if (change.revision <= state.log.revision()) continue;
+      if (change.position <= state.log.position()) continue;
       state.catching_up = true;
       Spawn(io_, "catch_up", [this, &kind, peer]() { return CatchUp(kind, peer); });
     }
@@ -88,6 +91,7 @@
   StoreResult result;
   ReadSource from = ReadSource::kStore;
   TimePoint sent;                 ///< By `SuspendAwareNow`.
+  StorePosition since;            ///< Position of the known contents at that time.
   bool full = false;              ///< The objects are the whole contents, not only changes.
   std::optional<Endpoint> relay;  ///< Nothing if the store was read.
   Duration age{0};                ///< Time since the relay's contents were known to be current.
@@ -99,25 +103,39 @@
   TimePoint AsOf() const { return sent - age; }
 
   std::string Source() const { return relay ? ToString(*relay) : "store"; }
+
+  ReadRelation RelationTo(StorePosition known) const {
+    return RelationOf({since, result.position(), full, !relay}, known);
+  }
 };
 
+StorePosition ObjectMirror::ReadFrom(const WatchedKind& kind) {
+  const WatchedContents& state = contents_[kind.name];
+  return state.ListDue(SuspendAwareNow()) ? StorePosition{} : state.log.position();
+}
+
 Awaitable<ObjectMirror::KindRead> ObjectMirror::ReadStore(const WatchedKind& kind, Duration wait) {
   const std::string name = kind.name;
   KindRead read;
   read.sent = SuspendAwareNow();
-  read.full = contents_[name].log.revision() == 0;
-  if (read.full) {
-    read.result = co_await store_.List(name);
-  } else {
-    read.result = co_await store_.Watch(name, contents_[name].log.revision(), wait);
+  read.since = contents_[name].log.position();
+  read.full = ReadFrom(kind).revision == 0;
+  if (!read.full) {
+    read.result = co_await store_.Watch(name, read.since.revision, wait);
+    RecordStoreCall(kind, read.result);
+    const bool gone = read.result.outcome == StoreOutcome::kHistoryGone;
+    if (gone) {
+      LogInfo("store_history_gone",
+              {{"kind", name}, {"revision", absl::StrCat(read.since.revision)}});
+    }
+    // The changes of another history do not follow the known contents.
+    const bool restored =
+        read.result.outcome == StoreOutcome::kDone && read.result.history > read.since.history;
+    read.full = gone || restored;
   }
-  RecordStoreCall(kind, read.result);
-  if (read.result.outcome == StoreOutcome::kHistoryGone) {
-    LogInfo("store_history_gone",
-            {{"kind", name}, {"revision", absl::StrCat(contents_[name].log.revision())}});
+  if (read.full) {
     read.result = co_await store_.List(name);
     RecordStoreCall(kind, read.result);
-    read.full = true;
   }
   co_return read;
 }
@@ -137,7 +155,8 @@
   const Duration wait = state.choice.failures() == 0 ? longest : Duration{0};
   KindRead read;
   if (relay) {
-    read = co_await ReadRelay(kind, std::move(*relay), wait);
+    const StorePosition since = ReadFrom(kind);
+    read = co_await ReadRelay(kind, std::move(*relay), since, wait);
   } else {
     read = co_await ReadStore(kind, wait);
   }
@@ -150,7 +169,9 @@
   Duration backoff = kInitialBackoff;
   while (!stopping_) {
     KindRead read = co_await ReadNext(kind);
-    const bool done = read.result.outcome == StoreOutcome::kDone;
+    const bool answered = read.result.outcome == StoreOutcome::kDone;
+    const bool done = answered && read.RelationTo(state.log.position()) != ReadRelation::kUnusable;
+    if (answered && !done) LogDropped(kind, read);
     // The store answers with its current state, however long that takes.
     const bool fresh = done && (!read.relay || SuspendAwareNow() - read.AsOf() <= MaxAge(kind));
     // The contents of a relay that reads from other gateways may be those of this process.
@@ -184,29 +205,135 @@
 
 void ObjectMirror::ApplyRead(const WatchedKind& kind, KindRead& read) {
   WatchedContents& state = contents_[kind.name];
-  state.as_of = std::max(state.as_of, read.AsOf());
+  const ReadRelation relation = read.RelationTo(state.log.position());
+  if (relation == ReadRelation::kUnusable) return LogDropped(kind, read);
+  if (relation == ReadRelation::kRestored) OnRestored(kind, read);
   if (kind.lists_runners) {
     health_.OnRunnerListRead(read.relay ? std::optional<bool>(read.outage) : std::nullopt,
                              SteadyNow());
   }
-  ApplyResult(kind, read);
+  if (relation == ReadRelation::kBehind) {
+    LogDropped(kind, read);
+  } else {
+    if (read.full && state.ListDue(read.sent)) state.restore_ends_at.reset();
+    const ChangeOrigin origin{read.Source(), state.log.position().revision == 0,
+                              read.full && state.Restoring(SuspendAwareNow())};
+    KeepNewer(kind, read.full, read.result.objects);
+    std::vector<StoredObject> changes;
+    if (read.full) {
+      changes = state.log.Reset(std::move(read.result.objects), read.result.position());
+    } else {
+      changes = std::move(read.result.objects);
+      state.log.Append(changes, read.result.revision);
+    }
+    ApplyChanges(kind, changes, origin);
+    if (origin.first_listing && kind.on_listed) kind.on_listed();
+  }
+  // While the store has an older state than this process, nobody knows whether that was the newest.
+  if (kind.on_current && state.ahead && state.Restoring(SuspendAwareNow())) return;
+  state.as_of = std::max(state.as_of, read.AsOf());
   if (kind.on_current) kind.on_current(state.as_of);
 }
 
+void ObjectMirror::OnRestored(const WatchedKind& kind, const KindRead& read) {
+  WatchedContents& state = contents_[kind.name];
+  LogWarning("contents_restored", {{"kind", kind.name},
+                                   {"source", read.Source()},
+                                   {"history", absl::StrCat(read.result.history)},
+                                   {"revision", absl::StrCat(read.result.revision)},
+                                   {"own_history", absl::StrCat(state.log.position().history)},
+                                   {"own_revision", absl::StrCat(state.log.position().revision)}});
+  state.restore_ends_at = SuspendAwareNow() + kRestoreGrace;
+  // Entries of runners that registered since the copy was made are missing from it.
+  if (kind.lists_runners) health_.OnRunnerListReadFailed();
+}
+
+void ObjectMirror::KeepNewer(const WatchedKind& kind, bool full,
+                             std::vector<StoredObject>& objects) {
+  WatchedContents& state = contents_[kind.name];
+  bool ahead = false;
+  std::set<std::string> names;
+  for (StoredObject& object : objects) {
+    names.insert(object.name);
+    const StoredObject* const known = state.log.Find(object.name);
+    if (known == nullptr || object.removed || kind.newer == nullptr) continue;
+    if (!kind.newer(*known, object)) continue;
+    ahead = true;
+    object = *known;
+  }
+  if (full && kind.keeps_missing && state.Restoring(SuspendAwareNow())) {
+    for (const StoredObject& known : state.log.ChangesSince({}).objects) {
+      if (known.removed || names.count(known.name) > 0) continue;
+      ahead = true;
+      objects.push_back(known);
+    }
+  }
+  if (full || !objects.empty()) state.ahead = ahead;
+}
+
+void ObjectMirror::ApplyChanges(const WatchedKind& kind, const std::vector<StoredObject>& changes,
+                                const ChangeOrigin& origin) {
+  for (const StoredObject& object : changes) {
+    try {
+      kind.apply(object, origin);
+    } catch (const std::exception& e) {
+      // One bad object must not hide those behind it.
+      LogError("object_rejected",
+               {{"kind", kind.name}, {"object", object.name}, {"reason", e.what()}});
+    }
+  }
+  if (!changes.empty()) contents_[kind.name].EndWaitingReads();
+}
+
 Awaitable<void> ObjectMirror::CatchUp(const WatchedKind& kind, Endpoint peer) {
   WatchedContents& state = contents_[kind.name];
   const absl::Cleanup caught_up = [&state]() { state.catching_up = false; };
-  KindRead read = co_await ReadRelay(kind, std::move(peer), Duration{0});
+  const StorePosition since = ReadFrom(kind);
+  KindRead read = co_await ReadRelay(kind, std::move(peer), since, Duration{0});
   if (read.result.outcome == StoreOutcome::kDone) ApplyRead(kind, read);
 }
 
+const WatchedKind* ObjectMirror::FindKind(const std::string& name) const {
+  const auto kind = std::find_if(kinds_.begin(), kinds_.end(),
+                                 [&](const WatchedKind& item) { return item.name == name; });
+  return kind == kinds_.end() ? nullptr : &*kind;
+}
+
+void ObjectMirror::LearnFrom(const std::string& kind, const Endpoint& peer) {
+  const WatchedKind* const found = FindKind(kind);
+  if (found == nullptr || found->newer == nullptr || contents_[kind].catching_up) return;
+  contents_[kind].catching_up = true;
+  Spawn(io_, "learn", [this, found, peer]() { return Learn(*found, peer); });
+}
+
+Awaitable<void> ObjectMirror::Learn(const WatchedKind& kind, Endpoint peer) {
+  WatchedContents& state = contents_[kind.name];
+  const absl::Cleanup caught_up = [&state]() { state.catching_up = false; };
+  const ChangeOrigin origin{ToString(peer)};
+  const StorePosition from_begin;
+  KindRead read = co_await ReadRelay(kind, std::move(peer), from_begin, Duration{0});
+  if (read.result.outcome != StoreOutcome::kDone) co_return;
+  std::vector<StoredObject> newer;
+  for (StoredObject& object : read.result.objects) {
+    const StoredObject* const known = state.log.Find(object.name);
+    if (known == nullptr || !kind.newer(object, *known)) continue;
+    newer.push_back(std::move(object));
+  }
+  if (newer.empty()) co_return;
+  state.ahead = true;
+  if (!state.restore_ends_at) state.restore_ends_at = SuspendAwareNow() + kRestoreGrace;
+  state.log.Append(newer, state.log.position().revision);
+  ApplyChanges(kind, newer, origin);
+}
+
 void ObjectMirror::LogStaleRelay(const WatchedKind& kind, const KindRead& read) {
-  LogInfo("relay_stale", {{"kind", kind.name},
-                          {"relay", read.Source()},
-                          {"age_ms", absl::StrCat(ToMillis(SuspendAwareNow() - read.AsOf()))},
-                          {"relayed", read.relayed ? "yes" : "no"},
-                          {"revision", absl::StrCat(read.result.revision)},
-                          {"own_revision", absl::StrCat(contents_[kind.name].log.revision())}});
+  LogInfo("relay_stale",
+          {{"kind", kind.name},
+           {"relay", read.Source()},
+           {"age_ms", absl::StrCat(ToMillis(SuspendAwareNow() - read.AsOf()))},
+           {"relayed", read.relayed ? "yes" : "no"},
+           {"revision", absl::StrCat(read.result.revision)},
+           {"own_revision", absl::StrCat(contents_[kind.name].log.position().revision)}});
 }
 
 void ObjectMirror::RecordSource(const WatchedKind& kind, const KindRead& read) {
@@ -221,35 +348,38 @@
 }
 
 void ObjectMirror::LogDropped(const WatchedKind& kind, const KindRead& read) {
-  LogInfo("contents_dropped", {{"kind", kind.name},
-                               {"source", read.Source()},
-                               {"history", absl::StrCat(read.result.history)},
-                               {"revision", absl::StrCat(read.result.revision)},
-                               {"own_revision", absl::StrCat(contents_[kind.name].log.revision())},
-                               {"full", read.full ? "yes" : "no"}});
+  LogInfo("contents_dropped",
+          {{"kind", kind.name},
+           {"source", read.Source()},
+           {"history", absl::StrCat(read.result.history)},
+           {"revision", absl::StrCat(read.result.revision)},
+           {"own_revision", absl::StrCat(contents_[kind.name].log.position().revision)},
+           {"full", read.full ? "yes" : "no"}});
 }
 
-void ObjectMirror::RecordHistory(const WatchedKind& kind, const StoreResult& result) {
-  if (result.history == 0 || result.history == store_history_) return;
-  const int64_t replaced = std::exchange(store_history_, result.history);
+void ObjectMirror::RecordHistory(const WatchedKind& kind, StorePosition position,
+                                 const std::string& source) {
+  if (position.history <= history_) return;
+  const int64_t replaced = std::exchange(history_, position.history);
+  metrics_.Gauge("fuchsiaweir_store_history", "History of the platform's store.")
+      .Set(static_cast<double>(history_));
+  if (replaced == 0) return;
   LogWarning("store_history_changed",
              {{"kind", kind.name},
-              {"history", absl::StrCat(result.history)},
+              {"source", source},
+              {"history", absl::StrCat(history_)},
               {"replaces", absl::StrCat(replaced)},
-              {"outcome", std::string(Name(result.outcome))},
-              {"revision", absl::StrCat(result.revision)},
-              {"own_revision", absl::StrCat(contents_[kind.name].log.revision())}});
-  metrics_.Gauge("fuchsiaweir_store_history", "History of the platform's store.")
-      .Set(static_cast<double>(store_history_));
+              {"revision", absl::StrCat(position.revision)},
+              {"own_revision", absl::StrCat(contents_[kind.name].log.position().revision)}});
 }
 
 Awaitable<ObjectMirror::KindRead> ObjectMirror::ReadRelay(const WatchedKind& kind, Endpoint relay,
-                                                          Duration wait) {
+                                                          StorePosition since, Duration wait) {
   KindRead read;
   read.sent = SuspendAwareNow();
   read.relay = relay;
   std::string name = kind.name;
-  const int64_t since = contents_[name].log.revision();
+  read.since = contents_[name].log.position();
   std::optional<ObjectChanges> changes =
       co_await ReadFromRelay(client_, std::move(relay), std::move(name), since, wait);
   metrics_
@@ -261,48 +391,26 @@
   read.age = changes->age;
   read.outage = changes->outage;
   read.relayed = changes->relayed;
-  read.result.revision = changes->revision;
+  read.result.revision = changes->position.revision;
+  read.result.history = changes->position.history;
   read.result.objects = std::move(changes->objects);
-  if (changes->revision > 0) read.result.outcome = StoreOutcome::kDone;
-  co_return read;
-}
-
-void ObjectMirror::ApplyResult(const WatchedKind& kind, KindRead& read) {
-  WatchedContents& state = contents_[kind.name];
-  // A relay may be behind this process.
-  if (read.result.revision < state.log.revision()) return LogDropped(kind, read);
-  std::vector<StoredObject> changes;
-  const ChangeOrigin origin{read.Source(), state.log.revision() == 0};
-  if (read.full) {
-    changes = state.log.Reset(std::move(read.result.objects), read.result.revision);
-  } else {
-    changes = std::move(read.result.objects);
-    state.log.Append(changes, read.result.revision);
+  if (changes->position.revision > 0) {
+    read.result.outcome = StoreOutcome::kDone;
+    RecordHistory(kind, changes->position, read.Source());
   }
-  for (const StoredObject& object : changes) {
-    try {
-      kind.apply(object, origin);
-    } catch (const std::exception& e) {
-      // One bad object must not hide those behind it.
-      LogError("object_rejected",
-               {{"kind", kind.name}, {"object", object.name}, {"reason", e.what()}});
-    }
-  }
-  if (origin.first_listing && kind.on_listed) kind.on_listed();
-  if (changes.empty()) return;
-  state.EndWaitingReads();
+  co_return read;
 }
 
 Awaitable<HttpResponse> ObjectMirror::ServeRelay(HttpTarget target) {
   const auto found = contents_.find(target.Query("kind"));
-  if (found == contents_.end() || found->second.log.revision() == 0) {
+  if (found == contents_.end() || found->second.log.position().revision == 0) {
     co_return HttpResponse{503, {}, ""};
   }
-  const auto kind = std::find_if(kinds_.begin(), kinds_.end(), [&](const WatchedKind& item) {
-    return item.name == found->first;
-  });
-  if (kind == kinds_.end()) co_return HttpResponse{404, {}, ""};
-  const int64_t since = target.QueryInteger("since", 0);
+  const WatchedKind* const kind = FindKind(found->first);
+  if (kind == nullptr) co_return HttpResponse{404, {}, ""};
+  // Processes of an earlier version do not name a history.
+  const StorePosition since{target.QueryInteger("history", found->second.log.position().history),
+                            target.QueryInteger("since", 0)};
   const Duration wait =
       Millis(std::clamp<int64_t>(target.QueryInteger("wait_ms", 0), 0, ToMillis(kMaxRelayWait)));
   ObjectChanges changes = co_await found->second.Changes(io_, since, wait, MaxAge(*kind));
@@ -311,7 +419,7 @@
 }
 
 void ObjectMirror::RecordStoreCall(const WatchedKind& kind, const StoreResult& result) {
-  RecordHistory(kind, result);
+  RecordHistory(kind, result.position(), "store");
   const bool succeeded =
       result.outcome == StoreOutcome::kDone || result.outcome == StoreOutcome::kHistoryGone;
   metrics_
@@ -353,7 +461,7 @@
              "Kinds of objects whose last call to the platform's store failed.")
       .Set(static_cast<double>(health_.failing_kinds()));
   for (const auto& [kind, state] : contents_) {
-    if (state.log.revision() == 0) continue;
+    if (state.log.position().revision == 0) continue;
     metrics_
         .Gauge("fuchsiaweir_contents_age_ms",
                "Time since a kind of the store's objects was known to be current.",
--- a/src/gateway/object_mirror.h
+++ b/src/gateway/object_mirror.h
@@ -28,6 +28,8 @@
 struct ChangeOrigin {
   std::string source;          ///< "store" or the address of a relay.
   bool first_listing = false;  ///< The changes are the kind's first listing.
+  /// The changes are a list of a store that came back from an older copy a moment ago.
+  bool older_copy = false;
 };
 
 /// One kind of the store's objects that a process follows, and what it does with the changes.
@@ -39,10 +41,16 @@
   /// large data centres read them from relays.
   bool urgent = false;
   bool lists_runners = false;  ///< Whether the store was unavailable is tracked by this kind.
+  /// Whether a known object is newer than one that was read, whatever their positions; null: never.
+  bool (*newer)(const platform::StoredObject& known, const platform::StoredObject& read) = nullptr;
+  /// Whether known objects that the store lacks after it came back from an older copy are kept
+  /// until they can have been written again.
+  bool keeps_missing = false;
 
   std::function<void(const platform::StoredObject& object, const ChangeOrigin& origin)> apply;
   std::function<void()> on_listed;  ///< All objects have been applied once.
-  /// The contents were current at `as_of`, by `SuspendAwareNow`.
+  /// The contents were current at `as_of`, by `SuspendAwareNow`. Not called while they are ahead of
+  /// a store that came back from an older copy.
   std::function<void(TimePoint as_of)> on_current;
   std::function<void()> on_regained;  ///< The store has been read again after failures.
 };
@@ -62,6 +70,8 @@
   void SetSettings(const GatewaySettings& settings);
 
   platform::ObjectStore& store() { return store_; }
+  /// History that the store's last answer belongs to; 0 before the first one.
+  int64_t history() const { return history_; }
   /// Whether runners may be missing from the list only because the store was unavailable.
   bool runner_outage() const { return health_.runner_outage(); }
   /// Time since the kind was known to be current; nothing before it was read.
@@ -70,6 +80,8 @@
   std::vector<HelloMessage::Change> NewestChanges() const;
   /// Reads changes that a peer knows and this process does not.
   void OnPeerChanges(const std::vector<HelloMessage::Change>& changes, const Endpoint& peer);
+  /// Takes over the objects of a kind that a peer knows newer than this process.
+  void LearnFrom(const std::string& kind, const Endpoint& peer);
   /// Serves the contents to another process. The target's query names the object kind, the caller's
   /// revision and how long to wait for changes.
   Awaitable<HttpResponse> ServeRelay(HttpTarget target);
@@ -83,20 +95,30 @@
   Awaitable<void> WatchKind(const WatchedKind& kind);
   /// Waits at most `wait` for changes.
   Awaitable<KindRead> ReadStore(const WatchedKind& kind, Duration wait);
-  Awaitable<KindRead> ReadRelay(const WatchedKind& kind, Endpoint relay, Duration wait);
+  Awaitable<KindRead> ReadRelay(const WatchedKind& kind, Endpoint relay, StorePosition since,
+                                Duration wait);
   /// Reads from the source that is next.
   Awaitable<KindRead> ReadNext(const WatchedKind& kind);
   /// Reads a change that a peer knows and this process does not.
   Awaitable<void> CatchUp(const WatchedKind& kind, Endpoint peer);
+  Awaitable<void> Learn(const WatchedKind& kind, Endpoint peer);
+  const WatchedKind* FindKind(const std::string& name) const;
+  /// Position from which the kind is read next; revision 0 if it has to be listed.
+  StorePosition ReadFrom(const WatchedKind& kind);
   /// Takes over what a read has returned.
   void ApplyRead(const WatchedKind& kind, KindRead& read);
-  void ApplyResult(const WatchedKind& kind, KindRead& read);
+  /// Replaces objects that were read by newer ones that are known, and adds those that are kept.
+  void KeepNewer(const WatchedKind& kind, bool full, std::vector<platform::StoredObject>& objects);
+  /// Calls the kind's function for each change.
+  void ApplyChanges(const WatchedKind& kind, const std::vector<platform::StoredObject>& changes,
+                    const ChangeOrigin& origin);
+  void OnRestored(const WatchedKind& kind, const KindRead& read);
 
   void LogStaleRelay(const WatchedKind& kind, const KindRead& read);
   /// Logs contents that were not taken over because they are older than the own ones.
   void LogDropped(const WatchedKind& kind, const KindRead& read);
-  /// Logs and shows which history the store's responses belong to, when that changes.
-  void RecordHistory(const WatchedKind& kind, const platform::StoreResult& result);
+  /// Logs and shows to which history the store's contents belong, when a later one is seen.
+  void RecordHistory(const WatchedKind& kind, StorePosition position, const std::string& source);
   /// Logs from where the kind is read, when that changes.
   void RecordSource(const WatchedKind& kind, const KindRead& read);
   void RecordStoreCall(const WatchedKind& kind, const platform::StoreResult& result);
@@ -112,7 +134,7 @@
   std::map<std::string, WatchedContents> contents_;  ///< By kind name.
   StoreHealth health_;
   StoreBackoff store_backoff_;
-  int64_t store_history_ = 0;  ///< Of the store's last response.
+  int64_t history_ = 0;
   bool stopping_ = false;
 };
 
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -36,7 +36,7 @@
   object["weights"] = std::move(weights);
   json::array changes;
   for (const HelloMessage::Change& item : message.changes) {
-    changes.push_back(json::array{item.kind, item.revision});
+    changes.push_back(json::array{item.kind, item.position.revision, item.position.history});
   }
   object["changes"] = std::move(changes);
   return object;
@@ -174,7 +174,10 @@
     if (const json::value* changes = object.if_contains("changes")) {
       for (const json::value& item : changes->as_array()) {
         const json::array& row = item.as_array();
-        message.changes.push_back({std::string(row.at(0).as_string()), DecodeInteger(row.at(1))});
+        // Processes of an earlier version do not send the history.
+        const int64_t history = row.size() > 2 ? DecodeInteger(row.at(2)) : 0;
+        message.changes.push_back(
+            {std::string(row.at(0).as_string()), {history, DecodeInteger(row.at(1))}});
       }
     }
     return message;
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -12,6 +12,7 @@
 
 #include "core/clock.h"
 #include "core/runner_record.h"
+#include "core/store_position.h"
 #include "gateway/rollout_messages.h"
 #include "net/component_registry.h"
 #include "net/http_types.h"
@@ -31,10 +32,10 @@
     Duration age{0};
   };
   std::vector<Weights> weights;
-  /// Revision of the newest change of a kind of the store's objects that the sender knows.
+  /// Position of the newest change of a kind of the store's objects that the sender knows.
   struct Change {
     std::string kind;
-    int64_t revision = 0;
+    StorePosition position;
   };
   std::vector<Change> changes;
 };
--- a/src/gateway/relay_client.cc
+++ b/src/gateway/relay_client.cc
@@ -18,13 +18,13 @@
 }  // namespace
 
 Awaitable<std::optional<ObjectChanges>> ReadFromRelay(HttpClient& client, Endpoint relay,
-                                                      std::string kind, int64_t since,
+                                                      std::string kind, StorePosition since,
                                                       Duration wait) {
-  HttpRequest request{
-      "GET",
-      absl::StrCat(kRelayPath, "?kind=", kind, "&since=", since, "&wait_ms=", ToMillis(wait)),
-      {},
-      ""};
+  HttpRequest request{"GET",
+                      absl::StrCat(kRelayPath, "?kind=", kind, "&history=", since.history,
+                                   "&since=", since.revision, "&wait_ms=", ToMillis(wait)),
+                      {},
+                      ""};
   CallOptions options;
   options.timeout = wait + kResponseMargin;
   options.connect_timeout = kResponseMargin / 2;
--- a/src/gateway/relay_client.h
+++ b/src/gateway/relay_client.h
@@ -13,10 +13,10 @@
 /// Path under which a gateway serves the store's contents.
 inline constexpr char kRelayPath[] = "/internal/v1/objects";
 
-/// Reads the changes of a kind of objects since a revision from a relay, which waits for them at
+/// Reads the changes of a kind of objects since a position from a relay, which waits for them at
 /// most `wait`. Logs why a call failed and returns nothing then.
 Awaitable<std::optional<ObjectChanges>> ReadFromRelay(HttpClient& client, Endpoint relay,
-                                                      std::string kind, int64_t since,
+                                                      std::string kind, StorePosition since,
                                                       Duration wait);
 
 }  // namespace fuchsiaweir
--- a/src/gateway/watched_contents.cc
+++ b/src/gateway/watched_contents.cc
@@ -9,7 +9,7 @@
 
 namespace fuchsiaweir {
 
-Awaitable<ObjectChanges> WatchedContents::Changes(boost::asio::io_context& io, int64_t since,
+Awaitable<ObjectChanges> WatchedContents::Changes(boost::asio::io_context& io, StorePosition since,
                                                   Duration wait, Duration max_age) {
   const TimePoint received_at = SuspendAwareNow();
   const Duration limit = std::min(wait, as_of + max_age - received_at);
--- a/test/correctness/odd_input.cc
+++ b/test/correctness/odd_input.cc
@@ -137,7 +137,7 @@
         platform::DecodeStorePage(Listing({Object("odd", content), Object("last", kRunner)}));
     CHECK(page.has_value());
     ObjectChanges changes;
-    changes.revision = page->revision;
+    changes.position.revision = page->revision;
     changes.objects = page->objects;
     const auto relayed = DecodeObjectChanges(EncodeObjectChanges(changes));
     CHECK(relayed.has_value());
--- a/test/correctness/runner_registry.cc
+++ b/test/correctness/runner_registry.cc
@@ -226,4 +226,28 @@
   }
 }
 
+// Guards against a runner that has said it leaves and gets requests again, because the list comes
+// from an older copy of the store.
+TEST(RunnerRegistry, AnEarlierRecordOfAStartIsIgnored) {
+  RunnerRecord record = Record("a", 1);
+  record.sequence = 7;
+  record.draining = true;
+  runner_registry.Upsert(record, kStart);
+  runner_registry.Upsert(Record("a", 1), kStart);
+  CHECK(runner_registry.Find("a")->record.draining);
+  runner_registry.Upsert(Record("a", 1, 2'000), kStart);
+  CHECK_FALSE(runner_registry.Find("a")->record.draining);
+}
+
+// Guards against a runner that has left and counts as new, and against one that starts again under
+// the id that it had and counts as the one that left.
+TEST(RunnerRegistry, ADepartureIsKnownByItsStart) {
+  runner_registry.Upsert(Record("a", 1, 1'000), kStart);
+  CHECK_FALSE(runner_registry.Departed("a", 1'000));
+  runner_registry.Remove("a", /*retain=*/false, kStart);
+  CHECK(runner_registry.Departed("a", 1'000));
+  CHECK_FALSE(runner_registry.Departed("a", 2'000));
+  CHECK_FALSE(runner_registry.Departed("b", 1'000));
+}
+
 }  // namespace fuchsiaweir
