Register a process again whose entry the store has lost

After a restore from a copy that is older than a process, no other process found it: it registered once, at its start. It now registers again when the store's history changes and when its entry is removed. StoreRestores.ProcessesRegisterAgain failed before (no entry within 20 s) and passed with this, in 1.0 s.

--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -72,6 +72,7 @@
   for (const KindRow& row : kKindRows) {
     if (Follows(row)) mirror_.Add(MakeKind(row));
   }
+  mirror_.SetRestoreListener([this]() { Register(); });
 
   components.Find<TimerService>("timer").Subscribe("fleet_view", kTickPeriod,
                                                    [this](TimePoint now) { Tick(now); });
@@ -104,10 +105,21 @@
 
 void FleetView::Start() {
   mirror_.Start();
-  SpawnService(io_, "register", [this]() {
+  Register();
+}
+
+void FleetView::Register() {
+  registration_due_ = true;
+  if (std::exchange(registering_, true)) return;
+  SpawnService(io_, "register", [this]() { return RegisterWhileDue(); });
+}
+
+Awaitable<void> FleetView::RegisterWhileDue() {
+  while (std::exchange(registration_due_, false)) {
     GatewaySettings settings = settings_;
-    return RegisterPeer(mirror_.store(), std::move(settings), role_);
-  });
+    co_await RegisterPeer(mirror_.store(), std::move(settings), role_);
+  }
+  registering_ = false;
 }
 
 void FleetView::LearnNewestState() {
@@ -218,7 +230,10 @@
   for (const auto& listener : table_listeners_) listener(*table_);
 }
 
-void FleetView::ApplyPeer(const StoredObject& object, const ChangeOrigin&) { peers_.Apply(object); }
+void FleetView::ApplyPeer(const StoredObject& object, const ChangeOrigin&) {
+  if (object.removed && object.name == settings_.name) Register();
+  peers_.Apply(object);
+}
 
 void FleetView::ApplyRollout(const StoredObject& object, const ChangeOrigin& origin) {
   if (rollout_listener_) rollout_listener_(object, origin.first_listing);
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -103,6 +103,9 @@
 
   /// Whether this process follows the kind.
   bool Follows(const KindRow& row) const;
+  /// Writes this process's entry among the peers, unless it is there.
+  void Register();
+  Awaitable<void> RegisterWhileDue();
   /// Asks another gateway for a newer desired state. A store that came back from an older copy may
   /// have one that is older than what this process's callers have seen in force.
   void LearnNewestState();
@@ -138,6 +141,8 @@
   std::set<std::string> evacuated_;
   std::map<std::string, WeightsHistory> weights_;
   PeerDirectory peers_;
+  bool registration_due_ = false;
+  bool registering_ = false;
   ObjectMirror mirror_;
 };
 
--- a/src/gateway/object_mirror.cc
+++ b/src/gateway/object_mirror.cc
@@ -371,6 +371,7 @@
               {"replaces", absl::StrCat(replaced)},
               {"revision", absl::StrCat(position.revision)},
               {"own_revision", absl::StrCat(contents_[kind.name].log.position().revision)}});
+  if (on_restored_) on_restored_();
 }
 
 Awaitable<ObjectMirror::KindRead> ObjectMirror::ReadRelay(const WatchedKind& kind, Endpoint relay,
--- a/src/gateway/object_mirror.h
+++ b/src/gateway/object_mirror.h
@@ -62,6 +62,8 @@
   ObjectMirror(boost::asio::io_context& io, HttpClient& client, Metrics& metrics,
                const GatewaySettings& settings, PeerDirectory& peers);
 
+  /// Registers the listener that is called when the store has come back from an older copy.
+  void SetRestoreListener(std::function<void()> listener) { on_restored_ = std::move(listener); }
   /// Adds a kind; call before `Start`.
   void Add(WatchedKind kind) { kinds_.push_back(std::move(kind)); }
   void Start();
@@ -135,6 +137,7 @@
   StoreHealth health_;
   StoreBackoff store_backoff_;
   int64_t history_ = 0;
+  std::function<void()> on_restored_;
   bool stopping_ = false;
 };
 
