Take fencing tokens from positions, and take a new one after a restore

A token was the revision of a write. After the store has come back from an older copy revisions are given out again, so that a sidecar that starts anew got a token below one that its runner had seen, and two writes could get the same. A token now rises with the history too, and is not used in a later history. StorePositions.ALaterHistoryIsNewerWhateverItsRevision checks the order of tokens; an order to a runner across a restore has not been played yet.

--- a/src/gateway/weight_orders.cc
+++ b/src/gateway/weight_orders.cc
@@ -189,6 +189,8 @@
       turn_.Reset();
       continue;
     }
+    // The store has lost the write that gave the token.
+    if (fence_history_ != view_.store_history()) fence_ = 0;
     // Without a token the runner cannot be ordered to load, so it stays in service until then.
     if (fence_ == 0) {
       if (SteadyNow() < next_fence_at_) continue;
@@ -229,7 +231,7 @@
 
 Awaitable<bool> WeightOrders::AcquireFencingToken() {
   // Each write of the object gets a higher revision than all earlier ones, including a write by the
-  // process that replaces this one on another host. The revision is therefore a fencing token.
+  // process that replaces this one on another host. Its position is therefore a fencing token.
   const std::string name = view_.settings().name;
   const std::string kind = kFenceKind;
   boost::json::value spec = boost::json::object{{"started_ms", UnixMillis()}};
@@ -244,7 +246,8 @@
     LogInfo("no_fence", {{"outcome", std::string(Name(result.outcome))}});
     co_return false;
   }
-  fence_ = result.revision;
+  fence_ = FencingToken(result.position());
+  fence_history_ = result.history;
   LogInfo("fence_taken", {{"fence", absl::StrCat(fence_)}});
   co_return true;
 }
--- a/src/gateway/weight_orders.h
+++ b/src/gateway/weight_orders.h
@@ -51,7 +51,8 @@
   HttpClient& client_;
   std::optional<EngineReport> report_;
   PaceMeter pace_;
-  int64_t fence_ = 0;  ///< Fencing token of this process; 0 while it has no valid one.
+  int64_t fence_ = 0;          ///< Fencing token of this process; 0 while it has no valid one.
+  int64_t fence_history_ = 0;  ///< History of the store in which the token was taken.
   TimePoint next_fence_at_;
   TimePoint ordered_at_;    ///< Time of the last order.
   TimePoint last_busy_at_;  ///< When the runner last reported runs.
