Compare rollout orders by their position, and write a lost status again

After a restore an order with a lower revision was ignored, and an order whose final status the copy lacked would have begun a second rollout. Orders are compared by history and revision; a status that was known and is missing in a later history is written again; no status is written by a revision of an earlier history. No run of a rollout across a restore has been made yet.

--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -167,14 +167,16 @@
 void RolloutControl::OnObject(const platform::StoredObject& object, bool first_listing) {
   Service& service = services_[object.name];
   if (object.removed) return OnRemoved(service);
-  if (object.revision <= service.revision) return;
-  service.revision = object.revision;
+  const StorePosition position{object.history, object.revision};
+  if (position <= service.position) return;
+  const bool restored = position.history > service.position.history;
+  service.position = position;
   RolloutRecord record = platform::DecodeRollout(object.name, object.content, object.status);
   if (!record.unusable_status.empty()) {
     LogWarning("rollout_status_unusable",
                {{"service", object.name}, {"status", record.unusable_status}});
   }
-  OnRecord(std::move(record), service, first_listing);
+  OnRecord(std::move(record), service, first_listing, restored);
 }
 
 void RolloutControl::OnRemoved(Service& service) {
@@ -188,9 +190,17 @@
   service.record.reset();
 }
 
-void RolloutControl::OnRecord(RolloutRecord record, Service& service, bool first_listing) {
+void RolloutControl::OnRecord(RolloutRecord record, Service& service, bool first_listing,
+                              bool restored) {
   const std::optional<RolloutRecord> before = std::exchange(service.record, std::move(record));
   const RolloutRecord& current = *service.record;
+  const bool status_lost = restored && before && before->target == current.target &&
+                           IsFinal(before->state) && !IsFinal(current.state);
+  if (status_lost) {
+    service.result = before->state;
+    service.reason = "the store has lost the status";
+    return;
+  }
   // An order for the same version without its final status is a new one.
   const bool same = before && before->target == current.target &&
                     before->problem == current.problem &&
@@ -362,6 +372,8 @@
 void RolloutControl::WriteStatus(const std::string& name, Service& service, RolloutState state,
                                  const std::string& reason, TimePoint now) {
   if (service.record->state == state || service.writing || now < service.next_write) return;
+  // In a later history the revision may be that of another order.
+  if (service.position.history < view_.store_history()) return;
   service.writing = true;
   Spawn(io_, "rollout_status", [this, name, state, reason]() {
     std::string service_name = name;
@@ -374,7 +386,7 @@
                                            std::string reason) {
   Service& service = services_.at(name);
   const std::string kind = platform::kRolloutKind;
-  const int64_t revision = service.revision;
+  const int64_t revision = service.position.revision;
   const std::string target = service.record ? service.record->target : "";
   boost::json::value status = platform::EncodeRolloutStatus(state, target);
   platform::StoreResult result =
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -59,7 +59,7 @@
 
   struct Service {
     std::optional<RolloutRecord> record;  ///< Of the order in the store.
-    int64_t revision = 0;                 ///< Of the order with its status.
+    StorePosition position;               ///< Of the order with its status.
     std::optional<Rollout> rollout;       ///< While the order is carried out.
     /// Result of an order that is not carried out.
     std::optional<RolloutState> result;
@@ -78,7 +78,8 @@
 
   void OnObject(const platform::StoredObject& object, bool first_listing);
   void OnRemoved(Service& service);
-  void OnRecord(RolloutRecord record, Service& service, bool first_listing);
+  /// `restored`: the store has come back from an older copy since the last record.
+  void OnRecord(RolloutRecord record, Service& service, bool first_listing, bool restored);
   /// Begins to carry out the service's order.
   void Begin(Service& service, bool first_listing);
   /// Applies a status of the order that the store holds.
