Pause between reads of the store's contents that end at once

Gateways that had all lost the store read each other without a pause, since contents that were not read from the store are returned at once and such an answer set no delay; and a store that answers each watch with 410 was listed and watched in turn without one. Each took a core and the store's rate, so that other processes got 429. A watch that has waited is followed at once, so no change is delayed.

--- a/src/gateway/object_mirror.cc
+++ b/src/gateway/object_mirror.cc
@@ -7,6 +7,7 @@
 #include <set>
 #include <utility>
 
+#include "core/read_pace.h"
 #include "gateway/relay_client.h"
 #include "net/log.h"
 
@@ -193,9 +194,11 @@
     if (read.relay && fresh) RecordHealth(kind, true, "");
     ApplyRead(kind, read);
     if (regained && kind.on_regained) kind.on_regained();
-    Duration delay = kind.watch_delay;
-    if (read.relay) delay = current || at_once ? Duration{0} : kInitialBackoff;
-    if (delay > Duration{0}) co_await SleepFor(delay);
+    if (at_once) continue;
+    const Duration passed = SuspendAwareNow() - read.sent;
+    const Duration pause =
+        NextReadPause({kind.watch_delay, read.relay.has_value(), read.relayed, current, passed});
+    if (pause > Duration{0}) co_await SleepFor(pause);
   }
 }
 
