Apply the sequence of a runner's entries only where its start is known

The rule, and that of departures, now needs a start time. A token is taken anew only in a later history, so that a sidecar whose relay is in an earlier one does not write without end; runners that an older copy lacks are retained.

--- a/src/core/runner_registry.cc
+++ b/src/core/runner_registry.cc
@@ -82,7 +82,9 @@
   RunnerState& state = it->second;
   if (!created && record.started_ms < state.record.started_ms) return;
   // The list may come from a copy of the store that is older than what it said before.
-  const bool same_start = !created && record.started_ms == state.record.started_ms;
+  // Without a start time, a lower sequence number may be that of a runner that started again.
+  const bool same_start =
+      !created && record.started_ms > 0 && record.started_ms == state.record.started_ms;
   if (same_start && record.sequence < state.record.sequence) return;
   const bool restarted = !created && state.record.started_ms != record.started_ms;
   // A record from before the runner's last start does not describe its current state.
@@ -135,7 +137,7 @@
 
 bool RunnerRegistry::Departed(const std::string& id, int64_t started_ms) const {
   const auto found = departed_.find(id);
-  return found != departed_.end() && started_ms <= found->second.started_ms;
+  return found != departed_.end() && started_ms > 0 && started_ms <= found->second.started_ms;
 }
 
 void RunnerRegistry::MarkReplaced(const std::string& address, uint16_t port) {
--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -251,7 +251,7 @@
   if (object.removed) unreadable_revisions_.erase(object.name);
   if (!record) {
     if (known == nullptr) return;
-    const bool hold = mirror_.runner_outage();
+    const bool hold = mirror_.runner_outage() || origin.older_copy;
     LogInfo("runner_unlisted", {{"runner", object.name},
                                 {"service", known->record.service},
                                 {"held", hold ? "yes" : "no"},
--- a/src/gateway/weight_orders.cc
+++ b/src/gateway/weight_orders.cc
@@ -190,7 +190,7 @@
       continue;
     }
     // The store has lost the write that gave the token.
-    if (fence_history_ != view_.store_history()) fence_ = 0;
+    if (fence_history_ < view_.store_history()) fence_ = 0;
     // Without a token the runner cannot be ordered to load, so it stays in service until then.
     if (fence_ == 0) {
       if (SteadyNow() < next_fence_at_) continue;
--- a/test/correctness/runner_registry.cc
+++ b/test/correctness/runner_registry.cc
@@ -239,6 +239,19 @@
   CHECK_FALSE(runner_registry.Find("a")->record.draining);
 }
 
+// Guards against a runner that starts again under the id that it had, tells no start time, and is
+// ignored for ever because its sequence numbers begin anew.
+TEST(RunnerRegistry, WithoutAStartTimeALowerSequenceCounts) {
+  RunnerRecord record = Record("a", 1, 0);
+  record.sequence = 7;
+  record.draining = true;
+  runner_registry.Upsert(record, kStart);
+  runner_registry.Upsert(Record("a", 1, 0), kStart);
+  CHECK_FALSE(runner_registry.Find("a")->record.draining);
+  runner_registry.Remove("a", /*retain=*/false, kStart);
+  CHECK_FALSE(runner_registry.Departed("a", 0));
+}
+
 // Guards against a runner that has left and counts as new, and against one that starts again under
 // the id that it had and counts as the one that left.
 TEST(RunnerRegistry, ADepartureIsKnownByItsStart) {
