Infer a resumed stream's version only from a list that is current after the resumption

Callers that resumed a stream at a gateway with an old list of runners got the rest from another software version than the one that began it. The gateway had stood still, or had lost the store and the other gateways, while runners of a new version joined; the holders of the stream's record did not answer within 100 ms, and it took the only version on its own list for the one that began the stream. That list may be up to 6 s old by its limits. It also recorded that version and replicated it as known. A refusal had no Retry-After.

InferOrigin decides now: the list must have been current after the resumption arrived, and half of the holders asked, rounded down, must answer that they have no record. A gateway reads the list for that, for all waiting resumptions together and at most five times a second, or waits at most 2 s, and at most half of the caller's time, for its regular read. An inferred version stays at the gateway that inferred it, for later resumptions of the stream. Otherwise the caller gets 503 with Retry-After.

--- a/src/core/stream_origin_table.cc
+++ b/src/core/stream_origin_table.cc
@@ -24,15 +24,32 @@
 }
 
 void StreamOriginTable::Record(uint64_t key, const std::string& version, TimePoint now) {
-  // The first record counts: the others of a stream only renew it.
-  versions_.try_emplace(key, Entry{version, now}).first->second.at = now;
-  order_.emplace_back(now, key);
+  Renew(key, {version, now, true});
+}
+
+void StreamOriginTable::RecordInferred(uint64_t key, const std::string& version, TimePoint now) {
+  Renew(key, {version, now, false});
+}
+
+void StreamOriginTable::Renew(uint64_t key, const Entry& entry) {
+  // The first record counts, and the others of a stream only renew it, unless the first one was
+  // inferred.
+  Entry& kept = versions_.try_emplace(key, entry).first->second;
+  if (entry.known && !kept.known) kept = entry;
+  kept.at = entry.at;
+  order_.emplace_back(entry.at, key);
   while (order_.size() > kMaxRecords) Expire(order_.front().first + Micros(1));
 }
 
 std::optional<std::string> StreamOriginTable::Find(uint64_t key) const {
   const auto found = versions_.find(key);
-  if (found == versions_.end()) return std::nullopt;
+  if (found == versions_.end() || !found->second.known) return std::nullopt;
+  return found->second.version;
+}
+
+std::optional<std::string> StreamOriginTable::FindInferred(uint64_t key) const {
+  const auto found = versions_.find(key);
+  if (found == versions_.end() || found->second.known) return std::nullopt;
   return found->second.version;
 }
 
--- a/src/core/stream_origin_table.h
+++ b/src/core/stream_origin_table.h
@@ -32,8 +32,13 @@
   void OnBegun(const std::string& service, uint64_t key, const std::string& version, TimePoint now);
   /// Records which version began a stream, or renews the record.
   void Record(uint64_t key, const std::string& version, TimePoint now);
+  /// Records which version must have begun a stream that no process has a record of. It is neither
+  /// found as a known version nor among the streams that this process has begun.
+  void RecordInferred(uint64_t key, const std::string& version, TimePoint now);
   /// Returns the version that began the stream; nothing if it is not known.
   std::optional<std::string> Find(uint64_t key) const;
+  /// Returns the inferred version of a stream whose version is not known.
+  std::optional<std::string> FindInferred(uint64_t key) const;
   /// Forgets streams that were last recorded before `limit`.
   void Expire(TimePoint limit);
   /// Returns the streams of the service that this process has begun.
@@ -44,8 +49,11 @@
   struct Entry {
     std::string version;
     TimePoint at;
+    bool known = true;  ///< Not inferred.
   };
 
+  void Renew(uint64_t key, const Entry& entry);
+
   std::unordered_map<uint64_t, Entry> versions_;
   std::deque<std::pair<TimePoint, uint64_t>> order_;  ///< Of the records, oldest first.
   std::deque<Begun> begun_;                           ///< Oldest first.
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -1,5 +1,6 @@
 #include "gateway/stream_origins.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
@@ -11,7 +12,9 @@
 #include "core/rendezvous.h"
 #include "net/log.h"
 #include "net/timer_service.h"
+#include "platform/decode.h"
 #include "platform/field_access.h"
+#include "platform/names.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -36,9 +39,21 @@
 /// Time after the first list of runners until each sidecar that is alive has reported.
 constexpr Duration kReportWait = Millis(300);
 constexpr Duration kAskTimeout = Millis(300);
-/// The same where the answers only confirm what the list of runners says.
-constexpr Duration kConfirmTimeout = Millis(100);
+/// The list of runners is usually read within milliseconds. If the store rejects that, the next
+/// regular read, also through another gateway, takes up to 1.5 s.
+constexpr Duration kListTimeout = Seconds(2);
+/// Share of the caller's time that the search may take.
+constexpr int64_t kSearchesPerCaller = 2;
+/// Many streams are resumed at once after a gateway has ended; they share these reads.
+constexpr Duration kListReadPeriod = Millis(200);
+/// The same after a read has failed.
+constexpr Duration kListRetryPeriod = Seconds(1);
+/// Until then, the regular reads bring a gateway that stood still up to date.
+constexpr Duration kUnknownRetryAfter = Seconds(1);
 constexpr Duration kAskPollInterval = Millis(5);
+/// The same once the holders have had time to answer. Many requests may wait while the list cannot
+/// be read.
+constexpr Duration kListPollInterval = Millis(25);
 constexpr int64_t kMaxAnswerBytes = 100'000;
 
 std::string KeyText(uint64_t key) { return absl::StrCat(absl::Hex(key, absl::kZeroPad16)); }
@@ -46,9 +61,8 @@
 }  // namespace
 
 struct StreamOrigins::Inquiry {
-  size_t unanswered = 0;
   std::optional<std::string> version;  ///< Of the stream, as a holder recorded it.
-  std::vector<SeenVersions> seen;
+  OriginEvidence evidence;
 };
 
 StreamOrigins::StreamOrigins(ComponentRegistry& components, FleetView& view)
@@ -72,8 +86,13 @@
   lifetime_ = std::min(lifetime_, kMaxStreamLifetime);
 }
 
-SeenVersions StreamOrigins::Seen(const std::string& service) const {
-  return listed_.Seen(service, lifetime_, SuspendAwareNow());
+SeenVersions StreamOrigins::Seen(const std::string& service, Duration lifetime) const {
+  SeenVersions seen = listed_.Seen(service, lifetime, SuspendAwareNow());
+  // `listed_` follows with the next tick, while the age of the list tells that it is current.
+  for (const auto& [id, state] : view_.runner_registry().runners()) {
+    if (state.record.service == service) seen.versions.insert(state.record.version);
+  }
+  return seen;
 }
 
 void StreamOrigins::Tick() {
@@ -88,7 +107,7 @@
   if (age && *age <= kMaxListAge) listed_.OnListed(versions, now);
   std::set<std::string> several;
   for (const auto& [service, ignored] : versions) {
-    if (!OnlyVersion({Seen(service)}, lifetime_)) several.insert(service);
+    if (!OnlyVersion({Seen(service, lifetime_)}, lifetime_)) several.insert(service);
   }
   UpdateReplication(std::move(several));
   metrics_.Gauge("fuchsiaweir_stream_origins", "Streams whose software version is known.")
@@ -196,7 +215,7 @@
   const Duration lifetime =
       Millis(std::clamp<int64_t>(target.QueryInteger("lifetime_ms", 0),
                                  ToMillis(kMinStreamLifetime), ToMillis(kMaxStreamLifetime)));
-  const SeenVersions seen = listed_.Seen(target.Query("service"), lifetime, SuspendAwareNow());
+  const SeenVersions seen = Seen(target.Query("service"), lifetime);
   json::object body{{"seen", json::array(seen.versions.begin(), seen.versions.end())},
                     {"watched_ms", ToMillis(seen.watched)}};
   if (const std::optional<std::string> version = table_.Find(key)) body["version"] = *version;
@@ -211,7 +230,7 @@
   options.connect_timeout = kAskTimeout;
   options.max_body_bytes = kMaxAnswerBytes;
   const HttpResult result = co_await client_.Call(std::move(holder), std::move(request), options);
-  --inquiry->unanswered;
+  ++inquiry->evidence.holders_failed;  // Until the answer has been read.
   if (!result.ok()) co_return;
   try {
     const json::object body = json::parse(result.response->body).as_object();
@@ -221,10 +240,12 @@
     }
     // Without it, the versions that the holder has seen count all the same.
     seen.watched = platform::MillisAt(body, "watched_ms");
-    inquiry->seen.push_back(std::move(seen));
     if (const json::value* version = body.if_contains("version")) {
       inquiry->version = std::string(version->as_string());
     }
+    inquiry->evidence.seen.push_back(std::move(seen));
+    --inquiry->evidence.holders_failed;
+    ++inquiry->evidence.holders_answered;
   } catch (const std::exception& e) {
     LogWarning("stream_origin_malformed", {{"reason", e.what()}});
   }
@@ -233,15 +254,65 @@
 Awaitable<std::optional<Refusal>> StreamOrigins::AdmitResumption(ForwardedRequest& request) {
   std::string service = request.service;
   std::string first_attempt = request.caller.first_attempt;
-  request.stream_version = co_await Find(std::move(service), std::move(first_attempt));
+  const Duration limit = std::min(
+      kListTimeout, request.caller.time_left.value_or(kDefaultTimeLeft) / kSearchesPerCaller);
+  const Origin origin = co_await Find(std::move(service), std::move(first_attempt), limit);
+  LogInfo("stream_resumed", {{"first_attempt", request.caller.first_attempt},
+                             {"service", request.service},
+                             {"version", origin.version.value_or("")},
+                             {"source", origin.source}});
+  metrics_
+      .Counter("fuchsiaweir_streams_resumed_total",
+               "Streams that callers resumed, by where their software version was known.",
+               {{"source", origin.source}})
+      .Increment();
+  request.stream_version = origin.version;
   if (request.stream_version) co_return std::nullopt;
   co_return Refusal{503, ErrorCode::kNoTarget, RunState::kNotRun,
-                    "the software version that began the stream is not known", Duration{0}};
+                    "the software version that began the stream is not known", kUnknownRetryAfter};
+}
+
+std::optional<TimePoint> StreamOrigins::ListAsOf() const {
+  std::optional<TimePoint> as_of = list_read_at_;
+  if (const std::optional<Duration> age = view_.RunnerListAge()) {
+    const TimePoint watched_at = SuspendAwareNow() - *age;
+    as_of = as_of ? std::max(*as_of, watched_at) : watched_at;
+  }
+  return as_of;
+}
+
+void StreamOrigins::RequestList() {
+  if (reading_list_ || SteadyNow() < next_list_read_at_) return;
+  reading_list_ = true;
+  Spawn(io_, "stream_origin_list", [this]() { return ReadList(); });
 }
 
-Awaitable<std::shared_ptr<const StreamOrigins::Inquiry>> StreamOrigins::AskHolders(
-    std::string service, uint64_t key, Duration timeout) {
+Awaitable<void> StreamOrigins::ReadList() {
+  const absl::Cleanup ended = [this]() { reading_list_ = false; };
+  next_list_read_at_ = SteadyNow() + kListRetryPeriod;
+  const TimePoint sent_at = SuspendAwareNow();
+  const std::string kind = platform::kRunnerKind;
+  const platform::StoreResult result = co_await view_.store().List(kind);
+  if (result.outcome != platform::StoreOutcome::kDone) co_return;
+  next_list_read_at_ = SteadyNow() + kListReadPeriod;
+  std::map<std::string, std::set<std::string>> versions;
+  for (const platform::StoredObject& object : result.objects) {
+    platform::FieldError error;
+    const std::optional<RunnerRecord> record =
+        platform::DecodeRunner(object.name, object.content, error);
+    if (record) versions[record->service].insert(record->version);
+  }
+  listed_.OnListed(versions, SuspendAwareNow());
+  list_read_at_ = sent_at;
+}
+
+Awaitable<StreamOrigins::Origin> StreamOrigins::AskHolders(std::string service, uint64_t key,
+                                                           Duration limit) {
   const auto inquiry = std::make_shared<Inquiry>();
+  OriginEvidence& evidence = inquiry->evidence;
+  evidence.resumed_at = SuspendAwareNow();
+  evidence.inferred = table_.FindInferred(key);
+  evidence.seen.emplace_back();  // Of this process.
   const TimePoint started_at = SteadyNow();
   while (!ReportsKnown() && SteadyNow() - started_at < kReportWait * 2) {
     co_await SleepFor(kAskPollInterval);
@@ -251,45 +322,39 @@
                    "&lifetime_ms=", ToMillis(lifetime_));
   const TimePoint asked_at = SteadyNow();
   for (const Endpoint& holder : Holders(key, LiveSidecars(), kAskedSidecars)) {
-    ++inquiry->unanswered;
+    ++evidence.holders_asked;
     Spawn(io_, "stream_origin",
           [this, holder, target, inquiry]() { return Ask(holder, target, inquiry); });
   }
-  while (inquiry->unanswered > 0 && !inquiry->version && SteadyNow() - asked_at < timeout) {
-    co_await SleepFor(kAskPollInterval);
+  while (!inquiry->version) {
+    evidence.seen.front() = Seen(service, lifetime_);
+    evidence.list_as_of = ListAsOf();
+    const Duration waited = SteadyNow() - asked_at;
+    const OriginDecision decision = InferOrigin(evidence, lifetime_, waited, limit);
+    if (decision.version) co_return Origin{decision.version, "list", true};
+    if (decision.done) co_return Origin{};
+    if (!evidence.list_as_of || *evidence.list_as_of < evidence.resumed_at) RequestList();
+    co_await SleepFor(waited < kAskTimeout ? kAskPollInterval : kListPollInterval);
   }
-  inquiry->seen.push_back(Seen(service));
-  co_return inquiry;
+  co_return Origin{inquiry->version, "peer"};
 }
 
-Awaitable<std::optional<std::string>> StreamOrigins::Find(std::string service,
-                                                          std::string first_attempt) {
+Awaitable<StreamOrigins::Origin> StreamOrigins::Find(std::string service, std::string first_attempt,
+                                                     Duration limit) {
   const uint64_t key = StreamOriginTable::Key(service, first_attempt);
-  const char* source = "record";
-  std::optional<std::string> version;
-  if (!first_attempt.empty()) version = table_.Find(key);
-  if (!version) {
-    // Also if this process has seen one version only: the list is up to some seconds old, and the
-    // stream may have begun at a version that is new on it.
-    const std::optional<std::string> listed = OnlyVersion({Seen(service)}, lifetime_);
-    const std::shared_ptr<const Inquiry> inquiry =
-        co_await AskHolders(service, key, listed ? kConfirmTimeout : kAskTimeout);
-    source = inquiry->version ? "peer" : "list";
-    version = inquiry->version ? inquiry->version : OnlyVersion(inquiry->seen, lifetime_);
-  }
+  Origin origin;
+  if (!first_attempt.empty()) origin = {table_.Find(key), "record"};
+  // Also if this process has seen one version only: the list is up to some seconds old, and the
+  // stream may have begun at a version that is new on it.
+  if (!origin.version) origin = co_await AskHolders(service, key, limit);
+  if (!origin.version || first_attempt.empty()) co_return origin;
   // The caller goes on to name the same attempt if this one is cut too.
-  if (version && !first_attempt.empty()) OnBegun(service, first_attempt, *version);
-  if (!version) source = "unknown";
-  LogInfo("stream_resumed", {{"first_attempt", first_attempt},
-                             {"service", service},
-                             {"version", version.value_or("")},
-                             {"source", source}});
-  metrics_
-      .Counter("fuchsiaweir_streams_resumed_total",
-               "Streams that callers resumed, by where their software version was known.",
-               {{"source", source}})
-      .Increment();
-  co_return version;
+  if (origin.inferred) {
+    table_.RecordInferred(key, *origin.version, SuspendAwareNow());
+  } else {
+    OnBegun(service, first_attempt, *origin.version);
+  }
+  co_return origin;
 }
 
 }  // namespace fuchsiaweir
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/listed_versions.h"
+#include "core/origin_inference.h"
 #include "core/stream_origin_table.h"
 #include "gateway/fleet_view.h"
 #include "gateway/forwarded_request.h"
@@ -35,7 +36,7 @@
   void OnBegun(const std::string& service, const std::string& first_attempt,
                const std::string& version);
   /// Sets the version that began the stream that the request resumes. Returns a refusal if neither
-  /// this process nor the holders know it.
+  /// this process nor the holders know it, and it cannot be inferred.
   Awaitable<std::optional<Refusal>> AdmitResumption(ForwardedRequest& request);
 
   void OnMessage(const StreamsMessage& message);
@@ -45,15 +46,21 @@
  private:
   /// The answers to a question that several processes were asked.
   struct Inquiry;
+  /// The version that began a stream, and where it was found.
+  struct Origin {
+    std::optional<std::string> version;  ///< Nothing if it was not found.
+    const char* source = "unknown";
+    bool inferred = false;  ///< No process has returned a record.
+  };
 
-  /// Returns the version that began the stream, if it can be found out.
-  Awaitable<std::optional<std::string>> Find(std::string service, std::string first_attempt);
+  /// Returns the version that began the stream, if it can be found out within about `limit`.
+  Awaitable<Origin> Find(std::string service, std::string first_attempt, Duration limit);
   void OnTable(const RouteTable& table);
   void Tick();
   /// From now on replicates the records of these services' streams. Holders of earlier records are
   /// brought up to date.
   void UpdateReplication(std::set<std::string> services);
-  SeenVersions Seen(const std::string& service) const;
+  SeenVersions Seen(const std::string& service, Duration lifetime) const;
   /// Names of the sidecars whose reports arrive and whose runners do not leave.
   std::vector<std::string> LiveSidecars() const;
   /// Whether the sidecars have had time to report since this process has the list of runners.
@@ -67,11 +74,15 @@
                       const std::optional<std::vector<std::string>>& former_sidecars);
   /// Sends the records of streams of one version to their holders.
   void Replicate(const std::string& version, const std::vector<uint64_t>& keys);
-  /// Asks the holders of a stream, and adds what this process has seen. Ends with the first record,
-  /// with the last answer, or after `timeout`.
-  Awaitable<std::shared_ptr<const Inquiry>> AskHolders(std::string service, uint64_t key,
-                                                       Duration timeout);
+  /// Asks the holders of a stream, and if none has a record, infers the version. Ends after about
+  /// `limit`.
+  Awaitable<Origin> AskHolders(std::string service, uint64_t key, Duration limit);
   Awaitable<void> Ask(Endpoint holder, std::string target, std::shared_ptr<Inquiry> inquiry);
+  /// Latest time at which the list of runners was known to be current, by `SuspendAwareNow`.
+  std::optional<TimePoint> ListAsOf() const;
+  /// Starts a read of the list of runners, unless one is in progress or has just been.
+  void RequestList();
+  Awaitable<void> ReadList();
 
   boost::asio::io_context& io_;
   FleetView& view_;
@@ -86,6 +97,9 @@
   std::vector<std::string> sidecars_;          ///< That were alive at the last check of a gateway.
   std::optional<TimePoint> first_list_at_;     ///< By `SuspendAwareNow`.
   std::set<std::string> replicated_services_;  ///< Whose records are replicated.
+  bool reading_list_ = false;
+  TimePoint next_list_read_at_;            ///< By `SteadyNow`.
+  std::optional<TimePoint> list_read_at_;  ///< Start of the last read that succeeded.
 };
 
 }  // namespace fuchsiaweir
--- a/test/correctness/stream_origins.cc
+++ b/test/correctness/stream_origins.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "core/listed_versions.h"
+#include "core/origin_inference.h"
 #include "core/stream_origin_table.h"
 
 namespace fuchsiaweir {
@@ -50,6 +51,22 @@
   CHECK_FALSE(table_.Find(StreamOriginTable::Key("tts", "attempt")).has_value());
 }
 
+// Guards against an inferred version that is told to others, or kept, as a known one.
+TEST(StreamOriginTable, AnInferredVersionIsNotKnown) {
+  const uint64_t key = StreamOriginTable::Key("llm", "attempt");
+  table_.RecordInferred(key, "v1", kStart);
+  CHECK_FALSE(table_.Find(key).has_value());
+  CHECK(table_.BegunHere("llm").empty());
+  STRCMP_EQUAL("v1", table_.FindInferred(key)->c_str());
+  table_.Record(key, "v2", kStart + kStep);
+  STRCMP_EQUAL("v2", table_.Find(key)->c_str());
+  CHECK_FALSE(table_.FindInferred(key).has_value());
+  table_.RecordInferred(key, "v1", kStart + kStep);
+  STRCMP_EQUAL("v2", table_.Find(key)->c_str());
+  table_.Expire(kStart + kStep * 2);
+  LONGS_EQUAL(0, table_.size());
+}
+
 TEST_GROUP(ListedVersions) { ListedVersions listed_; };
 
 // Guards against a version that is taken for the only one because the runners of the other one have
@@ -85,4 +102,78 @@
   STRCMP_EQUAL("v2", OnlyVersion({restarted, {{"v2"}, Seconds(60)}}, kLifetime)->c_str());
 }
 
+TEST_GROUP(OriginInference) {
+  static constexpr Duration kLimit = Seconds(2);
+  static constexpr Duration kLongest = Millis(300);  ///< For answers of holders.
+  const SeenVersions v1_{{"v1"}, Seconds(60)};
+
+  /// What a gateway knows whose list was current `list_age` before the stream was resumed.
+  OriginEvidence Evidence(size_t asked, size_t answered, Duration list_age) const {
+    OriginEvidence evidence;
+    evidence.seen = std::vector<SeenVersions>(answered + 1, v1_);
+    evidence.holders_asked = asked;
+    evidence.holders_answered = answered;
+    evidence.resumed_at = kStart;
+    evidence.list_as_of = kStart - list_age;
+    return evidence;
+  }
+
+  static OriginDecision Infer(const OriginEvidence& evidence, Duration waited) {
+    return InferOrigin(evidence, kLifetime, waited, kLimit);
+  }
+
+  static void CheckUnknown(const OriginDecision& decision) {
+    CHECK(decision.done);
+    CHECK_FALSE(decision.version.has_value());
+  }
+};
+
+// Guards against the version of a list that is older than the stream, whoever confirms it.
+TEST(OriginInference, AListFromBeforeTheResumptionIsNotUsed) {
+  const OriginEvidence old = Evidence(4, 4, Micros(1));
+  CHECK_FALSE(Infer(old, kLimit - Micros(1)).done);
+  CheckUnknown(Infer(old, kLimit));
+  OriginEvidence unread = old;
+  unread.list_as_of.reset();
+  CheckUnknown(Infer(unread, kLimit));
+  STRCMP_EQUAL("v1", Infer(Evidence(4, 4, Duration{0}), Duration{0}).version->c_str());
+}
+
+// Guards against holders without an answer that count as confirming the list, and against a search
+// that waits for the last of them or fails because of one.
+TEST(OriginInference, HalfOfTheHoldersHaveToAnswer) {
+  const OriginEvidence one = Evidence(4, 1, Duration{0});
+  CHECK_FALSE(Infer(one, kLongest - Micros(1)).done);
+  CheckUnknown(Infer(one, kLongest));
+  OriginEvidence failed = one;
+  failed.holders_failed = 3;
+  CheckUnknown(Infer(failed, Duration{0}));
+  const OriginEvidence two = Evidence(4, 2, Duration{0});
+  CHECK_FALSE(Infer(two, Millis(99)).done);
+  STRCMP_EQUAL("v1", Infer(two, Millis(100)).version->c_str());
+}
+
+// Guards against resumptions that are refused because the only holder has ended and still counts as
+// alive, or because there is none.
+TEST(OriginInference, ACurrentListSufficesWithoutHolders) {
+  STRCMP_EQUAL("v1", Infer(Evidence(1, 0, Duration{0}), kLongest).version->c_str());
+  STRCMP_EQUAL("v1", Infer(Evidence(0, 0, Duration{0}), Duration{0}).version->c_str());
+}
+
+// Guards against a version that a holder has not seen, or a wait for a list that decides nothing.
+TEST(OriginInference, AHolderThatHasSeenAnotherVersionRefutesTheList) {
+  OriginEvidence evidence = Evidence(4, 4, Seconds(1));
+  evidence.seen.front().versions.insert("v2");
+  CheckUnknown(Infer(evidence, Duration{0}));
+}
+
+// Guards against a stream that was resumed once and is refused when it is cut again, because a new
+// version has joined.
+TEST(OriginInference, AnEarlierInferenceStaysValid) {
+  OriginEvidence evidence = Evidence(4, 4, Seconds(1));
+  evidence.seen.front().versions.insert("v2");
+  evidence.inferred = "v1";
+  STRCMP_EQUAL("v1", Infer(evidence, Duration{0}).version->c_str());
+}
+
 }  // namespace fuchsiaweir
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -106,7 +106,8 @@
                       << "data_centre = east\npeer_port = " << peer
                       << "\nmetrics_port = " << metrics << "\n"
                       << process << "[platform]\nstore = 127.0.0.1:" << store
-                      << "\n[bounds]\nkey_revocation_ms = 4000\nshutdown_s = 8\n"
+                      << "\n[bounds]\nkey_revocation_ms = " << ToMillis(key_revocation_)
+                      << "\nshutdown_s = 8\n"
                       << bounds_ << "[regions]\neast = region\n";
   processes_.StartProcess(name, {std::getenv("FW_BINARY"), role, "--settings=" + file});
 }
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -37,6 +37,8 @@
     read_timeout_ms_ = read_timeout_ms;
   }
 
+  /// Sets how long a gateway accepts an API key without a confirmation. Call before `Start`.
+  void SetKeyRevocation(Duration limit) { key_revocation_ = limit; }
   /// Adds lines to the section [bounds] of the gateways' settings. Call before `Start`.
   void AddBounds(const std::string& lines) { bounds_ += lines; }
   /// Sets the version that the store's record of a runner tells; otherwise "v1".
@@ -142,6 +144,7 @@
   std::map<int, std::string> versions_;
   bool record_runs_ = false;
   Duration call_timeout_ = Seconds(30);
+  Duration key_revocation_ = Millis(4'000);
   int64_t body_bytes_ = 65'536;
   int64_t read_timeout_ms_ = 3'000;
   int64_t revision_ = 0;
