Accept the version that all holders confirm, and no list of an older copy

A resumption at a gateway without a current list was refused although every holder had answered and none had seen a second version, as while the store is away. The record of a stream that began while two versions were known would be at one of the holders, so the list is not needed then. A list that comes from an older copy of the store may lack the new version's runners and counts as no current one.

--- a/src/core/origin_inference.cc
+++ b/src/core/origin_inference.cc
@@ -15,6 +15,12 @@
   return evidence.holders_answered >= evidence.holders_asked / 2;
 }
 
+/// Whether all holders have answered, and there are several. The record of a stream that began
+/// while a second version was known would be at one of them, so no current list is needed.
+bool AllConfirm(const OriginEvidence& evidence) {
+  return evidence.holders_asked >= 2 && evidence.holders_answered == evidence.holders_asked;
+}
+
 }  // namespace
 
 OriginDecision InferOrigin(const OriginEvidence& evidence, Duration lifetime, Duration waited,
@@ -26,6 +32,7 @@
   if (evidence.inferred) return {true, evidence.inferred};
   const std::optional<std::string> version = OnlyVersion(evidence.seen, lifetime);
   if (!enough || !version) return {true, std::nullopt};
+  if (AllConfirm(evidence)) return {true, version};
   // An older list may lack a version whose runners joined before the stream began.
   if (evidence.list_as_of && *evidence.list_as_of >= evidence.resumed_at) return {true, version};
   return {waited >= limit, std::nullopt};
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -22,6 +22,7 @@
 #include "net/http_server.h"
 #include "net/metrics.h"
 #include "platform/field_access.h"
+#include "platform/names.h"
 
 namespace fuchsiaweir {
 
@@ -39,6 +40,8 @@
   RunnerRegistry& runner_registry() { return runner_registry_; }
   /// Time since the list of runners was known to be current; nothing before it was read.
   std::optional<Duration> RunnerListAge() const;
+  /// Whether the list of runners comes from an older copy of the store and may lack runners.
+  bool RestoringRunners() const { return mirror_.Restoring(platform::kRunnerKind); }
   /// Data centres whose runners get no new requests.
   const std::set<std::string>& evacuated() const { return evacuated_; }
   /// Weights versions that the operator named for the model, or null.
--- a/src/gateway/object_mirror.cc
+++ b/src/gateway/object_mirror.cc
@@ -63,6 +63,11 @@
   return SuspendAwareNow() - found->second.as_of;
 }
 
+bool ObjectMirror::Restoring(const std::string& kind) const {
+  const auto found = contents_.find(kind);
+  return found != contents_.end() && found->second.Restoring(SuspendAwareNow());
+}
+
 std::vector<HelloMessage::Change> ObjectMirror::NewestChanges() const {
   std::vector<HelloMessage::Change> changes;
   for (const WatchedKind& kind : kinds_) {
--- a/src/gateway/object_mirror.h
+++ b/src/gateway/object_mirror.h
@@ -78,6 +78,8 @@
   bool runner_outage() const { return health_.runner_outage(); }
   /// Time since the kind was known to be current; nothing before it was read.
   std::optional<Duration> Age(const std::string& kind) const;
+  /// Whether the kind was listed from an older copy of the store a moment ago.
+  bool Restoring(const std::string& kind) const;
   /// Returns the newest change of each urgent kind, for a hello.
   std::vector<HelloMessage::Change> NewestChanges() const;
   /// Reads changes that a peer knows and this process does not.
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -273,6 +273,8 @@
 }
 
 std::optional<TimePoint> StreamOrigins::ListAsOf() const {
+  // The list of a store that came back from an older copy lacks the runners that joined since.
+  if (view_.RestoringRunners()) return std::nullopt;
   std::optional<TimePoint> as_of = list_read_at_;
   if (const std::optional<Duration> age = view_.RunnerListAge()) {
     const TimePoint watched_at = SuspendAwareNow() - *age;
@@ -294,6 +296,7 @@
   const std::string kind = platform::kRunnerKind;
   const platform::StoreResult result = co_await view_.store().List(kind);
   if (result.outcome != platform::StoreOutcome::kDone) co_return;
+  if (result.history != view_.store_history()) co_return;
   next_list_read_at_ = SteadyNow() + kListReadPeriod;
   std::map<std::string, std::set<std::string>> versions;
   for (const platform::StoredObject& object : result.objects) {
