Add restores of the store to the fault soak and check that changes take effect

The soak had no fault in which the store loses acknowledged writes, and no rule noticed a gateway that ignores changes: a refusal with 401 or 404 counted as an answer. After the return the soak writes again what it wrote. Changes follow once the store is stable, and again after the schedule, where no other fault overlaps with them. A quarter of the requests use the key, or the last route, of the newest desired state that has to be in force. CONFIG reports refusals of these, DRAIN requests to a runner that leaves; both excuse a store that was not stable and a gateway that was disturbed. The writes and the call queue have left soak_run.cc.

--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -156,19 +156,21 @@
   }
   json::array key_list(keys.begin(), keys.end());
   revision_ += 3;
-  return Put(platform::kConfigKind, "main",
-             json::object{
-                 {"version", revision_},
-                 {"routes", std::move(routes)},
-                 {"services", json::array{{{"name", "llm"}, {"cold_s", 3.0}, {"cold_per_s", 4.0}}}},
-                 {"limits",
-                  {{"header_bytes", 16'384},
-                   {"body_bytes", body_bytes_},
-                   {"header_timeout_ms", read_timeout_ms_},
-                   {"idle_timeout_ms", 15'000}}},
-                 {"tenants", json::array{{{"name", "alpha"}, {"api_keys", std::move(key_list)}}}}});
+  desired_state_ = json::object{
+      {"version", revision_},
+      {"routes", std::move(routes)},
+      {"services", json::array{{{"name", "llm"}, {"cold_s", 3.0}, {"cold_per_s", 4.0}}}},
+      {"limits",
+       {{"header_bytes", 16'384},
+        {"body_bytes", body_bytes_},
+        {"header_timeout_ms", read_timeout_ms_},
+        {"idle_timeout_ms", 15'000}}},
+      {"tenants", json::array{{{"name", "alpha"}, {"api_keys", std::move(key_list)}}}}};
+  return PutDesiredStateAgain();
 }
 
+bool Fleet::PutDesiredStateAgain() { return Put(platform::kConfigKind, "main", desired_state_); }
+
 Reply Fleet::Call(const std::string& path, const std::string& body, int gateway,
                   const std::string& key, int deadline_ms) {
   static std::atomic<int64_t> calls = 0;
@@ -213,17 +215,17 @@
   return Send("GET", port, platform::kReadyPath, "", {}, Seconds(1)).status == 200;
 }
 
-void Fleet::InjectFault(const std::string& name, const std::string& json) {
+bool Fleet::InjectFault(const std::string& name, const std::string& json) {
   const std::string prefix = "runner";
   const int port =
       name == "store" ? store_port_ : runners_.at(std::stoul(name.substr(prefix.size())));
-  Send("POST", port, "/fault", json, {}, call_timeout_);
+  return Send("POST", port, "/fault", json, {}, call_timeout_).status == 200;
 }
 
 void Fleet::CopyStore() { InjectFault("store", R"({"save_copy": true})"); }
 
-void Fleet::RestoreStore(Duration away) {
-  InjectFault("store", absl::StrCat(R"({"restore_copy": )", ToMillis(away), "}"));
+bool Fleet::RestoreStore(Duration away) {
+  return InjectFault("store", absl::StrCat(R"({"restore_copy": )", ToMillis(away), "}"));
 }
 
 void Fleet::SkipStoreRevisions(int64_t count) {
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -60,6 +60,8 @@
   /// Writes a new version of the desired state, with `keys` as the API keys of team "alpha" and
   /// this number of further routes.
   bool PutDesiredState(const std::vector<std::string>& keys, int further_routes = 0);
+  /// Writes the newest desired state again, with the same version.
+  bool PutDesiredStateAgain();
 
   /// Sends a request to a gateway. `path` selects the route by its prefix: "/safe/", "/unsafe/",
   /// "/stream/" or "/single/".
@@ -75,11 +77,13 @@
   bool Ready(int gateway);
 
   /// Injects a fault into the store or a runner; `json` is the body of the stand-in's /fault route.
-  void InjectFault(const std::string& name, const std::string& json);
+  /// Returns whether the stand-in has confirmed it.
+  bool InjectFault(const std::string& name, const std::string& json);
   /// Makes the store copy its contents, from which `RestoreStore` restores it.
   void CopyStore();
   /// Makes the store come back with the copy. It takes writes at once, and reads after `away`.
-  void RestoreStore(Duration away);
+  /// Returns whether the store has confirmed it.
+  bool RestoreStore(Duration away);
   /// Makes the store use up revisions, so that it passes those that processes know.
   void SkipStoreRevisions(int64_t count);
   /// Returns the number of reads that the store has got, by the names of its statistics.
@@ -145,6 +149,7 @@
   int64_t body_bytes_ = 65'536;
   int64_t read_timeout_ms_ = 3'000;
   int64_t revision_ = 0;
+  boost::json::value desired_state_;
   int64_t sequence_ = 0;
 };
 
--- a/test/soak/caller.cc
+++ b/test/soak/caller.cc
@@ -48,6 +48,9 @@
 constexpr size_t kMediumBodyBytes = 100'000;
 constexpr size_t kLargeBodyBytes = 512'000;
 constexpr int kSharedParts = 8;
+/// Few requests use what the newest desired state has added, because one that is refused for it
+/// checks nothing else.
+constexpr int64_t kRequestsPerAddition = 4;
 
 /// A blocking connection whose operations have a time limit.
 class Connection {
@@ -147,8 +150,11 @@
 
 class Caller {
  public:
-  Caller(uint64_t seed, int number, const std::vector<int>& ports)
-      : random_(seed * 10'007 + static_cast<uint64_t>(number)), number_(number), ports_(ports) {}
+  Caller(uint64_t seed, int number, const std::vector<int>& ports, const FindAdditions& additions)
+      : random_(seed * 10'007 + static_cast<uint64_t>(number)),
+        number_(number),
+        ports_(ports),
+        additions_(additions) {}
 
   /// Sends one request and waits for its end; returns nothing if no gateway was reached.
   std::optional<Attempt> CallOnce() {
@@ -169,11 +175,13 @@
     const int events = static_cast<int>(Draw(3, kMaxEvents));
     const std::string body =
         attempt.route->stream ? absl::StrCat("events=", events) : PlainBody(attempt.id);
-    std::string head =
-        absl::StrCat("POST /", attempt.route->name, "/a HTTP/1.1\r\n", "Host: fleet.example\r\n",
-                     platform::kRequestIdHeader, ": ", attempt.id, "\r\n",
-                     platform::kTimeLeftHeader, ": ", ToMillis(kTimeLimit), "\r\n",
-                     platform::kApiKeyHeader, ": key-1\r\nContent-Length: ", body.size(), "\r\n");
+    std::string path = attempt.route->name;
+    std::string key = "key-1";
+    if (calls_ % kRequestsPerAddition == 0) UseAdditions(attempt, path, key);
+    std::string head = absl::StrCat(
+        "POST /", path, "/a HTTP/1.1\r\n", "Host: fleet.example\r\n", platform::kRequestIdHeader,
+        ": ", attempt.id, "\r\n", platform::kTimeLeftHeader, ": ", ToMillis(kTimeLimit), "\r\n",
+        platform::kApiKeyHeader, ": ", key, "\r\nContent-Length: ", body.size(), "\r\n");
     if (attempt.route->stream) {
       const int64_t shared = Draw(1, kSharedParts);
       absl::StrAppend(&head, platform::kModelHeader, ": model\r\n", platform::kTokenCountHeader,
@@ -211,6 +219,17 @@
     return std::uniform_int_distribution<int64_t>(low, high)(random_);
   }
 
+  void UseAdditions(Attempt& attempt, std::string& path, std::string& key) {
+    const std::optional<Additions> additions = additions_(SteadyNow());
+    if (!additions) return;
+    attempt.state = additions->state;
+    key = additions->key;
+    // Further routes are of the kind "safe".
+    if (path != "safe" || additions->further_routes == 0) return;
+    attempt.new_route = true;
+    path = absl::StrCat("further", additions->further_routes - 1);
+  }
+
   std::string PlainBody(const std::string& id) {
     const int64_t kind = Draw(0, 79);
     const size_t limit = kind == 0  ? kLargeBodyBytes
@@ -268,6 +287,7 @@
   std::mt19937_64 random_;
   int number_;
   const std::vector<int>& ports_;
+  const FindAdditions& additions_;
   std::unique_ptr<Connection> connection_;
   int gateway_ = 0;
   int place_ = 0;
@@ -278,7 +298,8 @@
 
 }  // namespace
 
-Callers::Callers(uint64_t seed, int count, std::vector<int> ports) : ports_(std::move(ports)) {
+Callers::Callers(uint64_t seed, int count, std::vector<int> ports, FindAdditions additions)
+    : ports_(std::move(ports)), additions_(std::move(additions)) {
   for (int i = 0; i < count; ++i) {
     threads_.emplace_back([this, seed, i]() { Run(seed, i); });
   }
@@ -290,7 +311,7 @@
 }
 
 void Callers::Run(uint64_t seed, int number) {
-  Caller caller(seed, number, ports_);
+  Caller caller(seed, number, ports_, additions_);
   while (!stopped_) {
     std::optional<Attempt> attempt = caller.CallOnce();
     if (attempt) {
--- a/test/soak/caller.h
+++ b/test/soak/caller.h
@@ -3,7 +3,9 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -22,14 +24,26 @@
 /// Time that the callers give each request; the routes' timeout is the same.
 constexpr Duration kTimeLimit = Seconds(3);
 
+/// What a desired state has added.
+struct Additions {
+  int64_t state = 0;  ///< Number of the desired state, from 1.
+  std::string key;
+  int further_routes = 0;
+};
+
+/// Returns the additions that callers may use at a time, if any.
+using FindAdditions = std::function<std::optional<Additions>(TimePoint)>;
+
 /// One request and what its caller saw.
 struct Attempt {
   std::string id;
   const Route* route = nullptr;
   int gateway = 0;
-  int place = 0;    ///< Requests that the connection has carried before.
-  TimePoint begin;  ///< Before the first byte was written.
-  TimePoint sent;   ///< After the last byte was written; valid if `written`.
+  int64_t state = 0;       ///< Desired state whose key it has; 0: a key of all states.
+  bool new_route = false;  ///< It is on the last further route of `state`.
+  int place = 0;           ///< Requests that the connection has carried before.
+  TimePoint begin;         ///< Before the first byte was written.
+  TimePoint sent;          ///< After the last byte was written; valid if `written`.
   TimePoint end;
   bool written = false;
   bool complete = false;  ///< A complete response has arrived.
@@ -44,7 +58,7 @@
 /// it. They send requests from construction until `Stop`.
 class Callers {
  public:
-  Callers(uint64_t seed, int count, std::vector<int> ports);
+  Callers(uint64_t seed, int count, std::vector<int> ports, FindAdditions additions);
   ~Callers() { Stop(); }
 
   /// Ends the callers once each has got its last answer.
@@ -56,6 +70,7 @@
   void Run(uint64_t seed, int number);
 
   std::vector<int> ports_;
+  FindAdditions additions_;
   std::atomic<bool> stopped_ = false;
   std::mutex mutex_;
   std::vector<Attempt> attempts_;
--- a/test/soak/schedule.cc
+++ b/test/soak/schedule.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iterator>
 #include <random>
+#include <utility>
 
 namespace fuchsiaweir::soak {
 namespace {
@@ -61,6 +62,26 @@
                                         R"({"silence_open_connections":1})",
                                         R"({"forget_history":1})"};
 
+/// Steps of restores of the store, which are drawn apart from the others.
+constexpr std::pair<StepKind, const char*> kRestoreSteps[] = {
+    {StepKind::kCopyStore, "copy_store"},
+    {StepKind::kRestoreStore, "restore_store"},
+    {StepKind::kSkipRevisions, "skip_revisions"},
+    {StepKind::kWriteAgain, "write_again"}};
+
+/// Time after which a store that came back counts as stable.
+constexpr int64_t kStableAfterMs = 3'000;
+/// Longer than the time in which a runner's departure takes effect.
+constexpr int64_t kDrainMs = 3'500;
+constexpr int64_t kMinCopyAgeMs = 1'500;
+constexpr int64_t kMaxCopyAgeMs = 5'000;
+constexpr int64_t kMaxRestoreDelayMs = 2'500;
+/// The changes after a restore may come in the last part, in which callers go on.
+constexpr int64_t kMaxRestoreOverrunMs = 1'000;
+/// From the end of the schedule until the last changes: faults of the store have ended by then for
+/// the time after which it counts as stable, and the callers go on until the changes are in force.
+constexpr int64_t kLastChangesAfterMs = 3'500;
+
 /// Lengths of the phases of seeds that alternate between planned work alone and all kinds of steps.
 /// Between the two nothing happens, so that the work that follows meets no fault.
 constexpr int64_t kPlannedPhaseMs = 13'000;
@@ -111,6 +132,76 @@
                       Draw(random, 0, options.runners - 1));
 }
 
+/// Adds changes which are checked if the store is stable.
+void AddChanges(Random& random, int64_t at_ms, const SoakOptions& options,
+                std::vector<Step>& steps) {
+  steps.push_back({at_ms, StepKind::kDesiredState, "store", Draw(random, 0, 20), ""});
+  const std::string runner = DrawProcess(random, Target::kRunner, options);
+  steps.push_back({at_ms, StepKind::kDrain, runner, kDrainMs, ""});
+}
+
+/// Draws a restore at `at_ms` of a copy that the store makes before, and changes once the store is
+/// stable again.
+std::vector<Step> DrawRestore(Random& random, int64_t at_ms, const SoakOptions& options) {
+  std::vector<Step> steps;
+  const auto add = [&](int64_t step_at_ms, StepKind kind, int64_t amount) {
+    const Target target = kind == StepKind::kDrain ? Target::kRunner : Target::kStore;
+    steps.push_back({step_at_ms, kind, DrawProcess(random, target, options), amount, ""});
+  };
+  const int64_t copy_ms = at_ms - Draw(random, kMinCopyAgeMs, kMaxCopyAgeMs);
+  add(copy_ms, StepKind::kCopyStore, 0);
+  add(Draw(random, copy_ms + 50, at_ms), StepKind::kDesiredState, Draw(random, 0, 20));
+  // Other writers of the store, whose changes the copy lacks, keep the revisions of the processes
+  // beyond the store's for a while after its return.
+  if (Draw(random, 0, 2) > 0) add(copy_ms + 50, StepKind::kSkipRevisions, Draw(random, 20, 500));
+  // A runner that says it leaves, which the copy lacks, until the store is stable again.
+  if (Draw(random, 0, 1) == 0) {
+    add(copy_ms + 50, StepKind::kDrain, at_ms - copy_ms + kStableAfterMs);
+  }
+  const int64_t count = Draw(random, 0, 2) == 0 ? 2 : 1;
+  int64_t return_ms = at_ms;
+  for (int64_t i = 1; i <= count; ++i) {
+    const int64_t away_ms = Draw(random, 300, 1'500);
+    const int64_t restore_ms = return_ms + (i == 1 ? 0 : Draw(random, 200, 1'500));
+    add(restore_ms, StepKind::kRestoreStore, away_ms);
+    if (Draw(random, 0, 2) == 0) {
+      add(restore_ms, StepKind::kSkipRevisions, Draw(random, 20, 500));
+    }
+    const int64_t write_again_ms = Draw(random, 0, 1'500);
+    if (i == count || Draw(random, 0, 1) == 0) {
+      add(restore_ms, StepKind::kWriteAgain, write_again_ms);
+    }
+    return_ms = restore_ms + away_ms;
+  }
+  const int64_t change_ms = return_ms + kStableAfterMs + Draw(random, 0, 800);
+  AddChanges(random, change_ms, options, steps);
+  return steps;
+}
+
+/// Draws the restores of the store in seeds that have faults. In seeds that alternate they lie in
+/// the phases with faults.
+std::vector<Step> DrawRestores(const SoakOptions& options, int64_t end_ms) {
+  std::vector<Step> steps;
+  if (PhaseAt(options.seed, kPlannedPhaseMs) == Phase::kPlanned) return steps;
+  Random random(options.seed * 977 + 5);
+  const bool alternates = options.seed % 3 == 1;
+  int64_t at_ms = 1'000 + kMaxCopyAgeMs;
+  for (int64_t cycle = 0;; ++cycle) {
+    if (alternates) at_ms = cycle * kCycleMs + kPlannedPhaseMs;
+    const std::vector<Step> restore =
+        DrawRestore(random, at_ms + Draw(random, 0, kMaxRestoreDelayMs), options);
+    const int64_t last_ms = restore.back().at_ms;
+    if (last_ms > end_ms + kMaxRestoreOverrunMs) break;
+    steps.insert(steps.end(), restore.begin(), restore.end());
+    at_ms = last_ms + kMaxCopyAgeMs;
+  }
+  // Other faults may overlap with the changes after each restore; these ones meet none.
+  if (!steps.empty()) {
+    AddChanges(random, options.seconds * 1'000 + kLastChangesAfterMs, options, steps);
+  }
+  return steps;
+}
+
 }  // namespace
 
 SoakOptions DrawSizes(SoakOptions options) {
@@ -152,6 +243,9 @@
       if (phase != Phase::kCalm && step.at_ms < end_ms) steps.push_back(step);
     }
   }
+  // They are drawn from a stream of their own, so that the other steps of a seed stay the same.
+  const std::vector<Step> restores = DrawRestores(options, end_ms);
+  steps.insert(steps.end(), restores.begin(), restores.end());
   std::stable_sort(steps.begin(), steps.end(),
                    [](const Step& a, const Step& b) { return a.at_ms < b.at_ms; });
   return steps;
@@ -162,6 +256,9 @@
   for (const StepType& type : kTypes) {
     if (type.kind == step.kind) name = type.name;
   }
+  for (const auto& [kind, restore_name] : kRestoreSteps) {
+    if (kind == step.kind) name = restore_name;
+  }
   return absl::StrCat(step.at_ms, " ", name, " ", step.process, " ", step.amount, " ", step.detail);
 }
 
--- a/test/soak/schedule.h
+++ b/test/soak/schedule.h
@@ -35,6 +35,10 @@
   kRunnerFault,    ///< The fault `detail` of a runner, for `amount` ms.
   kReset,          ///< All connections to a runner are reset.
   kStoreFault,     ///< The fault `detail` of the store, for `amount` ms.
+  kCopyStore,      ///< The store copies its contents.
+  kRestoreStore,   ///< The store goes away for `amount` ms and comes back with the copy.
+  kSkipRevisions,  ///< The store uses up `amount` revisions.
+  kWriteAgain,     ///< What was written is written again, `amount` ms after the store's return.
 };
 
 struct Step {
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -13,8 +13,6 @@
 #include <filesystem>
 #include <fstream>
 
-#include "platform/names.h"
-
 namespace fuchsiaweir::soak {
 namespace {
 
@@ -29,9 +27,6 @@
 constexpr Duration kSettingsCutFor = Millis(300);
 constexpr Duration kDrainBeforeLeave = Millis(2'500);
 constexpr Duration kMemoryInterval = Millis(500);
-/// Writes are repeated for longer than a fault of the store lasts.
-constexpr int kWriteAttempts = 50;
-constexpr Duration kWriteInterval = Millis(100);
 constexpr int kReloadsInSeries = 4;
 constexpr size_t kLogTail = 6;
 
@@ -64,36 +59,12 @@
 
 }  // namespace
 
-CallQueue::CallQueue()
-    : thread_([this]() {
-        std::unique_lock lock(mutex_);
-        while (true) {
-          added_.wait(lock, [this]() { return stopped_ || !calls_.empty(); });
-          if (calls_.empty()) return;
-          const std::function<void()> call = std::move(calls_.front());
-          calls_.pop_front();
-          lock.unlock();
-          call();
-          lock.lock();
-        }
-      }) {}
-
-CallQueue::~CallQueue() {
-  const std::lock_guard lock(mutex_);
-  stopped_ = true;
-  added_.notify_all();
-}
-
-void CallQueue::Add(std::function<void()> call) {
-  const std::lock_guard lock(mutex_);
-  calls_.push_back(std::move(call));
-  added_.notify_all();
-}
-
 SoakRun::SoakRun(const SoakOptions& options)
     : options_(options),
       schedule_(DrawSchedule(options)),
-      fleet_(options.gateways, options.runners, /*sidecars=*/true) {
+      fleet_(options.gateways, options.runners, /*sidecars=*/true),
+      writes_(fleet_, options.runners, [this](const Disturbance& other) { OnStoreCall(other); }),
+      restores_(fleet_, writes_, [this](const Disturbance& other) { OnStoreCall(other); }) {
   fleet_.RecordRuns();
   fleet_.SetRequestLimits(kBodyLimit, kReadTimeoutMs);
   fleet_.SetCallTimeout(kCallTimeout);
@@ -122,7 +93,11 @@
       {StepKind::kLeave, &SoakRun::Leave},
       {StepKind::kRunnerFault, &SoakRun::FaultRunner},
       {StepKind::kReset, &SoakRun::ResetConnections},
-      {StepKind::kStoreFault, &SoakRun::FaultStore}};
+      {StepKind::kStoreFault, &SoakRun::FaultStore},
+      {StepKind::kCopyStore, &SoakRun::RestoreStore},
+      {StepKind::kRestoreStore, &SoakRun::RestoreStore},
+      {StepKind::kSkipRevisions, &SoakRun::RestoreStore},
+      {StepKind::kWriteAgain, &SoakRun::RestoreStore}};
   return functions.at(kind);
 }
 
@@ -156,7 +131,8 @@
     for (const auto& [name, settings] : settings_) BeginCap(name);
   }
   SamplePeakMemory();
-  Callers callers(options_.seed, options_.clients, ports);
+  Callers callers(options_.seed, options_.clients, ports,
+                  [this](TimePoint now) { return writes_.NewestAdditions(now); });
   {
     const std::jthread watch([this](const std::stop_token& stopped) { WatchStarts(stopped); });
     // What was stopped last ends within its grace, and its requests with it.
@@ -192,7 +168,11 @@
     std::stable_sort(runs.begin(), runs.end(),
                      [](const RunRecord& a, const RunRecord& b) { return a.begin < b.begin; });
   }
+  record_.states = writes_.states();
+  record_.drains = writes_.drains();
   std::vector<Violation> violations = JudgeRequests(record_, outcomes_);
+  const std::vector<Violation> stale = JudgeChanges(record_, outcomes_);
+  violations.insert(violations.end(), stale.begin(), stale.end());
   violations.insert(violations.end(), violations_.begin(), violations_.end());
   if (outcomes_["200"] == 0) {
     violations.push_back({"FAULT", "no request was served", SteadyNow(), "", "gateway0", ""});
@@ -279,7 +259,11 @@
   process.started = SteadyNow();
   process.served = false;
   process.watched = process.daemon;
-  if (process.daemon) return fleet_.Restart(name);
+  if (process.daemon) {
+    Note(name, Cause::kStart, process.started, process.started);
+    return fleet_.Restart(name);
+  }
+  writes_.OnRunnerStart(name);
   runner_starts_[name] = UnixMillis();
   fleet_.StartRunner(Number(name), runner_starts_[name]);
 }
@@ -444,36 +428,13 @@
 }
 
 void SoakRun::PutDesiredState(const Step& step) {
-  const int routes = static_cast<int>(step.amount);
-  store_calls_.Add([this, routes]() {
-    const TimePoint sent = SteadyNow();
-    fleet_.PutDesiredState({"key-1", "key-2"}, routes);
-    const std::lock_guard lock(mutex_);
-    Note("store", Cause::kDesiredState, sent, SteadyNow());
-  });
+  writes_.PutDesiredState(static_cast<int>(step.amount));
 }
 
-void SoakRun::NameWeights(const Step&) {
-  const int64_t version = ++version_;
-  store_calls_.Add([this, version]() {
-    fleet_.Put(platform::kVersionKind, "model",
-               boost::json::object{{"model", "model"}, {"version", version}});
-  });
-}
-
-void SoakRun::WriteToStore(std::function<bool()> write) {
-  store_calls_.Add([write = std::move(write)]() {
-    for (int i = 0; i < kWriteAttempts && !write(); ++i) {
-      std::this_thread::sleep_for(kWriteInterval);
-    }
-  });
-}
+void SoakRun::NameWeights(const Step&) { writes_.NameWeights(); }
 
 void SoakRun::Relist(const std::string& name, const std::string& state) {
-  const int64_t started_ms = runner_starts_.at(name);
-  WriteToStore([this, name, state, started_ms]() {
-    return fleet_.ListRunner(Number(name), state, 0, started_ms);
-  });
+  writes_.ListRunner(name, state, runner_starts_.at(name));
 }
 
 void SoakRun::Drain(const Step& step) {
@@ -483,11 +444,8 @@
 }
 
 void SoakRun::Evacuate(const Step& step) {
-  WriteToStore(
-      [this]() { return fleet_.Put(platform::kEvacuationKind, "east", boost::json::object{}); });
-  At(Millis(step.amount), [this]() {
-    WriteToStore([this]() { return fleet_.Delete(platform::kEvacuationKind, "east"); });
-  });
+  writes_.SetEvacuated(true);
+  At(Millis(step.amount), [this]() { writes_.SetEvacuated(false); });
 }
 
 void SoakRun::Kill(const Step& step) {
@@ -564,7 +522,7 @@
   Relist(name, "draining");
   At(kDrainBeforeLeave, [this, name, delay_ms]() {
     if (!Terminate(name, [this, name, delay_ms]() { StartLater(name, delay_ms); })) return;
-    store_calls_.Add([this, name]() { fleet_.Delete(platform::kRunnerKind, name); });
+    writes_.DeleteRunner(name);
     const std::lock_guard lock(mutex_);
     Note(name, Cause::kFault, SteadyNow(), SteadyNow() + Millis(delay_ms));
   });
@@ -603,4 +561,13 @@
   store_calm_since_ = std::max(store_calm_since_, end);
 }
 
+void SoakRun::RestoreStore(const Step& step) { restores_.Play(step); }
+
+void SoakRun::OnStoreCall(const Disturbance& disturbance) {
+  const std::lock_guard lock(mutex_);
+  record_.disturbances.push_back(disturbance);
+  if (disturbance.cause != Cause::kFault) return;
+  store_calm_since_ = std::max(store_calm_since_, disturbance.end);
+}
+
 }  // namespace fuchsiaweir::soak
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -1,8 +1,6 @@
 #ifndef FUCHSIAWEIR_TEST_SOAK_SOAK_RUN_H_
 #define FUCHSIAWEIR_TEST_SOAK_SOAK_RUN_H_
 
-#include <condition_variable>
-#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -12,27 +10,15 @@
 #include <vector>
 
 #include "process/fleet.h"
+#include "soak/call_queue.h"
 #include "soak/links.h"
 #include "soak/schedule.h"
+#include "soak/store_restores.h"
+#include "soak/store_writes.h"
 #include "soak/verdict.h"
 
 namespace fuchsiaweir::soak {
 
-/// Makes calls one after the other on a thread of its own, since they wait for a response.
-class CallQueue {
- public:
-  CallQueue();
-  ~CallQueue();
-  void Add(std::function<void()> call);
-
- private:
-  std::mutex mutex_;
-  std::condition_variable added_;
-  std::deque<std::function<void()>> calls_;
-  bool stopped_ = false;
-  std::jthread thread_;
-};
-
 /// Plays the schedule of one seed against a fleet with callers, and judges what was seen.
 class SoakRun {
  public:
@@ -84,6 +70,7 @@
   void FaultRunner(const Step& step);
   void ResetConnections(const Step& step);
   void FaultStore(const Step& step);
+  void RestoreStore(const Step& step);
   static PlayStep FunctionOf(StepKind kind);
 
   void At(Duration delay, std::function<void()> action);
@@ -96,14 +83,13 @@
   void BeginCap(const std::string& name);
   void EndCap(const std::string& name);
   void SetRunnerFault(const std::string& name, const std::string& fault);
-  /// Repeats a write until the store has confirmed it.
-  void WriteToStore(std::function<bool()> write);
   void Relist(const std::string& name, const std::string& state);
   void CheckProcesses();
   void OnEnd(const std::string& name, Process& process, int code);
   void WatchStarts(const std::stop_token& stopped);
   bool Serves(const std::string& name);
   void Note(const std::string& process, Cause cause, TimePoint begin, TimePoint end);
+  void OnStoreCall(const Disturbance& disturbance);
   void AddViolation(const std::string& rule, const std::string& process, const std::string& what);
   void SamplePeakMemory();
 
@@ -113,7 +99,6 @@
   Links links_;  ///< Between the system and each second runner.
   TimePoint begin_;
   std::multimap<TimePoint, std::function<void()>> timers_;
-  int64_t version_ = 1;
   int64_t peak_memory_mb_ = 0;
   std::map<std::string, std::string> settings_;  ///< Of each daemon, whole.
   std::map<std::string, int64_t> runner_starts_;
@@ -123,8 +108,9 @@
   Record record_;
   TimePoint store_calm_since_;
   std::vector<Violation> violations_;
-  CallQueue store_calls_;
   CallQueue runner_calls_;
+  StoreWrites writes_;
+  StoreRestores restores_;
 };
 
 }  // namespace fuchsiaweir::soak
--- a/test/soak/verdict.cc
+++ b/test/soak/verdict.cc
@@ -5,7 +5,9 @@
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
+#include <set>
 #include <sstream>
+#include <utility>
 
 namespace fuchsiaweir::soak {
 namespace {
@@ -140,6 +142,7 @@
           return end <= other.end + kConfigBound + Seconds(1) &&
                  end - attempt_.begin < kTimeLimit * 7 / 10;
         case Cause::kReset:
+        case Cause::kStart:
         case Cause::kFault:
           return false;
       }
@@ -160,6 +163,46 @@
   const RunRecord* last_run_ = nullptr;
 };
 
+/// Whether a gateway must act on a change of the store throughout a time: the store was stable when
+/// the change was written and until it had to be in force, and the gateway is undisturbed. A
+/// gateway that was disturbed, and a fault of the store, after the change excuse each other,
+/// because the gateway may have read an older copy of the store's contents.
+bool MustKnow(const Record& record, const std::string& gateway, TimePoint sent, TimePoint confirmed,
+              TimePoint begin, TimePoint end) {
+  if (confirmed == TimePoint::max() || begin < confirmed + kConfigBound) return false;
+  bool store_disturbed = false;
+  bool gateway_disturbed = false;
+  for (const Disturbance& other : record.disturbances) {
+    if (other.cause == Cause::kDesiredState) continue;
+    if (other.begin > end || other.end < sent - kContact) continue;
+    if (other.process == "store") {
+      if (other.begin <= confirmed + kConfigBound) return false;
+      store_disturbed = true;
+    } else if (other.process == gateway) {
+      if (other.end >= begin - kContact) return false;
+      gateway_disturbed = true;
+    }
+  }
+  return !store_disturbed || !gateway_disturbed;
+}
+
+/// Whether a desired state that was sent after `state`, and before `end`, has fewer routes.
+bool MayLackRoute(const Record& record, size_t state, TimePoint end) {
+  return std::any_of(record.states.begin() + static_cast<std::ptrdiff_t>(state),
+                     record.states.end(), [&](const StateRecord& later) {
+                       return later.sent <= end &&
+                              later.further_routes < record.states[state - 1].further_routes;
+                     });
+}
+
+bool WasDisturbed(const Record& record, const std::string& runner, TimePoint at) {
+  return std::any_of(record.disturbances.begin(), record.disturbances.end(),
+                     [&](const Disturbance& other) {
+                       return other.cause == Cause::kFault && other.process == runner &&
+                              other.begin <= at && other.end >= at - kContact;
+                     });
+}
+
 /// Whether the status promises that the request has not run.
 bool PromisesNotRun(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -226,4 +269,53 @@
   return violations;
 }
 
+std::vector<Violation> JudgeChanges(const Record& record, std::map<std::string, int>& outcomes) {
+  std::vector<Violation> violations;
+  std::set<std::pair<std::string, size_t>> stale;
+  std::set<std::pair<std::string, size_t>> sent_to_leaving;
+  for (const Attempt& attempt : record.attempts) {
+    const std::string gateway = GatewayName(attempt);
+    const auto add = [&](const char* rule, std::string what, TimePoint confirmed, TimePoint at) {
+      absl::StrAppend(&what, absl::StrFormat(" %.3f s after the change was confirmed",
+                                             SecondsBetween(confirmed, at)));
+      violations.push_back({rule, what, at, attempt.id, gateway, ""});
+    };
+    if (attempt.state > 0 && attempt.complete) {
+      const auto number = static_cast<size_t>(attempt.state);
+      const StateRecord& state = record.states.at(number - 1);
+      const bool known =
+          MustKnow(record, gateway, state.sent, state.confirmed, attempt.begin, attempt.end) &&
+          !(attempt.new_route && MayLackRoute(record, number, attempt.end));
+      if (known) ++outcomes["checked_for_new_state"];
+      const bool refused = attempt.status == 401 || attempt.status == 404;
+      if (known && refused && stale.emplace(gateway, number).second) {
+        add("CONFIG",
+            absl::StrCat("a request with what desired state ", number, " added was refused with ",
+                         attempt.status),
+            state.confirmed, attempt.begin);
+      }
+    }
+    const auto runs = record.runs.find(attempt.id);
+    if (runs == record.runs.end()) continue;
+    for (size_t i = 0; i < record.drains.size(); ++i) {
+      const DrainRecord& drain = record.drains[i];
+      for (const RunRecord& run : runs->second) {
+        // The gateway sends a request shortly before the runner begins it.
+        if (run.begin <= drain.confirmed + kConfigBound + kSlack || run.begin >= drain.end ||
+            !MustKnow(record, gateway, drain.sent, drain.confirmed, run.begin, run.begin)) {
+          continue;
+        }
+        ++outcomes["checked_for_leaving_runner"];
+        if (run.runner != drain.runner || WasDisturbed(record, run.runner, run.begin) ||
+            !sent_to_leaving.emplace(gateway, i).second) {
+          continue;
+        }
+        add("DRAIN", absl::StrCat(drain.runner, ", which leaves, began a new request"),
+            drain.confirmed, run.begin);
+      }
+    }
+  }
+  return violations;
+}
+
 }  // namespace fuchsiaweir::soak
--- a/test/soak/verdict.h
+++ b/test/soak/verdict.h
@@ -24,6 +24,7 @@
   kReload,        ///< SIGHUP, or changed settings.
   kDesiredState,  ///< From its sending until the store has confirmed it.
   kReset,         ///< A reset of all connections to a runner; it also counts as a fault.
+  kStart,         ///< A start of a gateway or sidecar that had ended.
   kFault,         ///< SIGKILL, SIGSTOP, or a fault of a runner or of the store.
 };
 
@@ -52,11 +53,28 @@
   std::string log;  ///< Last lines of the process, if no request is concerned.
 };
 
+/// A desired state that the soak has written; its key is part of all later ones.
+struct StateRecord {
+  int further_routes = 0;
+  TimePoint sent;
+  TimePoint confirmed = TimePoint::max();  ///< `max`: it was not.
+};
+
+/// A time in which the store's entry of a runner said that it leaves.
+struct DrainRecord {
+  std::string runner;
+  TimePoint sent;
+  TimePoint confirmed;
+  TimePoint end = TimePoint::max();  ///< Before another entry was sent, or the runner was started.
+};
+
 /// Everything that a soak has recorded.
 struct Record {
   std::vector<Attempt> attempts;
   std::vector<Disturbance> disturbances;
   std::map<std::string, std::vector<RunRecord>> runs;  ///< By request, in the order of begin.
+  std::vector<StateRecord> states;
+  std::vector<DrainRecord> drains;
 };
 
 /// Adds the runs from the log of a runner.
@@ -66,6 +84,11 @@
 /// ended without an answer.
 std::vector<Violation> JudgeRequests(const Record& record, std::map<std::string, int>& outcomes);
 
+/// Checks that desired states are in force (CONFIG) and that runners which leave get no requests
+/// (DRAIN). Returns at most one violation per change and gateway. Counts in `outcomes` the requests
+/// that were checked for each.
+std::vector<Violation> JudgeChanges(const Record& record, std::map<std::string, int>& outcomes);
+
 }  // namespace fuchsiaweir::soak
 
 #endif  // FUCHSIAWEIR_TEST_SOAK_VERDICT_H_
