Keep restored contents apart from confirmed ones between gateways

Responses of relays say whether they keep objects that the store may lack or has older. A gateway that starts reads evacuations too from another one. Orders of the copy replace no known order with another target, and final states outlive their orders for 10 s. Departures are known by start and sequence. Two revisions are compared only within one history. The rollout cases are not covered by a test here.

--- a/src/core/runner_registry.cc
+++ b/src/core/runner_registry.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <utility>
 
 namespace fuchsiaweir {
 namespace {
@@ -131,13 +132,16 @@
     std::map<std::string, RunnerState>::iterator runner, TimePoint now) {
   std::erase_if(departed_,
                 [&](const auto& item) { return now - item.second.at > kDepartureMemory; });
-  departed_[runner->first] = {runner->second.record.started_ms, now};
+  const RunnerRecord& record = runner->second.record;
+  departed_[runner->first] = {record.started_ms, record.sequence, now};
   return runners_.erase(runner);
 }
 
-bool RunnerRegistry::Departed(const std::string& id, int64_t started_ms) const {
-  const auto found = departed_.find(id);
-  return found != departed_.end() && started_ms > 0 && started_ms <= found->second.started_ms;
+bool RunnerRegistry::Departed(const RunnerRecord& record) const {
+  const auto found = departed_.find(record.id);
+  if (found == departed_.end() || record.started_ms == 0) return false;
+  return std::pair(record.started_ms, record.sequence) <=
+         std::pair(found->second.started_ms, found->second.sequence);
 }
 
 void RunnerRegistry::MarkReplaced(const std::string& address, uint16_t port) {
--- a/src/core/runner_registry.h
+++ b/src/core/runner_registry.h
@@ -83,8 +83,8 @@
   /// Removes a runner that is no longer listed. With `retain` it stays usable for a grace period,
   /// because records that expired while the list was unavailable are published again.
   void Remove(const std::string& id, bool retain, TimePoint now);
-  /// Whether a runner of this start, or a later one with the same id, was removed some time ago.
-  bool Departed(const std::string& id, int64_t started_ms) const;
+  /// Whether the record is not newer than that of a runner that was removed.
+  bool Departed(const RunnerRecord& record) const;
   /// Removes retained runners whose grace period has ended and returns their ids.
   std::vector<std::string> Expire(TimePoint now);
 
@@ -121,6 +121,7 @@
 
   struct Departure {
     int64_t started_ms = 0;
+    int64_t sequence = 0;
     TimePoint at;
   };
 
--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -28,15 +28,15 @@
 
 /// How one kind of object is followed.
 struct FleetView::KindRow {
-  const char* name;
-  Duration watch_timeout;
-  Duration watch_delay;
-  Duration sidecar_watch_delay;  ///< Same for sidecars; zero: they do not follow the kind.
-  bool urgent;
+  const char* name = "";
+  Duration watch_timeout{0};
+  Duration watch_delay{0};
+  Duration sidecar_watch_delay{0};  ///< Same for sidecars; zero: they do not follow the kind.
+  bool urgent = false;
   /// See `WatchedKind`.
-  bool keeps_missing;
-  bool (*newer)(const StoredObject& known, const StoredObject& read);
-  void (FleetView::*apply)(const StoredObject& object, const ChangeOrigin& origin);
+  bool keeps_missing = false;
+  bool (*newer)(const StoredObject& known, const StoredObject& read) = nullptr;
+  void (FleetView::*apply)(const StoredObject& object, const ChangeOrigin& origin) = nullptr;
 };
 
 // Short watch timeouts for the desired state and the runners detect a dead connection early, and
@@ -44,18 +44,43 @@
 // kind that stalls is passed over: hellos of other gateways name the newest change, and the next
 // read goes to the store.
 const FleetView::KindRow FleetView::kKindRows[] = {
-    {platform::kConfigKind, Millis(1000), Millis(0), Millis(0), true, true,
-     &platform::IsLaterVersion, &FleetView::ApplyConfig},
-    {platform::kRunnerKind, Millis(500), Millis(400), Millis(1500), false, false,
-     &platform::IsLaterRunnerEntry, &FleetView::ApplyRunner},
-    {platform::kEvacuationKind, Millis(2500), Millis(50), Millis(0), true, true, nullptr,
-     &FleetView::ApplyEvacuation},
-    {platform::kRolloutKind, Millis(2500), Millis(50), Millis(0), true, true, nullptr,
-     &FleetView::ApplyRollout},
-    {platform::kVersionKind, Millis(2500), Millis(50), Millis(50), false, true,
-     &platform::IsLaterVersion, &FleetView::ApplyWeights},
-    {kPeerKind, Millis(4000), Millis(500), Millis(1000), false, true, nullptr,
-     &FleetView::ApplyPeer},
+    {.name = platform::kConfigKind,
+     .watch_timeout = Millis(1000),
+     .urgent = true,
+     .keeps_missing = true,
+     .newer = &platform::IsLaterVersion,
+     .apply = &FleetView::ApplyConfig},
+    {.name = platform::kRunnerKind,
+     .watch_timeout = Millis(500),
+     .watch_delay = Millis(400),
+     .sidecar_watch_delay = Millis(1500),
+     .newer = &platform::IsLaterRunnerEntry,
+     .apply = &FleetView::ApplyRunner},
+    {.name = platform::kEvacuationKind,
+     .watch_timeout = Millis(2500),
+     .watch_delay = Millis(50),
+     .urgent = true,
+     .keeps_missing = true,
+     .apply = &FleetView::ApplyEvacuation},
+    {.name = platform::kRolloutKind,
+     .watch_timeout = Millis(2500),
+     .watch_delay = Millis(50),
+     .urgent = true,
+     .keeps_missing = true,
+     .apply = &FleetView::ApplyRollout},
+    {.name = platform::kVersionKind,
+     .watch_timeout = Millis(2500),
+     .watch_delay = Millis(50),
+     .sidecar_watch_delay = Millis(50),
+     .keeps_missing = true,
+     .newer = &platform::IsLaterVersion,
+     .apply = &FleetView::ApplyWeights},
+    {.name = kPeerKind,
+     .watch_timeout = Millis(4000),
+     .watch_delay = Millis(500),
+     .sidecar_watch_delay = Millis(1000),
+     .keeps_missing = true,
+     .apply = &FleetView::ApplyPeer},
 };
 
 FleetView::FleetView(ComponentRegistry& components, const GatewaySettings& settings,
@@ -109,26 +134,29 @@
 }
 
 void FleetView::Register() {
-  registration_due_ = true;
+  ++registrations_due_;
   if (std::exchange(registering_, true)) return;
   SpawnService(io_, "register", [this]() { return RegisterWhileDue(); });
 }
 
 Awaitable<void> FleetView::RegisterWhileDue() {
-  while (std::exchange(registration_due_, false)) {
+  while (registrations_done_ < registrations_due_) {
+    const int64_t due = registrations_due_;
     GatewaySettings settings = settings_;
     co_await RegisterPeer(mirror_.store(), std::move(settings), role_);
+    registrations_done_ = due;
   }
   registering_ = false;
 }
 
-void FleetView::LearnNewestState() {
-  if (role_ != PlatformRole::kGateway || table_ == nullptr || !peers_.listed()) return;
+void FleetView::LearnFromPeer(const std::string& kind) {
+  const bool listed = peers_.listed() && mirror_.Age(kind).has_value();
+  if (role_ != PlatformRole::kGateway || !listed) return;
   std::vector<std::string> others = peers_.live_gateways();
   std::erase(others, settings_.name);
   if (others.empty()) return;
   const std::string peer = RendezvousTop(settings_.name, others, 1).front();
-  mirror_.LearnFrom(platform::kConfigKind, peers_.peers().at(peer).endpoint);
+  mirror_.LearnFrom(kind, peers_.peers().at(peer).endpoint);
 }
 
 bool FleetView::Follows(const KindRow& row) const {
@@ -150,14 +178,19 @@
   };
   if (row.apply == &FleetView::ApplyRunner) kind.on_listed = [this]() { runners_listed_ = true; };
   if (row.apply == &FleetView::ApplyRollout) kind.on_listed = [this]() { rollouts_listed_ = true; };
+  if (row.apply == &FleetView::ApplyEvacuation) {
+    kind.on_listed = [this]() { LearnFromPeer(platform::kEvacuationKind); };
+  }
   if (row.apply == &FleetView::ApplyPeer) {
     kind.on_listed = [this]() {
       peers_.MarkListed(SteadyNow());
-      LearnNewestState();
+      for (const char* learned : {platform::kConfigKind, platform::kEvacuationKind}) {
+        LearnFromPeer(learned);
+      }
     };
   }
   if (row.apply != &FleetView::ApplyConfig) return kind;
-  kind.on_listed = [this]() { LearnNewestState(); };
+  kind.on_listed = [this]() { LearnFromPeer(platform::kConfigKind); };
   kind.on_current = [this](TimePoint as_of) {
     if (table_ != nullptr) authority_.Confirm(as_of);
   };
@@ -236,7 +269,7 @@
 }
 
 void FleetView::ApplyRollout(const StoredObject& object, const ChangeOrigin& origin) {
-  if (rollout_listener_) rollout_listener_(object, origin.first_listing);
+  if (rollout_listener_) rollout_listener_(object, origin);
 }
 
 void FleetView::ApplyRunner(const StoredObject& object, const ChangeOrigin& origin) {
@@ -260,7 +293,7 @@
     return;
   }
   unreadable_revisions_.erase(object.name);
-  if (origin.older_copy && runner_registry_.Departed(record->id, record->started_ms)) {
+  if (origin.older_copy && runner_registry_.Departed(*record)) {
     return LogInfo("departed_runner_ignored",
                    {{"runner", record->id}, {"sequence", absl::StrCat(record->sequence)}});
   }
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -86,9 +86,9 @@
   }
 
   /// Registers the listener that is called with each change of an order to roll out a version.
-  /// `first_listing`: the order may be from long before this process started.
+  /// In the first listing the order may be from long before this process started.
   using RolloutListener =
-      std::function<void(const platform::StoredObject& object, bool first_listing)>;
+      std::function<void(const platform::StoredObject& object, const ChangeOrigin& origin)>;
   void SetRolloutListener(RolloutListener listener) { rollout_listener_ = std::move(listener); }
   /// Whether the orders to roll out versions have been read.
   bool rollouts_listed() const { return rollouts_listed_; }
@@ -109,9 +109,9 @@
   /// Writes this process's entry among the peers, unless it is there.
   void Register();
   Awaitable<void> RegisterWhileDue();
-  /// Asks another gateway for a newer desired state. A store that came back from an older copy may
-  /// have one that is older than what this process's callers have seen in force.
-  void LearnNewestState();
+  /// Asks another gateway for what it knows newer of the kind, when both the kind and the peers
+  /// have been listed: the store may have come back from an older copy before this process started.
+  void LearnFromPeer(const std::string& kind);
   WatchedKind MakeKind(const KindRow& row);
   HelloMessage MakeHello() const;
 
@@ -144,7 +144,8 @@
   std::set<std::string> evacuated_;
   std::map<std::string, WeightsHistory> weights_;
   PeerDirectory peers_;
-  bool registration_due_ = false;
+  int64_t registrations_due_ = 0;  ///< Counts the reasons to register.
+  int64_t registrations_done_ = 0;
   bool registering_ = false;
   ObjectMirror mirror_;
 };
--- a/src/gateway/object_log.cc
+++ b/src/gateway/object_log.cc
@@ -57,7 +57,9 @@
                     {"revision", changes.position.revision},
                     {"age_ms", ToMillis(changes.age)},
                     {"outage", changes.outage},
-                    {"relayed", changes.relayed}};
+                    {"relayed", changes.relayed},
+                    {"restoring", changes.restoring},
+                    {"ahead", changes.ahead}};
   // The contents are large. Each is serialized where it is, not copied into one tree first.
   std::string text = json::serialize(head);
   text.pop_back();
@@ -94,10 +96,14 @@
   changes.age = platform::MillisAt(fields, "age_ms");
   changes.outage = platform::BooleanAt(fields, "outage");
   // Processes of an earlier version do not send these fields.
-  for (const char* name : {"relayed", "history"}) {
+  for (const char* name : {"relayed", "history", "restoring", "ahead"}) {
     const std::string_view text = platform::FindMember(members, name);
     if (!text.empty()) fields[name] = platform::ParsePiece(text, 1, error);
   }
+  if (fields.contains("restoring")) {
+    changes.restoring = platform::BooleanAt(fields, "restoring");
+  }
+  if (fields.contains("ahead")) changes.ahead = platform::BooleanAt(fields, "ahead");
   if (fields.contains("relayed")) changes.relayed = platform::BooleanAt(fields, "relayed");
   if (fields.contains("history")) {
     changes.position.history = platform::IntegerAt(fields, "history");
--- a/src/gateway/object_log.h
+++ b/src/gateway/object_log.h
@@ -22,6 +22,9 @@
   bool outage = false;  ///< The store is or was recently unavailable.
   /// The process that tells this did not read it from the store, but from another one.
   bool relayed = false;
+  /// The contents may have objects that the store has lost and does not have again.
+  bool restoring = false;
+  bool ahead = false;  ///< The contents have objects that are newer than the store's.
 };
 
 std::string EncodeObjectChanges(const ObjectChanges& changes);
--- a/src/gateway/object_mirror.cc
+++ b/src/gateway/object_mirror.cc
@@ -103,6 +103,8 @@
   Duration age{0};                ///< Time since the relay's contents were known to be current.
   bool outage = false;            ///< The relay reports an outage of the store.
   bool relayed = false;           ///< The relay did not read its contents from the store.
+  bool restoring = false;         ///< See `ObjectChanges`.
+  bool ahead = false;             ///< The same.
 
   /// When the contents were current. The store does not say when during a wait it produced its
   /// response, so this is at most the begin of the call.
@@ -201,8 +203,11 @@
     if (regained && kind.on_regained) kind.on_regained();
     if (at_once) continue;
     const Duration passed = SuspendAwareNow() - read.sent;
-    const Duration pause =
-        NextReadPause({kind.watch_delay, read.relay.has_value(), read.relayed, current, passed});
+    const Duration pause = NextReadPause({.delay = kind.watch_delay,
+                                          .from_relay = read.relay.has_value(),
+                                          .relayed = read.relayed,
+                                          .current = current,
+                                          .took = passed});
     if (pause > Duration{0}) co_await SleepFor(pause);
   }
 }
@@ -223,10 +228,15 @@
   if (relation == ReadRelation::kBehind) {
     LogDropped(kind, read);
   } else {
-    if (read.full && state.ListDue(read.sent)) state.restore_ends_at.reset();
+    // A relay that has not listed the store again may still tell what the store does not have.
+    if (read.restoring) {
+      if (!state.restore_ends_at) state.restore_ends_at = SuspendAwareNow() + kRestoreGrace;
+    } else if (read.full && state.ListDue(read.sent)) {
+      state.restore_ends_at.reset();
+    }
     const ChangeOrigin origin{read.Source(), state.log.position().revision == 0,
                               read.full && state.Restoring(SuspendAwareNow())};
-    KeepNewer(kind, read.full, read.result.objects);
+    KeepNewer(kind, read);
     std::vector<StoredObject> changes;
     if (read.full) {
       changes = state.log.Reset(std::move(read.result.objects), read.result.position());
@@ -256,10 +266,10 @@
   if (kind.lists_runners) health_.OnRunnerListReadFailed();
 }
 
-void ObjectMirror::KeepNewer(const WatchedKind& kind, bool full,
-                             std::vector<StoredObject>& objects) {
+void ObjectMirror::KeepNewer(const WatchedKind& kind, KindRead& read) {
   WatchedContents& state = contents_[kind.name];
-  bool ahead = false;
+  std::vector<StoredObject>& objects = read.result.objects;
+  bool ahead = read.ahead;
   std::set<std::string> names;
   for (StoredObject& object : objects) {
     names.insert(object.name);
@@ -269,14 +279,14 @@
     ahead = true;
     object = *known;
   }
-  if (full && kind.keeps_missing && state.Restoring(SuspendAwareNow())) {
+  if (read.full && kind.keeps_missing && state.Restoring(SuspendAwareNow())) {
     for (const StoredObject& known : state.log.ChangesSince({}).objects) {
       if (known.removed || names.count(known.name) > 0) continue;
       ahead = true;
       objects.push_back(known);
     }
   }
-  if (full || !objects.empty()) state.ahead = ahead;
+  if (read.full || !objects.empty()) state.ahead = ahead;
 }
 
 void ObjectMirror::ApplyChanges(const WatchedKind& kind, const std::vector<StoredObject>& changes,
@@ -309,7 +319,7 @@
 
 void ObjectMirror::LearnFrom(const std::string& kind, const Endpoint& peer) {
   const WatchedKind* const found = FindKind(kind);
-  if (found == nullptr || found->newer == nullptr || contents_[kind].catching_up) return;
+  if (found == nullptr || contents_[kind].catching_up) return;
   contents_[kind].catching_up = true;
   Spawn(io_, "learn", [this, found, peer]() { return Learn(*found, peer); });
 }
@@ -324,10 +334,13 @@
   std::vector<StoredObject> newer;
   for (StoredObject& object : read.result.objects) {
     const StoredObject* const known = state.log.Find(object.name);
-    if (known == nullptr || !kind.newer(object, *known)) continue;
-    newer.push_back(std::move(object));
+    // The peer may not have seen yet that the store came back from an older copy.
+    const bool kept = read.restoring || read.result.history < state.log.position().history;
+    const bool lost = known == nullptr && kind.keeps_missing && kept;
+    const bool later = known != nullptr && kind.newer != nullptr && kind.newer(object, *known);
+    if (lost || later) newer.push_back(std::move(object));
   }
-  if (newer.empty()) co_return;
+  if (newer.empty() || state.log.position().revision == 0) co_return;
   state.ahead = true;
   if (!state.restore_ends_at) state.restore_ends_at = SuspendAwareNow() + kRestoreGrace;
   state.log.Append(newer, state.log.position().revision);
@@ -361,22 +374,24 @@
            {"source", read.Source()},
            {"history", absl::StrCat(read.result.history)},
            {"revision", absl::StrCat(read.result.revision)},
+           {"own_history", absl::StrCat(contents_[kind.name].log.position().history)},
            {"own_revision", absl::StrCat(contents_[kind.name].log.position().revision)},
            {"full", read.full ? "yes" : "no"}});
 }
 
 void ObjectMirror::RecordHistory(const WatchedKind& kind, StorePosition position,
                                  const std::string& source) {
-  if (position.history <= history_) return;
-  const int64_t replaced = std::exchange(history_, position.history);
+  // A call that failed does not tell the history.
+  if (position.history <= history() && (history_ || position.revision == 0)) return;
+  const std::optional<int64_t> replaced = std::exchange(history_, position.history);
   metrics_.Gauge("fuchsiaweir_store_history", "History of the platform's store.")
-      .Set(static_cast<double>(history_));
-  if (replaced == 0) return;
+      .Set(static_cast<double>(history()));
+  if (!replaced) return;
   LogWarning("store_history_changed",
              {{"kind", kind.name},
               {"source", source},
-              {"history", absl::StrCat(history_)},
-              {"replaces", absl::StrCat(replaced)},
+              {"history", absl::StrCat(history())},
+              {"replaces", absl::StrCat(*replaced)},
               {"revision", absl::StrCat(position.revision)},
               {"own_revision", absl::StrCat(contents_[kind.name].log.position().revision)}});
   if (on_restored_) on_restored_();
@@ -400,6 +415,8 @@
   read.age = changes->age;
   read.outage = changes->outage;
   read.relayed = changes->relayed;
+  read.restoring = changes->restoring;
+  read.ahead = changes->ahead;
   read.result.revision = changes->position.revision;
   read.result.history = changes->position.history;
   read.result.objects = std::move(changes->objects);
--- a/src/gateway/object_mirror.h
+++ b/src/gateway/object_mirror.h
@@ -72,8 +72,8 @@
   void SetSettings(const GatewaySettings& settings);
 
   platform::ObjectStore& store() { return store_; }
-  /// History that the store's last answer belongs to; 0 before the first one.
-  int64_t history() const { return history_; }
+  /// Latest history of the store that an answer belonged to; 0 before the first one.
+  int64_t history() const { return history_.value_or(0); }
   /// Whether runners may be missing from the list only because the store was unavailable.
   bool runner_outage() const { return health_.runner_outage(); }
   /// Time since the kind was known to be current; nothing before it was read.
@@ -84,7 +84,8 @@
   std::vector<HelloMessage::Change> NewestChanges() const;
   /// Reads changes that a peer knows and this process does not.
   void OnPeerChanges(const std::vector<HelloMessage::Change>& changes, const Endpoint& peer);
-  /// Takes over the objects of a kind that a peer knows newer than this process.
+  /// Takes over the objects of a kind that a peer knows newer than this process, or that the store
+  /// has lost.
   void LearnFrom(const std::string& kind, const Endpoint& peer);
   /// Serves the contents to another process. The target's query names the object kind, the caller's
   /// revision and how long to wait for changes.
@@ -112,7 +113,7 @@
   /// Takes over what a read has returned.
   void ApplyRead(const WatchedKind& kind, KindRead& read);
   /// Replaces objects that were read by newer ones that are known, and adds those that are kept.
-  void KeepNewer(const WatchedKind& kind, bool full, std::vector<platform::StoredObject>& objects);
+  void KeepNewer(const WatchedKind& kind, KindRead& read);
   /// Calls the kind's function for each change.
   void ApplyChanges(const WatchedKind& kind, const std::vector<platform::StoredObject>& changes,
                     const ChangeOrigin& origin);
@@ -138,7 +139,7 @@
   std::map<std::string, WatchedContents> contents_;  ///< By kind name.
   StoreHealth health_;
   StoreBackoff store_backoff_;
-  int64_t history_ = 0;
+  std::optional<int64_t> history_;
   std::function<void()> on_restored_;
   bool stopping_ = false;
 };
--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -26,6 +26,8 @@
 /// the time in which the members of a rollout must stop a bad version.
 constexpr Duration kLeaderTimeout = Millis(2500);
 constexpr Duration kWriteRetryDelay = Millis(300);
+/// Time in which operators write again, after a restore of the store, orders that it has lost.
+constexpr Duration kRewriteTime = Seconds(10);
 /// Time for the desired state to name a service after the order for it.
 constexpr Duration kServiceWait = Seconds(3);
 
@@ -47,9 +49,8 @@
       enabled_(view.settings().rollouts_enabled()),
       start_(UnixMillis()) {
   if (!enabled_) return;
-  view_.SetRolloutListener([this](const platform::StoredObject& object, bool first_listing) {
-    OnObject(object, first_listing);
-  });
+  view_.SetRolloutListener([this](const platform::StoredObject& object,
+                                  const ChangeOrigin& origin) { OnObject(object, origin); });
   components.Find<TimerService>("timer").Subscribe("rollouts", kTickPeriod,
                                                    [this](TimePoint now) { Tick(now); });
 }
@@ -164,19 +165,25 @@
   LogStep(message.service, service, absl::StrCat("told by ", message.sender), now);
 }
 
-void RolloutControl::OnObject(const platform::StoredObject& object, bool first_listing) {
+void RolloutControl::OnObject(const platform::StoredObject& object, const ChangeOrigin& origin) {
+  FollowHistory(SteadyNow());
   Service& service = services_[object.name];
   if (object.removed) return OnRemoved(service);
   const StorePosition position{object.history, object.revision};
   if (position <= service.position) return;
-  const bool restored = position.history > service.position.history;
-  service.position = position;
   RolloutRecord record = platform::DecodeRollout(object.name, object.content, object.status);
   if (!record.unusable_status.empty()) {
     LogWarning("rollout_status_unusable",
                {{"service", object.name}, {"status", record.unusable_status}});
   }
-  OnRecord(std::move(record), service, first_listing, restored);
+  if (origin.older_copy && service.record && service.record->target != record.target) {
+    // The copy is from before the known order, which the operator writes again.
+    return LogInfo("older_rollout_ignored", {{"service", object.name},
+                                             {"target", record.target},
+                                             {"known_target", service.record->target}});
+  }
+  service.position = position;
+  OnRecord(std::move(record), service, origin.first_listing);
 }
 
 void RolloutControl::OnRemoved(Service& service) {
@@ -190,14 +197,18 @@
   service.record.reset();
 }
 
-void RolloutControl::OnRecord(RolloutRecord record, Service& service, bool first_listing,
-                              bool restored) {
+bool RolloutControl::StatusLost(const Service& service) const {
+  const auto known = service.final_states.find(service.record->target);
+  return known != service.final_states.end() && !IsFinal(service.record->state) &&
+         SteadyNow() < rewrites_until_;
+}
+
+void RolloutControl::OnRecord(RolloutRecord record, Service& service, bool first_listing) {
   const std::optional<RolloutRecord> before = std::exchange(service.record, std::move(record));
   const RolloutRecord& current = *service.record;
-  const bool status_lost = restored && before && before->target == current.target &&
-                           IsFinal(before->state) && !IsFinal(current.state);
-  if (status_lost) {
-    service.result = before->state;
+  if (StatusLost(service)) {
+    service.rollout.reset();
+    service.result = service.final_states.at(current.target);
     service.reason = "the store has lost the status";
     return;
   }
@@ -263,6 +274,7 @@
 void RolloutControl::OnState(Service& service) {
   const RolloutRecord& record = *service.record;
   if (!IsFinal(record.state)) return;
+  service.final_states[record.target] = *record.state;
   const bool done = record.state == RolloutState::kDone;
   const bool expected =
       !service.rollout ||
@@ -307,7 +319,13 @@
           member.counts()};
 }
 
+void RolloutControl::FollowHistory(TimePoint now) {
+  const int64_t before = std::exchange(history_, view_.store_history());
+  if (before > 0 && before < history_) rewrites_until_ = now + kRewriteTime;
+}
+
 void RolloutControl::Tick(TimePoint now) {
+  FollowHistory(now);
   Refresh(now);
   // Without the list of peers each gateway would take itself for the leader.
   if (view_.gateways().empty()) return;
@@ -402,7 +420,8 @@
   // faster: the store's contents decide.
   result = co_await view_.store().Read(kind, name);
   if (result.outcome == platform::StoreOutcome::kDone && !result.objects.empty()) {
-    OnObject(result.objects.front(), false);
+    const ChangeOrigin origin{"store"};
+    OnObject(result.objects.front(), origin);
   }
   service.next_write = SteadyNow() + kWriteRetryDelay;
   service.writing = false;
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -60,7 +60,9 @@
   struct Service {
     std::optional<RolloutRecord> record;  ///< Of the order in the store.
     StorePosition position;               ///< Of the order with its status.
-    std::optional<Rollout> rollout;       ///< While the order is carried out.
+    /// Final states by target. The store may lose them.
+    std::map<std::string, RolloutState> final_states;
+    std::optional<Rollout> rollout;  ///< While the order is carried out.
     /// Result of an order that is not carried out.
     std::optional<RolloutState> result;
     std::string reason;
@@ -76,15 +78,19 @@
     TimePoint next_write;
   };
 
-  void OnObject(const platform::StoredObject& object, bool first_listing);
+  void OnObject(const platform::StoredObject& object, const ChangeOrigin& origin);
   void OnRemoved(Service& service);
-  /// `restored`: the store has come back from an older copy since the last record.
-  void OnRecord(RolloutRecord record, Service& service, bool first_listing, bool restored);
+  void OnRecord(RolloutRecord record, Service& service, bool first_listing);
+  /// Whether the service's order ended before the store came back from an older copy, and is there
+  /// or was written again without its status.
+  bool StatusLost(const Service& service) const;
   /// Begins to carry out the service's order.
   void Begin(Service& service, bool first_listing);
   /// Applies a status of the order that the store holds.
   void OnState(Service& service);
 
+  /// Notes when the store has come back from an older copy.
+  void FollowHistory(TimePoint now);
   void Tick(TimePoint now);
   /// Recomputes the versions and the rules of all services from the list of runners.
   void Refresh(TimePoint now);
@@ -114,6 +120,9 @@
   std::map<std::string, Service> services_;
   TimePoint next_report_;
   TimePoint next_announcement_;
+  int64_t history_ = 0;  ///< Of the store.
+  /// Until then operators may write orders again that the store has lost, without their status.
+  TimePoint rewrites_until_;
 };
 
 }  // namespace fuchsiaweir
--- a/src/gateway/watched_contents.cc
+++ b/src/gateway/watched_contents.cc
@@ -26,6 +26,8 @@
   // it.
   changes.age = std::max(Duration{0}, received_at - as_of);
   changes.relayed = !from_store;
+  changes.restoring = restore_ends_at.has_value();
+  changes.ahead = ahead;
   co_return changes;
 }
 
--- a/src/gateway/watched_contents.h
+++ b/src/gateway/watched_contents.h
@@ -30,7 +30,7 @@
   bool ahead = false;  ///< The contents have objects that are newer than the store's.
   std::vector<boost::asio::steady_timer*> waiting_reads;
 
-  /// Returns the changes since a revision. Waits for them until `wait` has passed, or until the
+  /// Returns the changes since a position. Waits for them until `wait` has passed, or until the
   /// contents are older than `max_age`. Contents that were not read from the store are not waited
   /// for: the reader may be their source.
   Awaitable<ObjectChanges> Changes(boost::asio::io_context& io, StorePosition since, Duration wait,
--- a/test/correctness/runner_registry.cc
+++ b/test/correctness/runner_registry.cc
@@ -249,18 +249,22 @@
   runner_registry.Upsert(Record("a", 1, 0), kStart);
   CHECK_FALSE(runner_registry.Find("a")->record.draining);
   runner_registry.Remove("a", /*retain=*/false, kStart);
-  CHECK_FALSE(runner_registry.Departed("a", 0));
+  CHECK_FALSE(runner_registry.Departed(Record("a", 1, 0)));
 }
 
-// Guards against a runner that has left and counts as new, and against one that starts again under
-// the id that it had and counts as the one that left.
-TEST(RunnerRegistry, ADepartureIsKnownByItsStart) {
-  runner_registry.Upsert(Record("a", 1, 1'000), kStart);
-  CHECK_FALSE(runner_registry.Departed("a", 1'000));
+// Guards against a runner that has left and counts as new, and against one that lives, has written
+// its record again, or has started again under the id that it had, and counts as the one that left.
+TEST(RunnerRegistry, ADepartureIsKnownByStartAndSequence) {
+  const RunnerRecord record = Record("a", 1, 1'000);
+  runner_registry.Upsert(record, kStart);
+  CHECK_FALSE(runner_registry.Departed(record));
   runner_registry.Remove("a", /*retain=*/false, kStart);
-  CHECK(runner_registry.Departed("a", 1'000));
-  CHECK_FALSE(runner_registry.Departed("a", 2'000));
-  CHECK_FALSE(runner_registry.Departed("b", 1'000));
+  CHECK(runner_registry.Departed(record));
+  RunnerRecord later = record;
+  later.sequence = record.sequence + 1;
+  CHECK_FALSE(runner_registry.Departed(later));
+  CHECK_FALSE(runner_registry.Departed(Record("a", 1, 2'000)));
+  CHECK_FALSE(runner_registry.Departed(Record("b", 1, 1'000)));
 }
 
 }  // namespace fuchsiaweir
--- a/test/correctness/store_position.cc
+++ b/test/correctness/store_position.cc
@@ -55,6 +55,8 @@
 TEST(StorePositions, AListIsComparedWithTheStateBeforeItsCall) {
   CheckRelation(ReadRelation::kBehind, {{2, 98}, {2, 99}, kFull, kFromStore});
   CheckRelation(ReadRelation::kRestored, {{0, 100}, {0, 99}, kFull, kFromStore}, {0, 100});
+  // Another gateway told of the later history meanwhile.
+  CheckRelation(ReadRelation::kBehind, {{1, 500}, {2, 99}, kFull, kFromStore});
 }
 
 TEST(StorePositions, TheFirstContentsAreAList) {
--- a/test/process/store_restores.cc
+++ b/test/process/store_restores.cc
@@ -93,9 +93,13 @@
   LONGS_EQUAL(runs, fleet.Runs(1));
 }
 
-void CheckRestores(int gateways, int times) {
+void CheckRestores(int gateways, int times, bool names_histories = true) {
   Fleet fleet(gateways, 2);
   fleet.Start();
+  if (!names_histories) {
+    fleet.InjectFault("store", R"({"no_history": true})");
+    for (int i = 0; i < gateways; ++i) fleet.Restart(absl::StrCat("gateway", i));
+  }
   SleepMillis(2'000);  // The gateways have listed each other.
   fleet.CopyStore();
   WriteBeyondCopy(fleet);
@@ -120,6 +124,9 @@
 
 TEST(StoreRestores, ChangesTakeEffectAfterTwoRestores) { CheckRestores(3, 2); }
 
+// Guards against the same with a store that sends no Store-Era.
+TEST(StoreRestores, ChangesTakeEffectWithoutNamedHistories) { CheckRestores(2, 1, false); }
+
 // Guards against the same where gateways read the store through each other.
 TEST(StoreRestores, ChangesTakeEffectBehindRelays) { CheckRestores(8, 1); }
 
@@ -195,6 +202,47 @@
   CHECK(Eventually([&]() { return Serves(fleet, 2, "/safe/", "key-1"); }, kEvacuationBound * 2));
 }
 
+// Guards against an evacuation that lasts for good at gateways that read it from a relay: the relay
+// dropped it at a position that its readers had already.
+TEST(StoreRestores, AnEvacuationThatTheStoreLostEndsBehindRelays) {
+  constexpr int kGateways = 8;
+  Fleet fleet(kGateways, 1);
+  fleet.Start();
+  SleepMillis(2'000);  // The gateways have listed each other.
+  fleet.CopyStore();
+  fleet.Put(platform::kEvacuationKind, "east", json::object{});
+  CHECK(Eventually([&]() { return fleet.AllGatewaysLogged("data_centre_evacuated"); },
+                   kEvacuationBound));
+  fleet.RestoreStore(kAway);
+  CHECK(Eventually([&]() { return Serves(fleet, kGateways, "/safe/", "key-1"); },
+                   kAway + kEvacuationBound * 2));
+}
+
+// Guards against a gateway that starts with the copy and sends requests to an evacuated data
+// centre, while the others still keep the evacuation.
+TEST(StoreRestores, AGatewayThatStartsLearnsWhatTheCopyLacks) {
+  Fleet fleet(2, 1);
+  fleet.Start();
+  SleepMillis(1'000);  // The gateways have listed each other.
+  fleet.CopyStore();
+  fleet.Put(platform::kEvacuationKind, "east", json::object{});
+  CHECK(Eventually([&]() { return fleet.AllGatewaysLogged("data_centre_evacuated"); },
+                   kEvacuationBound));
+  fleet.Signal("gateway0", SIGKILL);
+  fleet.Wait("gateway0");
+  fleet.RestoreStore(Millis(300));
+  SleepMillis(600);
+  const size_t logged = fleet.Log("gateway0").size();
+  fleet.Restart("gateway0");
+  CHECK(Eventually(
+      [&]() {
+        const std::string log = fleet.Log("gateway0").substr(logged);
+        return log.find("data_centre_evacuated") != std::string::npos;
+      },
+      kDesiredStateBound));
+  LONGS_EQUAL(503, fleet.Call("/safe/", "x", 0).status);
+}
+
 // Guards against requests to a runner that said it leaves, and to one that has left, because the
 // store's copy lists both as ready.
 TEST(StoreRestores, RunnersThatLeftStayGone) {
