Test orders for weights and rollouts across a restore of the store

The changes of fencing tokens, of rollout orders and of the mirror had no process test. The stand-in runner gets the fault "check_fence" and reports the highest token.

--- a/test/standin/fleet_runner.cc
+++ b/test/standin/fleet_runner.cc
@@ -29,6 +29,7 @@
 constexpr absl::string_view kEventsPrefix = "events=";
 /// A body "work=MS;..." is answered after this number of milliseconds.
 constexpr absl::string_view kWorkPrefix = "work=";
+constexpr int kPreconditionFailed = 412;
 constexpr int kMisdirectedRequest = 421;
 constexpr Duration kEventInterval = Millis(20);
 constexpr Duration kWorkPollInterval = Millis(10);
@@ -71,6 +72,7 @@
       body = json::serialize(json::object{{"runs", runs_},
                                           {"cancelled", cancelled_},
                                           {"version", version_},
+                                          {"fence", fence_},
                                           {"arrivals_ms", arrivals_ms_},
                                           {"headers", last_headers_}});
     } else if (path == platform::kReportPath) {
@@ -119,6 +121,12 @@
 
   Awaitable<void> HandleOrder(HttpExchange& exchange) {
     const json::object order = json::parse(exchange.request().body).as_object();
+    const int64_t fence = order.at("fence").to_number<int64_t>();
+    if (HasFault("check_fence") && fence < fence_) {
+      std::string fenced = "{}";
+      co_return co_await SendJson(exchange, kPreconditionFailed, std::move(fenced));
+    }
+    fence_ = std::max(fence_, fence);
     ++orders_;
     loading_ = true;
     const int64_t version = order.at("version").to_number<int64_t>();
@@ -387,6 +395,7 @@
   int64_t active_ = 0;
   int64_t cancelled_ = 0;
   int64_t orders_ = 0;
+  int64_t fence_ = 0;  ///< Highest fencing token of the orders that were carried out.
   int64_t version_ = 1;
   bool loading_ = false;
 };
--- a/test/standin/fleet_runner.h
+++ b/test/standin/fleet_runner.h
@@ -41,7 +41,8 @@
 /// "crash_text" (exit on a request whose list of prompt parts, or whose body, contains this text),
 /// "raw" (send these bytes, with request id and receipt in place of "{head}", and close the
 /// connection), "reset" (reset it instead), "raw_if_resumed" (only to a request that resumes a
-/// stream), "run_event_ms" (report four runs that generate an event each after this time).
+/// stream), "run_event_ms" (report four runs that generate an event each after this time),
+/// "check_fence" (refuse orders with a lower fencing token than an earlier one, with status 412).
 void RunFleetRunner(const FleetRunnerOptions& options);
 
 }  // namespace fuchsiaweir::standin
