Do not repeat a rollout whose order is written again after a restore

The gateways write a lost final status again within a second of a restore. The operator writes the order again at any time after, which clears the status, and that was taken for a new order: a version that had been reverted was rolled out a second time. A gateway that read the final status only after the restore did the same. For kRestoreGrace after a restore that lost the status, an order for the same target without a status keeps the known result. An order for the same target that is meant anew in this time gets the old result and has to be written once more.

--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -28,6 +28,8 @@
 constexpr Duration kWriteRetryDelay = Millis(300);
 /// Time for the desired state to name a service after the order for it.
 constexpr Duration kServiceWait = Seconds(3);
+/// Time after a restore in which the operator writes again what the store has lost.
+constexpr Duration kRestoreGrace = Seconds(5);
 
 RolloutState FinalStateOr(const std::optional<RolloutState>& state) {
   return state.value_or(RolloutState::kRunning);
@@ -194,9 +196,11 @@
                               bool restored) {
   const std::optional<RolloutRecord> before = std::exchange(service.record, std::move(record));
   const RolloutRecord& current = *service.record;
-  const bool status_lost = restored && before && before->target == current.target &&
-                           IsFinal(before->state) && !IsFinal(current.state);
-  if (status_lost) {
+  // The operator's write clears a status that the gateways have written again since the restore.
+  const TimePoint now = SteadyNow();
+  const bool unfinished = before && before->target == current.target && !IsFinal(current.state);
+  if (restored && unfinished) service.rewrites_until = now + kRestoreGrace;
+  if (unfinished && IsFinal(before->state) && now < service.rewrites_until) {
     service.result = before->state;
     service.reason = "the store has lost the status";
     return;
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -65,6 +65,8 @@
     std::optional<RolloutState> result;
     std::string reason;
     TimePoint ordered_at;
+    /// Until then the operator may write an order again whose status the store has lost.
+    TimePoint rewrites_until;
     ServiceVersions versions;
     std::map<std::string, AnswerTimes> present_times;  ///< By route.
     VersionRule present;
--- a/test/process/restored_orders.cc
+++ b/test/process/restored_orders.cc
@@ -199,8 +199,23 @@
   ordered.CheckLogged(1, "rollout_ordered");
 }
 
-// Guards against a second rollout of a version that was reverted, because the copy lacks the order
-// and the operator writes it again.
+// Guards against a second rollout of a version that was reverted, when the operator writes the
+// order again, which clears its status, after the gateways have written the status again.
+TEST(RestoredOrders, ARevertedOrderThatIsWrittenAgainStaysReverted) {
+  OrderedFleet ordered;
+  ordered.Order("v3", 2);
+  ordered.fleet().CopyStore();
+  CHECK(ordered.Unfinished());
+  UseRevisions(ordered.fleet());
+  CHECK(ordered.Reaches("reverted"));
+  ordered.fleet().RestoreStore(kAway);
+  CHECK(ordered.Reaches("reverted"));
+  ordered.Order("v3", 2);
+  CHECK(ordered.Reaches("reverted"));
+  ordered.CheckLogged(1, "rollout_ordered");
+}
+
+// Guards against the same where the copy lacks the order and the operator writes it again.
 TEST(RestoredOrders, ARevertedOrderThatTheCopyLacksStaysReverted) {
   OrderedFleet ordered;
   ordered.fleet().CopyStore();
