Keep a rollout while the store lists an earlier order of its copy

A service's object may hold an earlier order when the copy is made. After the restore its final status made the gateways give up the present rollout, and after a finished one they sent requests to the replaced version; the order then was carried out a second time once the operator had written it again. A listed order of a later history with a final status and another target, which an operator's write never has, now takes effect kRestoreGrace later, unless another write comes first. Until then no status is written for the known order, whose position stays in the earlier history. An earlier order without a final status cannot be told from a new one and still takes effect at once.

--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -172,8 +172,19 @@
   const StorePosition position{object.history, object.revision};
   if (position <= service.position) return;
   const bool restored = position.history > service.position.history;
-  service.position = position;
   RolloutRecord record = platform::DecodeRollout(object.name, object.content, object.status);
+  const TimePoint now = SteadyNow();
+  if (ListsEarlierOrder(service, record, restored) &&
+      (!service.earlier || now < service.earlier->applies_at)) {
+    if (service.earlier) return;
+    // No status of the known order is written meanwhile: its position stays in the earlier history.
+    service.earlier = EarlierOrder{object, now + kRestoreGrace};
+    return LogInfo("rollout_kept", {{"service", object.name},
+                                    {"target", service.record->target},
+                                    {"listed_target", record.target}});
+  }
+  service.earlier.reset();
+  service.position = position;
   if (!record.unusable_status.empty()) {
     LogWarning("rollout_status_unusable",
                {{"service", object.name}, {"status", record.unusable_status}});
@@ -181,7 +192,23 @@
   OnRecord(std::move(record), service, first_listing, restored);
 }
 
+bool RolloutControl::ListsEarlierOrder(const Service& service, const RolloutRecord& listed,
+                                       bool restored) {
+  // An order that is written again has no status yet.
+  return restored && service.record && service.record->target != listed.target &&
+         IsFinal(listed.state);
+}
+
+void RolloutControl::ApplyEarlierOrders(TimePoint now) {
+  for (auto& [name, service] : services_) {
+    if (!service.earlier || now < service.earlier->applies_at) continue;
+    const platform::StoredObject object = service.earlier->object;
+    OnObject(object, false);
+  }
+}
+
 void RolloutControl::OnRemoved(Service& service) {
+  service.earlier.reset();
   if (!service.record) return;
   LogInfo("rollout_removed", {{"service", service.record->service},
                               {"target", service.record->target},
@@ -312,6 +339,7 @@
 }
 
 void RolloutControl::Tick(TimePoint now) {
+  ApplyEarlierOrders(now);
   Refresh(now);
   // Without the list of peers each gateway would take itself for the leader.
   if (view_.gateways().empty()) return;
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -57,10 +57,17 @@
     std::string logged_reason = {};
   };
 
+  /// An order that another one had replaced before the store came back from an older copy.
+  struct EarlierOrder {
+    platform::StoredObject object;
+    TimePoint applies_at;  ///< Unless the later order is written again before.
+  };
+
   struct Service {
     std::optional<RolloutRecord> record;  ///< Of the order in the store.
     StorePosition position;               ///< Of the order with its status.
-    std::optional<Rollout> rollout;       ///< While the order is carried out.
+    std::optional<EarlierOrder> earlier;
+    std::optional<Rollout> rollout;  ///< While the order is carried out.
     /// Result of an order that is not carried out.
     std::optional<RolloutState> result;
     std::string reason;
@@ -79,6 +86,10 @@
   };
 
   void OnObject(const platform::StoredObject& object, bool first_listing);
+  /// Whether the store lists an earlier order of its copy in place of the known one.
+  static bool ListsEarlierOrder(const Service& service, const RolloutRecord& listed, bool restored);
+  /// Applies the earlier orders whose later ones have not been written again in time.
+  void ApplyEarlierOrders(TimePoint now);
   void OnRemoved(Service& service);
   /// `restored`: the store has come back from an older copy since the last record.
   void OnRecord(RolloutRecord record, Service& service, bool first_listing, bool restored);
--- a/test/process/restored_orders.cc
+++ b/test/process/restored_orders.cc
@@ -30,6 +30,8 @@
 /// have been reverted.
 constexpr Duration kWrittenAgainAfter = Seconds(1);
 constexpr Duration kOrderStandsFor = Seconds(2);
+/// Time after a restore in which the operator is expected to write again.
+constexpr Duration kRestoreGrace = Seconds(5);
 
 /// Writes other objects, so that the revisions go back by at least their number with the restore.
 void UseRevisions(Fleet& fleet) {
@@ -230,6 +232,65 @@
   ordered.CheckLogged(0, "rollout_removed");
 }
 
+// Guards against a rollout in progress that ends, and begins again, because the copy has an earlier
+// order for the service in place of its order.
+TEST(RestoredOrders, ARolloutInProgressOutlastsAnEarlierOrderOfTheCopy) {
+  OrderedFleet ordered;
+  ordered.Order("v1", 5);
+  CHECK(ordered.Reaches("done"));
+  ordered.fleet().CopyStore();
+  UseRevisions(ordered.fleet());
+  ordered.Order("v2", 5);
+  CHECK(ordered.Reaches("running"));
+  ordered.fleet().RestoreStore(kAway);
+  SleepMillis(ToMillis(kAway + kWrittenAgainAfter));
+  ordered.Order("v2", 5);
+  CHECK(ordered.Reaches("done"));
+  ordered.CheckLogged(0, "rollout_superseded");
+  ordered.CheckLogged(1, "rollout_ordered");
+}
+
+// Guards against requests to the replaced version, and against a second rollout, because the copy
+// has an earlier order for the service in place of one that was carried out.
+TEST(RestoredOrders, AFinishedRolloutOutlastsAnEarlierOrderOfTheCopy) {
+  OrderedFleet ordered;
+  ordered.Order("v1", 5);
+  CHECK(ordered.Reaches("done"));
+  ordered.fleet().CopyStore();
+  UseRevisions(ordered.fleet());
+  ordered.Order("v2", 2);
+  CHECK(ordered.Reaches("done"));
+  CHECK(Eventually(
+      [&]() { return ordered.fleet().AllGatewaysLogged("\"target\":\"v2\",\"state\":\"done\""); }));
+  const int64_t runs = ordered.fleet().Runs(0);
+  ordered.fleet().RestoreStore(kAway);
+  const TimePoint end = SteadyNow() + kAway + kWrittenAgainAfter;
+  while (SteadyNow() < end) {
+    LONGS_EQUAL(200, ordered.fleet().Call("/safe/", "x", 0).status);
+    SleepMillis(10);
+  }
+  ordered.Order("v2", 2);
+  CHECK(ordered.Reaches("done"));
+  LONGS_EQUAL(runs, ordered.fleet().Runs(0));
+  ordered.CheckLogged(1, "rollout_ordered");
+}
+
+// Guards against an order that is in force for good although the operator does not write it again.
+TEST(RestoredOrders, AnEarlierOrderOfTheCopyAppliesUnlessTheLaterOneIsWrittenAgain) {
+  OrderedFleet ordered;
+  ordered.Order("v1", 5);
+  CHECK(ordered.Reaches("done"));
+  ordered.fleet().CopyStore();
+  UseRevisions(ordered.fleet());
+  ordered.Order("v3", 30);
+  CHECK(ordered.Reaches("running"));
+  ordered.fleet().RestoreStore(kAway);
+  CHECK(Eventually([&]() { return ordered.fleet().AllGatewaysLogged("\"rollout_superseded\""); },
+                   kRestoreGrace + kOrderStandsFor));
+  CHECK(ordered.Reaches("done"));
+  ordered.CheckLogged(1, "rollout_ordered");
+}
+
 // Guards against a rollout in progress that ends, because the copy lacks its order, before the
 // operator has written the order again.
 TEST(RestoredOrders, ARolloutInProgressThatTheCopyLacksGoesOn) {
