--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -419,7 +419,9 @@
   // The write may have been applied although its answer is lost, and another writer may have been
   // faster: the store's contents decide.
   result = co_await view_.store().Read(kind, name);
-  if (result.outcome == platform::StoreOutcome::kDone && !result.objects.empty()) {
+  // In a later history the store may have an older order, which a list of the kind tells.
+  const bool same_history = result.history == service.position.history;
+  if (result.outcome == platform::StoreOutcome::kDone && same_history && !result.objects.empty()) {
     const ChangeOrigin origin{"store"};
     OnObject(result.objects.front(), origin);
   }
