Let the sidecar of the relay tests read through gateways only

A sidecar reads the store itself while its relay is not current, so in RestoredOrders it learned the weights from the store after the restore, as its log shows, and the tests did not cover the relay. The stand-in store gets the fault "refuse_port", the sidecar calls the store at the second port, and from the restore on that port is refused. The tests check the sidecar's log event weights_named, since a load needs a write to the store.

--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -82,7 +82,7 @@
   for (size_t i = 0; sidecars_ && i < runners_.size(); ++i) {
     StartDaemon("sidecar", absl::StrCat("sidecar", i),
                 absl::StrCat("runner = 127.0.0.1:", listed_[i], "\n"), FreePort(),
-                sidecar_metrics_[i], store_port_);
+                sidecar_metrics_[i], sidecars_at_second_port_ ? second_store_port_ : store_port_);
   }
   for (size_t i = 0; i < gateways_.size(); ++i) {
     Eventually([&]() { return Ready(static_cast<int>(i)); });
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -23,6 +23,9 @@
     gateways_.at(static_cast<size_t>(gateway)).second_store_port = true;
   }
 
+  /// The same for all sidecars.
+  void UseSecondStorePortForSidecars() { sidecars_at_second_port_ = true; }
+
   /// Lets the runners log which requests they begin and how each ends. Call before `Start`.
   void RecordRuns() { record_runs_ = true; }
   int runner_port(int runner) const { return runners_.at(static_cast<size_t>(runner)); }
@@ -138,6 +141,7 @@
   std::vector<int> listed_;  ///< Ports of the runners in the store and in the sidecars' settings.
   std::vector<int> sidecar_metrics_;
   bool sidecars_;
+  bool sidecars_at_second_port_ = false;
   std::string bounds_;
   std::map<int, std::string> versions_;
   bool record_runs_ = false;
--- a/test/process/restored_orders.cc
+++ b/test/process/restored_orders.cc
@@ -71,19 +71,28 @@
   return relay;
 }
 
+bool LearnsWeights(const Fleet& fleet, const std::string& process, int64_t version) {
+  const std::string event =
+      absl::StrCat("\"weights_named\",\"model\":\"model\",\"version\":\"", version, "\"");
+  return Eventually([&]() { return absl::StrContains(fleet.Log(process), event); }, kPatience);
+}
+
 void CheckSidecarLearnsBehindRelays(int64_t skipped_revisions) {
   Fleet fleet(2, 1, /*sidecars=*/true);
+  fleet.UseSecondStorePortForSidecars();
   fleet.Start();
   CHECK(Eventually([&]() { return ReadsFromRelay(fleet, "sidecar0", platform::kVersionKind); },
                    kPatience));
   fleet.CopyStore();
   UseRevisions(fleet);
   NameWeights(fleet, 2);
-  CHECK(Loads(fleet, 0, 2));
+  CHECK(LearnsWeights(fleet, "sidecar0", 2));
+  // From here on the sidecar has the gateways only.
+  fleet.InjectFault("store", absl::StrCat("{\"refuse_port\": ", fleet.second_store_port(), "}"));
   fleet.RestoreStore(kAway);
   NameWeights(fleet, 3);
   if (skipped_revisions > 0) fleet.SkipStoreRevisions(skipped_revisions);
-  CHECK(Loads(fleet, 0, 3));
+  CHECK(LearnsWeights(fleet, "sidecar0", 3));
 }
 
 /// Gateways with a rollout that is ordered before or after the store's copy is made. Runner 0 has
--- a/test/standin/fleet_store.cc
+++ b/test/standin/fleet_store.cc
@@ -57,7 +57,7 @@
     const bool read = exchange.request().method == "GET";
     if (away_ && read) co_return co_await DropResponse(exchange);
     if (names_history_) exchange.AddHeader(platform::kStoreHistoryHeader, std::to_string(history_));
-    if (down_) co_return co_await SendJson(exchange, 503, "{}");
+    if (down_ || IsAt(exchange, refused_port_)) co_return co_await SendJson(exchange, 503, "{}");
     const std::string rest = path.substr(std::string("/objects/").size());
     const size_t slash = rest.find('/');
     const std::string kind = rest.substr(0, slash);
@@ -81,11 +81,14 @@
   }
 
  private:
-  bool IsSilent(HttpExchange& exchange) const {
+  /// Whether the call came to this port; 0: no port.
+  static bool IsAt(HttpExchange& exchange, uint16_t port) {
     boost::system::error_code ignored;
-    const auto local = exchange.transport().tcp().socket().local_endpoint(ignored);
-    return silent_ || (silent_port_ != 0 && local.port() == silent_port_) ||
-           clients_.IsSilent(exchange);
+    return port != 0 && exchange.transport().tcp().socket().local_endpoint(ignored).port() == port;
+  }
+
+  bool IsSilent(HttpExchange& exchange) const {
+    return silent_ || IsAt(exchange, silent_port_) || clients_.IsSilent(exchange);
   }
 
   void SetFaults(const json::object& faults) {
@@ -94,6 +97,9 @@
     if (const json::value* port = faults.if_contains("silence_port")) {
       silent_port_ = port->to_number<uint16_t>();
     }
+    if (const json::value* port = faults.if_contains("refuse_port")) {
+      refused_port_ = port->to_number<uint16_t>();
+    }
     if (faults.contains("silence_open_connections")) clients_.Silence();
     if (faults.contains("forget_history")) history_begin_ = revision_ + 1;
     if (const json::value* busy = faults.if_contains("busy")) busy_ = busy->as_bool();
@@ -245,6 +251,7 @@
   bool down_ = false;
   bool silent_ = false;
   uint16_t silent_port_ = 0;
+  uint16_t refused_port_ = 0;
   int64_t history_ = 1;
   bool names_history_ = true;
   bool away_ = false;
--- a/test/standin/fleet_store.h
+++ b/test/standin/fleet_store.h
@@ -10,7 +10,8 @@
 /// POST /fault sets faults: "down" (refuse all calls), "silent" (never respond), "forget_history"
 /// (discard the changes up to now, so that watches from earlier revisions fail with status 410),
 /// "silence_open_connections" (never respond on connections that are open now), "silence_port"
-/// (never respond to calls to that port; 0: to none), "busy" (respond to lists and watches with
+/// (never respond to calls to that port; 0: to none), "refuse_port" (respond with status 503 to
+/// calls to that port; 0: to none), "busy" (respond to lists and watches with
 /// status 429), "reads_per_s" (the same beyond this number of them a second; 0: no limit),
 /// "history_always_gone" (respond to each watch with status 410),
 /// "no_history" (send no "Store-Era"), "save_copy" (copy the contents), "restore_copy" (come
