--- a/test/process/store_restores.cc
+++ b/test/process/store_restores.cc
@@ -93,13 +93,12 @@
   LONGS_EQUAL(runs, fleet.Runs(1));
 }
 
-void CheckRestores(int gateways, int times, bool names_histories = true) {
+/// `fault`: of the store, from before the gateways start until the end.
+void CheckRestores(int gateways, int times, const std::string& fault = "{}") {
   Fleet fleet(gateways, 2);
   fleet.Start();
-  if (!names_histories) {
-    fleet.InjectFault("store", R"({"no_history": true})");
-    for (int i = 0; i < gateways; ++i) fleet.Restart(absl::StrCat("gateway", i));
-  }
+  fleet.InjectFault("store", fault);
+  for (int i = 0; i < gateways && fault != "{}"; ++i) fleet.Restart(absl::StrCat("gateway", i));
   SleepMillis(2'000);  // The gateways have listed each other.
   fleet.CopyStore();
   WriteBeyondCopy(fleet);
@@ -125,7 +124,15 @@
 TEST(StoreRestores, ChangesTakeEffectAfterTwoRestores) { CheckRestores(3, 2); }
 
 // Guards against the same with a store that sends no Store-Era.
-TEST(StoreRestores, ChangesTakeEffectWithoutNamedHistories) { CheckRestores(2, 1, false); }
+TEST(StoreRestores, ChangesTakeEffectWithoutNamedHistories) {
+  CheckRestores(2, 1, R"({"no_history": true})");
+}
+
+// Guards against gateways that exceed the store's rate after a restore, so that it rejects the
+// reads that would bring the changes.
+TEST(StoreRestores, ChangesTakeEffectWithinTheRateOfTheStore) {
+  CheckRestores(2, 1, R"({"reads_per_s": 200})");
+}
 
 // Guards against the same where gateways read the store through each other.
 TEST(StoreRestores, ChangesTakeEffectBehindRelays) { CheckRestores(8, 1); }
