--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -37,6 +37,7 @@
   bool keeps_missing = false;
   bool (*newer)(const StoredObject& known, const StoredObject& read) = nullptr;
   void (FleetView::*apply)(const StoredObject& object, const ChangeOrigin& origin) = nullptr;
+  void (FleetView::*listed)() = nullptr;  ///< Called when all objects have been applied once.
 };
 
 // Short watch timeouts for the desired state and the runners detect a dead connection early, and
@@ -49,25 +50,29 @@
      .urgent = true,
      .keeps_missing = true,
      .newer = &platform::IsLaterVersion,
-     .apply = &FleetView::ApplyConfig},
+     .apply = &FleetView::ApplyConfig,
+     .listed = &FleetView::OnConfigListed},
     {.name = platform::kRunnerKind,
      .watch_timeout = Millis(500),
      .watch_delay = Millis(400),
      .sidecar_watch_delay = Millis(1500),
      .newer = &platform::IsLaterRunnerEntry,
-     .apply = &FleetView::ApplyRunner},
+     .apply = &FleetView::ApplyRunner,
+     .listed = &FleetView::OnRunnersListed},
     {.name = platform::kEvacuationKind,
      .watch_timeout = Millis(2500),
      .watch_delay = Millis(50),
      .urgent = true,
      .keeps_missing = true,
-     .apply = &FleetView::ApplyEvacuation},
+     .apply = &FleetView::ApplyEvacuation,
+     .listed = &FleetView::OnEvacuationsListed},
     {.name = platform::kRolloutKind,
      .watch_timeout = Millis(2500),
      .watch_delay = Millis(50),
      .urgent = true,
      .keeps_missing = true,
-     .apply = &FleetView::ApplyRollout},
+     .apply = &FleetView::ApplyRollout,
+     .listed = &FleetView::OnRolloutsListed},
     {.name = platform::kVersionKind,
      .watch_timeout = Millis(2500),
      .watch_delay = Millis(50),
@@ -80,7 +85,8 @@
      .watch_delay = Millis(500),
      .sidecar_watch_delay = Millis(1000),
      .keeps_missing = true,
-     .apply = &FleetView::ApplyPeer},
+     .apply = &FleetView::ApplyPeer,
+     .listed = &FleetView::OnPeersListed},
 };
 
 FleetView::FleetView(ComponentRegistry& components, const GatewaySettings& settings,
@@ -176,21 +182,8 @@
   kind.apply = [this, &row](const StoredObject& object, const ChangeOrigin& origin) {
     (this->*row.apply)(object, origin);
   };
-  if (row.apply == &FleetView::ApplyRunner) kind.on_listed = [this]() { runners_listed_ = true; };
-  if (row.apply == &FleetView::ApplyRollout) kind.on_listed = [this]() { rollouts_listed_ = true; };
-  if (row.apply == &FleetView::ApplyEvacuation) {
-    kind.on_listed = [this]() { LearnFromPeer(platform::kEvacuationKind); };
-  }
-  if (row.apply == &FleetView::ApplyPeer) {
-    kind.on_listed = [this]() {
-      peers_.MarkListed(SteadyNow());
-      for (const char* learned : {platform::kConfigKind, platform::kEvacuationKind}) {
-        LearnFromPeer(learned);
-      }
-    };
-  }
+  if (row.listed != nullptr) kind.on_listed = [this, &row]() { (this->*row.listed)(); };
   if (row.apply != &FleetView::ApplyConfig) return kind;
-  kind.on_listed = [this]() { LearnFromPeer(platform::kConfigKind); };
   kind.on_current = [this](TimePoint as_of) {
     if (table_ != nullptr) authority_.Confirm(as_of);
   };
@@ -201,6 +194,20 @@
   return kind;
 }
 
+void FleetView::OnConfigListed() { LearnFromPeer(platform::kConfigKind); }
+
+void FleetView::OnRunnersListed() { runners_listed_ = true; }
+
+void FleetView::OnEvacuationsListed() { LearnFromPeer(platform::kEvacuationKind); }
+
+void FleetView::OnRolloutsListed() { rollouts_listed_ = true; }
+
+void FleetView::OnPeersListed() {
+  peers_.MarkListed(SteadyNow());
+  LearnFromPeer(platform::kConfigKind);
+  LearnFromPeer(platform::kEvacuationKind);
+}
+
 Awaitable<void> FleetView::Stop() {
   mirror_.Stop();
   co_return;
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -115,6 +115,12 @@
   WatchedKind MakeKind(const KindRow& row);
   HelloMessage MakeHello() const;
 
+  void OnConfigListed();
+  void OnRunnersListed();
+  void OnEvacuationsListed();
+  void OnRolloutsListed();
+  void OnPeersListed();
+
   void ApplyConfig(const platform::StoredObject& object, const ChangeOrigin& origin);
   void ApplyRunner(const platform::StoredObject& object, const ChangeOrigin& origin);
   /// Logs and counts a runner's entry that cannot be read, once for each of its revisions.
