Send changes of the desired state between gateways as patches

Cause: a relay sent the whole state, 0.27 MB, to each reader for each change. Its link of 10 Mbit/s was full, reads of it ended by their time limit after 1,200 ms, and the readers fetched another copy from the store. The class: a change that costs the size of the state, once for each reader. A reader names the digests of the contents that it knows and gets the patches from there; it checks the digest of the result, and reads the whole contents if the patches do not fit. Processes of an earlier version name no digest and get whole contents, as before.

--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -34,6 +34,7 @@
   Duration sidecar_watch_delay{0};  ///< Same for sidecars; zero: they do not follow the kind.
   bool urgent = false;
   /// See `WatchedKind`.
+  bool large = false;
   bool keeps_missing = false;
   bool (*newer)(const StoredObject& known, const StoredObject& read) = nullptr;
   void (FleetView::*apply)(const StoredObject& object, const ChangeOrigin& origin) = nullptr;
@@ -48,6 +49,7 @@
     {.name = platform::kConfigKind,
      .watch_timeout = Millis(1000),
      .urgent = true,
+     .large = true,
      .keeps_missing = true,
      .newer = &platform::IsLaterVersion,
      .apply = &FleetView::ApplyConfig,
@@ -176,6 +178,7 @@
   kind.watch_timeout = row.watch_timeout;
   kind.watch_delay = role_ == PlatformRole::kGateway ? row.watch_delay : row.sidecar_watch_delay;
   kind.urgent = row.urgent;
+  kind.large = row.large;
   kind.keeps_missing = row.keeps_missing;
   kind.newer = row.newer;
   kind.lists_runners = row.apply == &FleetView::ApplyRunner;
--- a/src/gateway/object_log.cc
+++ b/src/gateway/object_log.cc
@@ -18,10 +18,38 @@
 /// Bound of the entries of removed objects. A process that is further behind gets all objects.
 constexpr size_t kMaxRemovedBytes = 262'144;
 
+/// Appends an object's members that lead to its content in place of the content.
+void EncodePatches(const ContentPatches& patches, std::string& text) {
+  text += ",\"digest\":" + json::serialize(patches.digest) + ",\"patches\":[";
+  for (const ContentPatch& step : patches.steps) {
+    if (text.back() != '[') text += ',';
+    text += "{\"base\":" + json::serialize(step.base) + ",\"patch\":" + step.patch + '}';
+  }
+  text += ']';
+}
+
+/// Returns nothing if the object has no patches, or malformed ones.
+std::optional<ContentPatches> DecodePatches(const platform::JsonMembers& members) {
+  const auto items = platform::SplitElements(platform::FindMember(members, "patches"));
+  if (!items) return std::nullopt;
+  json::object fields;
+  std::string error;
+  fields["digest"] = platform::ParsePiece(platform::FindMember(members, "digest"), 1, error);
+  ContentPatches patches;
+  patches.digest = platform::StringAt(fields, "digest");
+  for (const std::string_view item : *items) {
+    const platform::JsonMembers step = platform::SplitMembers(item);
+    fields["base"] = platform::ParsePiece(platform::FindMember(step, "base"), 1, error);
+    patches.steps.push_back(
+        {platform::StringAt(fields, "base"), std::string(platform::FindMember(step, "patch"))});
+  }
+  if (!error.empty()) return std::nullopt;
+  return patches;
+}
+
 /// Decodes an object of a relay's response, of this history unless it names another. Its content
 /// may come from another writer.
-std::optional<StoredObject> DecodeObject(std::string_view text, int64_t history) {
-  const platform::JsonMembers members = platform::SplitMembers(text);
+std::optional<StoredObject> DecodeObject(const platform::JsonMembers& members, int64_t history) {
   json::object fields;
   std::string error;
   for (const char* name : {"name", "revision", "removed"}) {
@@ -73,8 +101,13 @@
     if (text.back() != '[') text += ',';
     text += json::serialize(fields);
     text.pop_back();
-    text += ",\"content\":";
-    text += json::serialize(object.content);
+    const auto patches = changes.patches.find(object.name);
+    if (patches != changes.patches.end()) {
+      EncodePatches(patches->second, text);
+    } else {
+      text += ",\"content\":";
+      text += json::serialize(object.content);
+    }
     if (!object.status.is_null()) text += ",\"status\":" + json::serialize(object.status);
     text += '}';
   }
@@ -111,9 +144,13 @@
   const auto items = platform::SplitElements(platform::FindMember(members, "objects"));
   if (!items) return std::nullopt;
   for (const std::string_view item : *items) {
-    if (std::optional<StoredObject> object = DecodeObject(item, changes.position.history)) {
-      changes.objects.push_back(std::move(*object));
+    const platform::JsonMembers object_members = platform::SplitMembers(item);
+    std::optional<StoredObject> object = DecodeObject(object_members, changes.position.history);
+    if (!object) continue;
+    if (std::optional<ContentPatches> patches = DecodePatches(object_members)) {
+      changes.patches[object->name] = std::move(*patches);
     }
+    changes.objects.push_back(std::move(*object));
   }
   return changes;
 }
@@ -133,6 +170,7 @@
     removed.history = position.history;
     changes.push_back(std::move(removed));
   }
+  for (const StoredObject& change : changes) RecordPatch(change);
   entries_.clear();
   by_name_.clear();
   removed_bytes_ = 0;
@@ -151,6 +189,7 @@
 void ObjectLog::Append(const std::vector<StoredObject>& changes, int64_t revision) {
   revision_ = std::max(revision_, revision);
   for (const StoredObject& change : changes) {
+    RecordPatch(change);
     Put(change);
     RecordChange(change, revision_);
   }
@@ -177,6 +216,16 @@
   entries_.erase(entry);
 }
 
+void ObjectLog::RecordPatch(const StoredObject& change) {
+  if (!keeps_patches_) return;
+  const StoredObject* const known = Find(change.name);
+  if (change.removed || !change.content.is_object()) {
+    patches_.erase(change.name);
+  } else {
+    patches_[change.name].Record(known == nullptr ? json::value() : known->content, change.content);
+  }
+}
+
 void ObjectLog::RecordChange(const StoredObject& change, int64_t revision) {
   // The store does not say at which revision an object was removed, and the revision of an object
   // of an earlier history says nothing in this one.
@@ -185,17 +234,51 @@
       std::max(changed_revision_, known ? std::min(change.revision, revision) : revision);
 }
 
-ObjectChanges ObjectLog::ChangesSince(StorePosition since) const {
+ObjectChanges ObjectLog::ChangesSince(StorePosition since,
+                                      const std::vector<std::string>& known_digests) const {
   ObjectChanges changes;
   changes.full = since.history != history_ || since.revision < history_begin_;
   changes.position = {history_, changes.full ? revision_ : std::max(since.revision, revision_)};
   for (const Entry& entry : entries_) {
-    const bool wanted = changes.full ? !entry.object.removed : entry.revision > since.revision;
-    if (wanted) changes.objects.push_back(entry.object);
+    const StoredObject& object = entry.object;
+    const bool wanted = changes.full ? !object.removed : entry.revision > since.revision;
+    if (!wanted) continue;
+    const auto history = patches_.find(object.name);
+    std::optional<ContentPatches> patches;
+    if (history != patches_.end()) patches = history->second.Since(known_digests);
+    if (!patches) {
+      changes.objects.push_back(object);
+      continue;
+    }
+    changes.patches[object.name] = std::move(*patches);
+    changes.objects.push_back({object.name, object.revision, object.removed, nullptr,
+                               object.unreadable, object.status, object.history});
   }
   return changes;
 }
 
+std::vector<std::string> ObjectLog::Digests() const {
+  std::vector<std::string> digests;
+  for (const auto& [name, history] : patches_) digests.push_back(history.digest());
+  return digests;
+}
+
+bool ObjectLog::ApplyPatches(ObjectChanges& changes) const {
+  for (StoredObject& object : changes.objects) {
+    const auto patches = changes.patches.find(object.name);
+    if (patches == changes.patches.end()) continue;
+    const StoredObject* const known = Find(object.name);
+    const auto history = patches_.find(object.name);
+    if (known == nullptr || history == patches_.end()) return false;
+    std::optional<json::value> content =
+        fuchsiaweir::ApplyPatches(known->content, history->second.digest(), patches->second);
+    if (!content) return false;
+    object.content = std::move(*content);
+  }
+  changes.patches.clear();
+  return true;
+}
+
 bool ObjectLog::HasChangesSince(StorePosition since) const {
   return since.history != history_ || since.revision < history_begin_ ||
          (!entries_.empty() && entries_.back().revision > since.revision);
--- a/src/gateway/object_log.h
+++ b/src/gateway/object_log.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "core/content_patch.h"
 #include "core/store_position.h"
 #include "platform/store_page.h"
 
@@ -18,6 +19,8 @@
   bool full = false;  ///< The objects are the whole contents, not only changes.
   StorePosition position;
   std::vector<platform::StoredObject> objects;
+  /// By object name: the changes that lead to its content, which is null then.
+  std::map<std::string, ContentPatches> patches;
   Duration age{0};      ///< Time since this was known to be the current state.
   bool outage = false;  ///< The store is or was recently unavailable.
   /// The process that tells this did not read it from the store, but from another one.
@@ -36,6 +39,9 @@
 /// object.
 class ObjectLog {
  public:
+  /// Keeps the latest changes of each content for `ChangesSince`. Call before the first change.
+  void KeepPatches() { keeps_patches_ = true; }
+
   /// Replaces the contents. Returns the new objects, and those that are gone marked as removed.
   std::vector<platform::StoredObject> Reset(std::vector<platform::StoredObject> objects,
                                             StorePosition position);
@@ -44,9 +50,16 @@
 
   /// Returns the objects that changed since a position, or all objects if it is of another history
   /// or it is not known which were removed since then.
-  ObjectChanges ChangesSince(StorePosition since) const;
+  /// Contents of which the reader knows an earlier one, by its digest, are given as patches.
+  ObjectChanges ChangesSince(StorePosition since,
+                             const std::vector<std::string>& known_digests = {}) const;
   /// Whether there are changes since a position.
   bool HasChangesSince(StorePosition since) const;
+  /// Digests of the contents whose changes are kept.
+  std::vector<std::string> Digests() const;
+  /// Replaces patches by the contents that they lead to from those known. Returns whether that was
+  /// possible for all.
+  bool ApplyPatches(ObjectChanges& changes) const;
   /// Returns the object, or null if there is none.
   const platform::StoredObject* Find(const std::string& name) const;
 
@@ -64,6 +77,7 @@
 
   void Put(const platform::StoredObject& change);
   void Erase(Entries::iterator entry);
+  void RecordPatch(const platform::StoredObject& change);
   void RecordChange(const platform::StoredObject& change, int64_t revision);
 
   Entries entries_;  ///< The last change of each object, oldest first.
@@ -73,6 +87,8 @@
   int64_t history_begin_ = 0;  ///< Revision from which all removed objects are known.
   int64_t revision_ = 0;
   int64_t changed_revision_ = 0;
+  bool keeps_patches_ = false;
+  std::map<std::string, PatchHistory> patches_;  ///< By object name.
 };
 
 }  // namespace fuchsiaweir
--- a/src/gateway/object_mirror.cc
+++ b/src/gateway/object_mirror.cc
@@ -2,6 +2,7 @@
 
 #include <absl/cleanup/cleanup.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 
 #include <algorithm>
 #include <set>
@@ -49,6 +50,11 @@
       peers_(peers),
       store_backoff_(settings.name) {}
 
+void ObjectMirror::Add(WatchedKind kind) {
+  if (kind.large) contents_[kind.name].log.KeepPatches();
+  kinds_.push_back(std::move(kind));
+}
+
 void ObjectMirror::Start() {
   for (const WatchedKind& kind : kinds_) {
     SpawnService(io_, absl::StrCat("watch_", kind.name),
@@ -405,10 +411,17 @@
   KindRead read;
   read.sent = SuspendAwareNow();
   read.relay = relay;
-  std::string name = kind.name;
-  read.since = contents_[name].log.position();
-  std::optional<ObjectChanges> changes =
-      co_await ReadFromRelay(client_, std::move(relay), std::move(name), since, wait);
+  const WatchedContents& state = contents_[kind.name];
+  read.since = state.log.position();
+  RelayQuery query{kind.name, since, state.log.Digests(), wait};
+  std::optional<ObjectChanges> changes = co_await ReadFromRelay(client_, relay, query);
+  // Another read may have replaced the contents that the patches belong to.
+  if (changes && !state.log.ApplyPatches(*changes)) {
+    LogInfo("patches_unusable", {{"kind", kind.name}, {"relay", read.Source()}});
+    query.known_digests.clear();
+    query.wait = Duration{0};
+    changes = co_await ReadFromRelay(client_, std::move(relay), std::move(query));
+  }
   metrics_
       .Counter("fuchsiaweir_relay_reads_total", "Reads of other gateways by outcome.",
                {{"kind", kind.name}, {"outcome", changes ? "done" : "failed"}})
@@ -442,7 +455,10 @@
                             target.QueryInteger("since", 0)};
   const Duration wait =
       Millis(std::clamp<int64_t>(target.QueryInteger("wait_ms", 0), 0, ToMillis(kMaxRelayWait)));
-  ObjectChanges changes = co_await found->second.Changes(io_, since, wait, MaxAge(*kind));
+  std::vector<std::string> known_digests =
+      absl::StrSplit(target.Query(kKnownDigestsField), ',', absl::SkipEmpty());
+  ObjectChanges changes =
+      co_await found->second.Changes(io_, since, std::move(known_digests), wait, MaxAge(*kind));
   changes.outage = health_.runner_outage();
   std::string body = EncodeObjectChanges(changes);
   RecordSent(*kind, changes, since, body.size());
--- a/src/gateway/object_mirror.h
+++ b/src/gateway/object_mirror.h
@@ -40,6 +40,7 @@
   /// Changes must take effect within one or two seconds: gateways tell each other of them, and only
   /// large data centres read them from relays.
   bool urgent = false;
+  bool large = false;          ///< Relays send changes of the objects' contents, not whole ones.
   bool lists_runners = false;  ///< Whether the store was unavailable is tracked by this kind.
   /// Whether a known object is newer than one that was read, whatever their positions; null: never.
   bool (*newer)(const platform::StoredObject& known, const platform::StoredObject& read) = nullptr;
@@ -65,7 +66,7 @@
   /// Registers the listener that is called when the store has come back from an older copy.
   void SetRestoreListener(std::function<void()> listener) { on_restored_ = std::move(listener); }
   /// Adds a kind; call before `Start`.
-  void Add(WatchedKind kind) { kinds_.push_back(std::move(kind)); }
+  void Add(WatchedKind kind);
   void Start();
   void Stop() { stopping_ = true; }
   /// Applies changed settings.
--- a/src/gateway/relay_client.cc
+++ b/src/gateway/relay_client.cc
@@ -1,6 +1,7 @@
 #include "gateway/relay_client.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <utility>
 
@@ -18,22 +19,23 @@
 }  // namespace
 
 Awaitable<std::optional<ObjectChanges>> ReadFromRelay(HttpClient& client, Endpoint relay,
-                                                      std::string kind, StorePosition since,
-                                                      Duration wait) {
-  HttpRequest request{"GET",
-                      absl::StrCat(kRelayPath, "?kind=", kind, "&history=", since.history,
-                                   "&since=", since.revision, "&wait_ms=", ToMillis(wait)),
-                      {},
-                      ""};
+                                                      RelayQuery query) {
+  std::string target =
+      absl::StrCat(kRelayPath, "?kind=", query.kind, "&history=", query.since.history,
+                   "&since=", query.since.revision, "&wait_ms=", ToMillis(query.wait));
+  if (!query.known_digests.empty()) {
+    absl::StrAppend(&target, "&", kKnownDigestsField, "=", absl::StrJoin(query.known_digests, ","));
+  }
+  HttpRequest request{"GET", std::move(target), {}, ""};
   CallOptions options;
-  options.timeout = wait + kResponseMargin;
+  options.timeout = query.wait + kResponseMargin;
   options.connect_timeout = kResponseMargin / 2;
   options.max_body_bytes = kMaxRelayBytes;
   const std::string address = ToString(relay);
   const TimePoint start = SteadyNow();
   const HttpResult result = co_await client.Call(std::move(relay), std::move(request), options);
   if (!result.ok()) {
-    LogInfo("relay_failed", {{"kind", kind},
+    LogInfo("relay_failed", {{"kind", query.kind},
                              {"relay", address},
                              {"reason", result.failure},
                              {"reused", result.reused ? "yes" : "no"},
@@ -41,7 +43,7 @@
     co_return std::nullopt;
   }
   std::optional<ObjectChanges> changes = DecodeObjectChanges(result.response->body);
-  if (!changes) LogWarning("relay_malformed", {{"kind", kind}, {"relay", address}});
+  if (!changes) LogWarning("relay_malformed", {{"kind", query.kind}, {"relay", address}});
   co_return changes;
 }
 
--- a/src/gateway/watched_contents.cc
+++ b/src/gateway/watched_contents.cc
@@ -10,6 +10,7 @@
 namespace fuchsiaweir {
 
 Awaitable<ObjectChanges> WatchedContents::Changes(boost::asio::io_context& io, StorePosition since,
+                                                  std::vector<std::string> known_digests,
                                                   Duration wait, Duration max_age) {
   const TimePoint received_at = SuspendAwareNow();
   const Duration limit = std::min(wait, as_of + max_age - received_at);
@@ -21,7 +22,7 @@
     boost::system::error_code ignored;  // A cancelled wait means that there is something to tell.
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
   }
-  ObjectChanges changes = log.ChangesSince(since);
+  ObjectChanges changes = log.ChangesSince(since, known_digests);
   // The reader subtracts the age from the time of its call, so the wait for changes is no part of
   // it.
   changes.age = std::max(Duration{0}, received_at - as_of);
--- a/src/gateway/watched_contents.h
+++ b/src/gateway/watched_contents.h
@@ -33,7 +33,8 @@
   /// Returns the changes since a position. Waits for them until `wait` has passed, or until the
   /// contents are older than `max_age`. Contents that were not read from the store are not waited
   /// for: the reader may be their source.
-  Awaitable<ObjectChanges> Changes(boost::asio::io_context& io, StorePosition since, Duration wait,
+  Awaitable<ObjectChanges> Changes(boost::asio::io_context& io, StorePosition since,
+                                   std::vector<std::string> known_digests, Duration wait,
                                    Duration max_age);
   /// Ends the reads that wait.
   void EndWaitingReads();
