Relay the desired state through gateways with fast links

Callers: beside the growth of the desired state by 1,400 routes, and beside each later change, requests at some gateways were late. Cause: a relay reads the whole state, 0.27 MB, from the store for each change, and sends it whole to readers that know none of the latest contents. Change: each gateway registers the bandwidth of its link (process.link_mbps). Of kinds with large objects, those with at least half of the fastest bandwidth of the data centre are relays before the others. A bandwidth that is not known counts as 0, so that nothing changes where none is known. Test: RelayChoice.GatewaysWithFastLinksRelayBeforeOthers, a property over 1 to 39 gateways.

--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -25,6 +25,7 @@
     {"metrics_port", &Settings::metrics_port, Presence::kOptional, 1, 65'535},
     {"max_descriptors", &Settings::max_descriptors, Presence::kOptional, 64},
     {"memory_mb", &Settings::memory_mb, Presence::kOptional, 16, 1'000'000},
+    {"link_mbps", &Settings::link_mbps, Presence::kOptional, 0, 10'000'000},
 };
 
 const IniKey<Settings> kPlatformKeys[] = {{"store", &Settings::store, Presence::kRequired}};
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -25,6 +25,7 @@
   int64_t metrics_port = 9'464;  ///< TCP port of /metrics.
   int64_t max_descriptors = 1'024;
   int64_t memory_mb = 96;             ///< Memory of the process's host, in megabytes.
+  double link_mbps = 0;               ///< Bandwidth of the host's link in Mbit/s; 0: unknown.
   std::string store;                  ///< "ADDRESS:PORT" of the platform's store.
   int64_t key_revocation_ms = 5'000;  ///< Longest time that a revoked key is still accepted.
   double shutdown_s = 8;              ///< Longest time from SIGTERM to the end of the process.
--- a/src/gateway/object_mirror.cc
+++ b/src/gateway/object_mirror.cc
@@ -160,7 +160,8 @@
 Awaitable<ObjectMirror::KindRead> ObjectMirror::ReadNext(const WatchedKind& kind) {
   WatchedContents& state = contents_[kind.name];
   const bool use_relays = !kind.urgent || peers_.LocalGateways() >= kMinGatewaysForUrgentRelays;
-  std::optional<Endpoint> relay = use_relays ? peers_.PreferredRelay(kind.name) : std::nullopt;
+  std::optional<Endpoint> relay =
+      use_relays ? peers_.PreferredRelay(kind.name, kind.large) : std::nullopt;
   ReadSource from =
       state.choice.Next(relay.has_value(), store_backoff_.Active(SteadyNow()), SteadyNow());
   if (from == ReadSource::kStore) relay = std::nullopt;
--- a/src/gateway/peer_directory.cc
+++ b/src/gateway/peer_directory.cc
@@ -20,7 +20,11 @@
 }  // namespace
 
 PeerDirectory::PeerDirectory(const GatewaySettings& settings, PlatformRole role, PeerLink& link)
-    : name_(settings.name), data_centre_(settings.data_centre), role_(role), link_(link) {}
+    : name_(settings.name),
+      data_centre_(settings.data_centre),
+      link_mbps_(settings.link_mbps),
+      role_(role),
+      link_(link) {}
 
 void PeerDirectory::MarkListed(TimePoint now) {
   listed_ = true;
@@ -56,6 +60,10 @@
     if (data_centre != nullptr && data_centre->is_string()) {
       peer.data_centre = std::string(data_centre->as_string());
     }
+    // Processes of an earlier version do not write this field.
+    const json::value* link_mbps = spec.if_contains("link_mbps");
+    peer.link_mbps =
+        link_mbps != nullptr && link_mbps->is_number() ? link_mbps->to_number<double>() : 0;
     peer.last_seen = SteadyNow();
   }
 }
@@ -86,12 +94,18 @@
   return names;
 }
 
-std::optional<Endpoint> PeerDirectory::PreferredRelay(const std::string& kind) const {
+std::optional<Endpoint> PeerDirectory::PreferredRelay(const std::string& kind, bool large) const {
   std::vector<std::string> names = Relays();
   std::erase_if(
       names, [&](const std::string& name) { return peers_.at(name).data_centre != data_centre_; });
-  if (role_ == PlatformRole::kGateway) names.insert(names.begin(), name_);
-  const std::optional<std::string> relay = fuchsiaweir::PreferredRelay(kind, name_, names);
+  std::map<std::string, double> mbps;
+  for (const std::string& name : names) mbps[name] = peers_.at(name).link_mbps;
+  if (role_ == PlatformRole::kGateway) {
+    names.insert(names.begin(), name_);
+    mbps[name_] = link_mbps_;
+  }
+  const std::vector<std::string> first = large ? FastestGateways(mbps) : std::vector<std::string>{};
+  const std::optional<std::string> relay = fuchsiaweir::PreferredRelay(kind, name_, names, first);
   if (!relay) return std::nullopt;
   return peers_.at(*relay).endpoint;
 }
--- a/src/gateway/peer_directory.h
+++ b/src/gateway/peer_directory.h
@@ -19,7 +19,8 @@
   Endpoint endpoint;
   bool gateway = false;
   std::string data_centre;
-  TimePoint last_seen;  ///< Last hello or change of its entry in the store.
+  double link_mbps = 0;  ///< Bandwidth of its host's link; 0: unknown.
+  TimePoint last_seen;   ///< Last hello or change of its entry in the store.
   /// When its desired state was last known to be the newest, by `SuspendAwareNow`.
   std::optional<TimePoint> state_as_of;
 };
@@ -48,7 +49,8 @@
   const std::vector<std::string>& live_gateways() const { return live_gateways_; }
 
   /// Returns the gateway of this data centre that relays the kind; nothing if it is this process.
-  std::optional<Endpoint> PreferredRelay(const std::string& kind) const;
+  /// `large`: gateways with fast links come first.
+  std::optional<Endpoint> PreferredRelay(const std::string& kind, bool large) const;
   /// Number of live gateways of this data centre, including this process if it is one.
   size_t LocalGateways() const;
   /// Returns another live gateway, a different one at each call.
@@ -63,6 +65,7 @@
 
   std::string name_;
   std::string data_centre_;
+  double link_mbps_;
   PlatformRole role_;
   PeerLink& link_;
   std::map<std::string, Peer> peers_;
--- a/src/gateway/peer_registration.cc
+++ b/src/gateway/peer_registration.cc
@@ -19,6 +19,7 @@
   const boost::json::value spec =
       boost::json::object{{"address", ToString(settings.peer_endpoint())},
                           {"data_centre", settings.data_centre},
+                          {"link_mbps", settings.link_mbps},
                           {"role", role == PlatformRole::kGateway ? "gateway" : "sidecar"}};
   const std::string kind = kPeerKind;
   while (true) {
--- a/test/correctness/relay_choice.cc
+++ b/test/correctness/relay_choice.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 #include "property.h"
@@ -36,6 +37,34 @@
   });
 }
 
+// Guards against relays on the slowest links while others are alive: each change of a large object
+// occupies such a link for a large part of a second.
+TEST(RelayChoice, GatewaysWithFastLinksRelayBeforeOthers) {
+  CheckProperty("a relay is slow only where too few links are fast", [] {
+    std::map<std::string, double> mbps;
+    size_t fast = 0;
+    const std::vector<std::string> names = Names(*rc::gen::inRange(1, 40));
+    for (const std::string& name : names) {
+      const bool is_fast = *rc::gen::inRange(0, 4) == 0;
+      fast += is_fast ? 1 : 0;
+      mbps[name] = is_fast ? 200 : 10;
+    }
+    if (fast == 0) fast = names.size();
+    const std::vector<std::string> first = FastestGateways(mbps);
+    RC_ASSERT(first.size() == fast);
+    size_t readers = 0;
+    size_t fast_readers = 0;
+    for (const std::string& name : names) {
+      const std::optional<std::string> relay = PreferredRelay("kind", name, names, first);
+      readers += !relay;
+      fast_readers += !relay && std::count(first.begin(), first.end(), name) > 0;
+      if (relay) RC_ASSERT(!PreferredRelay("kind", *relay, names, first));
+    }
+    RC_ASSERT(readers == 1 + names.size() / 8);
+    RC_ASSERT(fast_readers == std::min(readers, fast));
+  });
+}
+
 // Guards against a gateway without the store that keeps asking others without the store while one
 // is current, and against one that never asks some of the current ones.
 TEST(RelayChoice, CurrentGatewaysAreAskedInTurnBeforeOthers) {
