Refuse nothing for good by a desired state that is older than its bound

Cause: a refusal asked only whether API keys may still be accepted, which is 0.7 of key_revocation_ms: 3.5 s on all deployments, where a change must be in force after 2 or 3 s. The class: one limit of age for two purposes, of which the other is shorter. Change: bounds.desired_state_ms, from the platform's config_ms. A gateway whose state was last confirmed longer ago answers 503 with Retry-After in place of 404 and 401. Known keys are accepted as before. Without the setting nothing changes.

--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -29,6 +29,15 @@
 
 }  // namespace
 
+Refusal AdmissionController::RefuseUnknown(int status, ErrorCode code, std::string reason) const {
+  // A newer desired state may have what this one lacks.
+  if (!view_.CanRefuseUnknown()) {
+    return {503, ErrorCode::kPlatformUnavailable, RunState::kNotRun,
+            "the desired state cannot be confirmed", kAuthorityRetryAfter};
+  }
+  return {status, code, RunState::kNotRun, std::move(reason), Duration{0}};
+}
+
 std::optional<Refusal> AdmissionController::Admit(ForwardedRequest& request) {
   const std::shared_ptr<const RouteTable> table = view_.table();
   if (table == nullptr) {
@@ -38,14 +47,7 @@
   const HttpTarget& target = request.exchange.target();
   request.revision = table->revision;
   const Route* const found = FindRoute(*table, request.caller.host, target.routed_path);
-  if (found == nullptr) {
-    // A newer desired state may have the route.
-    if (!view_.HoldsAuthority()) {
-      return Refusal{503, ErrorCode::kPlatformUnavailable, RunState::kNotRun,
-                     "the desired state cannot be confirmed", kAuthorityRetryAfter};
-    }
-    return Refusal{404, ErrorCode::kNotFound, RunState::kNotRun, "no route matches", Duration{0}};
-  }
+  if (found == nullptr) return RefuseUnknown(404, ErrorCode::kNotFound, "no route matches");
   const Route& route = request.route.emplace(*found);
   if (!table->teams.empty() && !route.anonymous) {
     if (!view_.HoldsAuthority()) {
@@ -54,8 +56,7 @@
     }
     const TeamSpec* const team = FindTeam(*table, request.caller.api_key);
     if (team == nullptr) {
-      return Refusal{401, ErrorCode::kUnauthorized, RunState::kNotRun, "API key is unknown",
-                     Duration{0}};
+      return RefuseUnknown(401, ErrorCode::kUnauthorized, "API key is unknown");
     }
     request.team = *team;
   }
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -26,6 +26,9 @@
   bool TryConsumeRetry(const std::string& service);
 
  private:
+  /// Refuses for good what the desired state lacks, or for now if that state may be an old one.
+  Refusal RefuseUnknown(int status, ErrorCode code, std::string reason) const;
+
   FleetView& view_;
   CrashAttribution& crash_attribution_;
   Metrics& metrics_;
--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -226,6 +226,12 @@
   return mirror_.Age(platform::kRunnerKind);
 }
 
+bool FleetView::CanRefuseUnknown() const {
+  if (!HoldsAuthority()) return false;
+  const Duration limit = Millis(settings_.desired_state_ms);
+  return limit == Duration{0} || authority_.Age(SuspendAwareNow()) < limit;
+}
+
 int64_t FleetView::AuthorityAgeMs() const {
   const std::optional<Duration> age = authority_.Age(SuspendAwareNow());
   return age ? ToMillis(*age) : -1;
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -54,6 +54,8 @@
 
   /// Whether API keys may be accepted: the desired state was recently confirmed as the newest.
   bool HoldsAuthority() const { return authority_.Holds(SuspendAwareNow()); }
+  /// Whether the desired state is recent enough to refuse for good what it does not have.
+  bool CanRefuseUnknown() const;
   /// Milliseconds since the last confirmation, for logs; -1 before the first one.
   int64_t AuthorityAgeMs() const;
   /// Whether callers can be served.
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -32,6 +32,7 @@
 
 const IniKey<Settings> kBoundsKeys[] = {
     {"key_revocation_ms", &Settings::key_revocation_ms, Presence::kOptional, 100},
+    {"desired_state_ms", &Settings::desired_state_ms, Presence::kOptional, 0},
     {"shutdown_s", &Settings::shutdown_s, Presence::kOptional, 1},
     {"retry_ratio", &Settings::retry_ratio, Presence::kOptional, 0},
     {"retry_slack", &Settings::retry_slack, Presence::kOptional, 0},
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -28,9 +28,11 @@
   double link_mbps = 0;               ///< Bandwidth of the host's link in Mbit/s; 0: unknown.
   std::string store;                  ///< "ADDRESS:PORT" of the platform's store.
   int64_t key_revocation_ms = 5'000;  ///< Longest time that a revoked key is still accepted.
-  double shutdown_s = 8;              ///< Longest time from SIGTERM to the end of the process.
-  double retry_ratio = 0.2;           ///< Retries per request, over all gateways.
-  double retry_slack = 100;           ///< Retries beyond the ratio, over all gateways.
+  /// Latest time at which a confirmed desired state is in force; 0: not known.
+  int64_t desired_state_ms = 0;
+  double shutdown_s = 8;     ///< Longest time from SIGTERM to the end of the process.
+  double retry_ratio = 0.2;  ///< Retries per request, over all gateways.
+  double retry_slack = 100;  ///< Retries beyond the ratio, over all gateways.
   /// Rate below which a caller's message may be evicted when memory is short.
   int64_t client_bytes_per_s = 1'000;
   int64_t weights_ms = 12'000;  ///< Longest time until no request starts on replaced weights.
--- a/test/process/store_faults.cc
+++ b/test/process/store_faults.cc
@@ -79,6 +79,24 @@
   LONGS_EQUAL(404, fleet.Call("/further1/", "x").status);
 }
 
+// Guards against a 404 for a route that has been in force for longer than the bound: a gateway that
+// does not hear from the store still accepted keys, and took its old state for the newest.
+TEST(StoreFaults, AStateOlderThanItsBoundRefusesNoRoute) {
+  constexpr Duration kBound = Millis(1'500);
+  Fleet fleet(1, 1);
+  fleet.UseSecondStorePort(0);
+  fleet.SetKeyRevocation(Seconds(10));
+  fleet.AddBounds(absl::StrCat("desired_state_ms = ", ToMillis(kBound), "\n"));
+  fleet.Start();
+  LONGS_EQUAL(404, fleet.Call("/further0/", "x").status);
+  fleet.InjectFault("store", absl::StrCat(R"({"silence_port": )", fleet.second_store_port(), "}"));
+  fleet.PutDesiredState({"key-1", "key-3"}, 1);
+  SleepMillis(ToMillis(kBound));
+  LONGS_EQUAL(503, fleet.Call("/further0/", "x").status);
+  LONGS_EQUAL(503, fleet.Call("/safe/", "x", 0, "key-3").status);
+  LONGS_EQUAL(200, fleet.Call("/safe/", "x").status);
+}
+
 // Guards against changes that wait while gateways whose connections to the store went silent ask
 // each other one after the other.
 TEST(StoreFaults, SilentConnectionsDelayNoChange) {
