Pass received patches on instead of computing them again

Cause: a reader of patches compared the old and the new content to get the same patch again, and copied the content into its log. On this machine that takes 4.5 ms and 2.9 ms of a whole core for 1,450 routes, so 0.1 s on such a host. Change: a received patch is kept with the content that it leads to, whose digest tells that it fits; changes are moved into the log after they have been applied. The order does not show: nothing that applies a change reads the log. Test: ContentPatches.ReceivedPatchesArePassedOnWhereTheyFit.

--- a/src/core/content_patch.cc
+++ b/src/core/content_patch.cc
@@ -96,6 +96,13 @@
   return PatchElements(known->as_array(), runs->as_array());
 }
 
+/// Returns the first step from the content with this digest.
+std::vector<ContentPatch>::const_iterator FindStep(const ContentPatches& patches,
+                                                   const std::string& digest) {
+  return std::find_if(patches.steps.begin(), patches.steps.end(),
+                      [&](const ContentPatch& item) { return item.base == digest; });
+}
+
 }  // namespace
 
 std::string ContentDigest(const json::value& content) {
@@ -165,8 +172,7 @@
 std::optional<json::value> ApplyPatches(const json::value& known, const std::string& known_digest,
                                         const ContentPatches& patches) {
   if (known_digest == patches.digest) return known;
-  auto step = std::find_if(patches.steps.begin(), patches.steps.end(),
-                           [&](const ContentPatch& item) { return item.base == known_digest; });
+  auto step = FindStep(patches, known_digest);
   if (step == patches.steps.end()) return std::nullopt;
   json::parse_options options;
   options.max_depth = kMaxPatchDepth;
@@ -186,7 +192,13 @@
   std::string digest = ContentDigest(content);
   if (digest == digest_) return;
   std::string base = std::exchange(digest_, std::move(digest));
-  if (!base.empty()) Add({std::move(base), json::serialize(DiffContent(replaced, content))});
+  const ContentPatches received = std::exchange(received_, {});
+  if (base.empty()) return;
+  auto step = FindStep(received, base);
+  if (received.digest != digest_ || step == received.steps.end()) {
+    return Add({std::move(base), json::serialize(DiffContent(replaced, content))});
+  }
+  for (; step != received.steps.end(); ++step) Add(*step);
 }
 
 void PatchHistory::Add(ContentPatch step) {
--- a/src/core/content_patch.h
+++ b/src/core/content_patch.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace fuchsiaweir {
@@ -44,6 +45,9 @@
 /// reader, it fills a link of 10 Mbit/s, which callers' answers share.
 class PatchHistory {
  public:
+  /// Keeps patches that were received, so that they need not be computed again once the content
+  /// that they lead to is recorded.
+  void KeepReceived(ContentPatches patches) { received_ = std::move(patches); }
   /// Records the content that replaces the newest one. Ignores the latter at the first call.
   void Record(const boost::json::value& replaced, const boost::json::value& content);
   /// Returns the changes that lead from a content that has one of these digests to the newest;
@@ -56,6 +60,7 @@
   void Add(ContentPatch step);
 
   std::deque<ContentPatch> steps_;
+  ContentPatches received_;
   size_t bytes_ = 0;  ///< Size of the patches.
   std::string digest_;
 };
--- a/src/gateway/object_log.cc
+++ b/src/gateway/object_log.cc
@@ -186,12 +186,12 @@
   return changes;
 }
 
-void ObjectLog::Append(const std::vector<StoredObject>& changes, int64_t revision) {
+void ObjectLog::Append(std::vector<StoredObject> changes, int64_t revision) {
   revision_ = std::max(revision_, revision);
-  for (const StoredObject& change : changes) {
+  for (StoredObject& change : changes) {
     RecordPatch(change);
-    Put(change);
     RecordChange(change, revision_);
+    Put(std::move(change));
   }
   for (auto entry = entries_.begin(); removed_bytes_ > kMaxRemovedBytes;) {
     const auto oldest = entry++;
@@ -201,12 +201,13 @@
   }
 }
 
-void ObjectLog::Put(const StoredObject& change) {
+void ObjectLog::Put(StoredObject change) {
   const auto known = by_name_.find(change.name);
   if (known != by_name_.end()) Erase(known->second);
-  entries_.push_back({revision_, change});
-  by_name_[change.name] = std::prev(entries_.end());
-  if (change.removed) removed_bytes_ += sizeof(Entry) + change.name.size();
+  entries_.push_back({revision_, std::move(change)});
+  const StoredObject& object = entries_.back().object;
+  by_name_[object.name] = std::prev(entries_.end());
+  if (object.removed) removed_bytes_ += sizeof(Entry) + object.name.size();
 }
 
 void ObjectLog::Erase(Entries::iterator entry) {
@@ -263,7 +264,7 @@
   return digests;
 }
 
-bool ObjectLog::ApplyPatches(ObjectChanges& changes) const {
+bool ObjectLog::ApplyPatches(ObjectChanges& changes) {
   for (StoredObject& object : changes.objects) {
     const auto patches = changes.patches.find(object.name);
     if (patches == changes.patches.end()) continue;
@@ -274,6 +275,7 @@
         fuchsiaweir::ApplyPatches(known->content, history->second.digest(), patches->second);
     if (!content) return false;
     object.content = std::move(*content);
+    history->second.KeepReceived(std::move(patches->second));
   }
   changes.patches.clear();
   return true;
--- a/src/gateway/object_log.h
+++ b/src/gateway/object_log.h
@@ -46,7 +46,7 @@
   std::vector<platform::StoredObject> Reset(std::vector<platform::StoredObject> objects,
                                             StorePosition position);
   /// Applies changes up to a revision of the same history.
-  void Append(const std::vector<platform::StoredObject>& changes, int64_t revision);
+  void Append(std::vector<platform::StoredObject> changes, int64_t revision);
 
   /// Returns the objects that changed since a position, or all objects if it is of another history
   /// or it is not known which were removed since then.
@@ -59,7 +59,7 @@
   std::vector<std::string> Digests() const;
   /// Replaces patches by the contents that they lead to from those known. Returns whether that was
   /// possible for all.
-  bool ApplyPatches(ObjectChanges& changes) const;
+  bool ApplyPatches(ObjectChanges& changes);
   /// Returns the object, or null if there is none.
   const platform::StoredObject* Find(const std::string& name) const;
 
@@ -75,7 +75,7 @@
   };
   using Entries = std::list<Entry>;
 
-  void Put(const platform::StoredObject& change);
+  void Put(platform::StoredObject change);
   void Erase(Entries::iterator entry);
   void RecordPatch(const platform::StoredObject& change);
   void RecordChange(const platform::StoredObject& change, int64_t revision);
--- a/src/gateway/object_mirror.cc
+++ b/src/gateway/object_mirror.cc
@@ -247,14 +247,15 @@
     const ChangeOrigin origin{read.Source(), state.log.position().revision == 0,
                               read.full && state.Restoring(SuspendAwareNow())};
     KeepNewer(kind, read);
-    std::vector<StoredObject> changes;
     if (read.full) {
-      changes = state.log.Reset(std::move(read.result.objects), read.result.position());
+      const std::vector<StoredObject> changes =
+          state.log.Reset(std::move(read.result.objects), read.result.position());
+      ApplyChanges(kind, changes, origin);
     } else {
-      changes = std::move(read.result.objects);
-      state.log.Append(changes, read.result.revision);
+      // Applied first, because a copy of a large content takes a small host 50 ms.
+      ApplyChanges(kind, read.result.objects, origin);
+      state.log.Append(std::move(read.result.objects), read.result.revision);
     }
-    ApplyChanges(kind, changes, origin);
     if (origin.first_listing && kind.on_listed) kind.on_listed();
   }
   // While the store has an older state than this process, nobody knows whether that was the newest.
@@ -353,8 +354,8 @@
   if (newer.empty() || state.log.position().revision == 0) co_return;
   state.ahead = true;
   if (!state.restore_ends_at) state.restore_ends_at = SuspendAwareNow() + kRestoreGrace;
-  state.log.Append(newer, state.log.position().revision);
   ApplyChanges(kind, newer, origin);
+  state.log.Append(std::move(newer), state.log.position().revision);
 }
 
 void ObjectMirror::LogStaleRelay(const WatchedKind& kind, const KindRead& read) {
@@ -412,7 +413,7 @@
   KindRead read;
   read.sent = SuspendAwareNow();
   read.relay = relay;
-  const WatchedContents& state = contents_[kind.name];
+  WatchedContents& state = contents_[kind.name];
   read.since = state.log.position();
   RelayQuery query{kind.name, since, state.log.Digests(), wait};
   std::optional<ObjectChanges> changes = co_await ReadFromRelay(client_, relay, query);
--- a/test/correctness/content_patch.cc
+++ b/test/correctness/content_patch.cc
@@ -106,6 +106,25 @@
   CHECK_FALSE(history.Since({}).has_value());
 }
 
+// Guards against a reader that passes on patches which lead to another content than its own.
+TEST(ContentPatches, ReceivedPatchesArePassedOnWhereTheyFit) {
+  const json::value first = LargeContent(1, 1);
+  const json::value second = LargeContent(2, 2);
+  const json::value third = LargeContent(3, 3);
+  PatchHistory source;
+  source.Record(nullptr, first);
+  source.Record(first, second);
+  for (const json::value& recorded : {second, third}) {
+    PatchHistory reader;
+    reader.Record(nullptr, first);
+    reader.KeepReceived(*source.Since({ContentDigest(first)}));
+    reader.Record(first, recorded);
+    const auto patches = reader.Since({ContentDigest(first)});
+    const auto content = ApplyPatches(first, ContentDigest(first), *patches);
+    CHECK(content.has_value() && *content == recorded);
+  }
+}
+
 // Guards against patches that take more memory, and more of a link, the longer a process runs.
 TEST(ContentPatches, KeptPatchesAreBounded) {
   PatchHistory history;
