--- a/src/gateway/object_log.cc
+++ b/src/gateway/object_log.cc
@@ -260,6 +260,7 @@
 
 std::vector<std::string> ObjectLog::Digests() const {
   std::vector<std::string> digests;
+  digests.reserve(patches_.size());
   for (const auto& [name, history] : patches_) digests.push_back(history.digest());
   return digests;
 }
