Make the overload test wait until a run has started before it asks for bids

Cause, traced with a log line in a scratch copy: the agent had no load report of its engine yet. Until then it starts no run, so all runs wait, and a bid with a shorter deadline than theirs is ahead of them. The test took "two wait" for "one runs and two wait", but read the queue while its third run was on the way, or while all three waited. In the failed plays the engine had started 0 runs, in the others 1.

Change: the test first waits until the engine has started one run. No check is removed or loosened.

--- a/test/process/overload.cc
+++ b/test/process/overload.cc
@@ -53,6 +53,9 @@
     // wait.
     runs.push_back(agent.PostAsync(AgentClient::MakeRun(absl::StrCat("run", i), 20, 1'500)));
   }
+  // Until the agent has the engine's first load report it starts no run, and a bid with a short
+  // deadline is ahead of the runs that wait.
+  CHECK(Eventually([&]() { return Counter(deployment, "started") == 1; }));
   CHECK(Eventually([&]() { return bid().value().at(0).queue == 2; }));
   CHECK(bid().value().at(0).estimate > idle + Millis(500));
   request.deadline_ms = 100;
