Compare links only for kinds whose relays are chosen by them

Cause: PreferredRelay built a map of the links of all gateways for each read of each kind, though only the desired state chooses its relays by them, and the bandwidth of a peer was decoded by hand beside NumberAt. Change: the map is built for large kinds alone; the field is decoded as others are. No behaviour changes.

--- a/src/gateway/peer_directory.cc
+++ b/src/gateway/peer_directory.cc
@@ -5,6 +5,7 @@
 
 #include "core/relay_choice.h"
 #include "net/log.h"
+#include "platform/field_access.h"
 
 namespace fuchsiaweir {
 namespace {
@@ -61,9 +62,7 @@
       peer.data_centre = std::string(data_centre->as_string());
     }
     // Processes of an earlier version do not write this field.
-    const json::value* link_mbps = spec.if_contains("link_mbps");
-    peer.link_mbps =
-        link_mbps != nullptr && link_mbps->is_number() ? link_mbps->to_number<double>() : 0;
+    peer.link_mbps = platform::NumberAt(spec, "link_mbps").value_or(0);
     peer.last_seen = SteadyNow();
   }
 }
@@ -98,13 +97,14 @@
   std::vector<std::string> names = Relays();
   std::erase_if(
       names, [&](const std::string& name) { return peers_.at(name).data_centre != data_centre_; });
-  std::map<std::string, double> mbps;
-  for (const std::string& name : names) mbps[name] = peers_.at(name).link_mbps;
-  if (role_ == PlatformRole::kGateway) {
-    names.insert(names.begin(), name_);
-    mbps[name_] = link_mbps_;
+  std::vector<std::string> first;
+  if (large) {
+    std::map<std::string, double> mbps;
+    for (const std::string& name : names) mbps[name] = peers_.at(name).link_mbps;
+    if (role_ == PlatformRole::kGateway) mbps[name_] = link_mbps_;
+    first = FastestGateways(mbps);
   }
-  const std::vector<std::string> first = large ? FastestGateways(mbps) : std::vector<std::string>{};
+  if (role_ == PlatformRole::kGateway) names.insert(names.begin(), name_);
   const std::optional<std::string> relay = fuchsiaweir::PreferredRelay(kind, name_, names, first);
   if (!relay) return std::nullopt;
   return peers_.at(*relay).endpoint;
