Tell that changes of the link's bandwidth and four more settings need a restart

Seen by operators: after SIGHUP with another link_mbps, settings_loaded says restart_needed "no", while the process keeps to the former value, by which others choose it as a relay. Cause: the comparison named five of the settings that are read at the start. The data centre, the runner's address, the metrics port, the number of descriptors and the link's bandwidth were missing.

--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -150,12 +150,9 @@
       LogError("settings_refused", {{"cause", cause}, {"findings", findings.ToString()}});
       return;
     }
-    const bool restart_needed =
-        loaded->callers != settings_.callers || loaded->readiness != settings_.readiness ||
-        loaded->peer_port != settings_.peer_port || loaded->address != settings_.address ||
-        loaded->name != settings_.name;
-    LogInfo("settings_loaded",
-            {{"cause", cause}, {"restart_needed", restart_needed ? "yes" : "no"}});
+    LogInfo(
+        "settings_loaded",
+        {{"cause", cause}, {"restart_needed", NeedsRestart(settings_, *loaded) ? "yes" : "no"}});
     settings_ = *loaded;
     memory_.SetLimit(MemoryLimit());
     fleet_view_->SetSettings(settings_);
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <iterator>
 #include <set>
+#include <tuple>
 
 #include "core/ini_binder.h"
 
@@ -159,6 +160,15 @@
   return settings;
 }
 
+bool NeedsRestart(const GatewaySettings& running, const GatewaySettings& loaded) {
+  const auto read_at_start = [](const GatewaySettings& settings) {
+    return std::tie(settings.name, settings.address, settings.data_centre, settings.callers,
+                    settings.readiness, settings.runner, settings.peer_port, settings.metrics_port,
+                    settings.max_descriptors, settings.link_mbps);
+  };
+  return read_at_start(running) != read_at_start(loaded);
+}
+
 bool HasUnknownSection(const IniDocument& document) {
   return std::any_of(document.sections.begin(), document.sections.end(),
                      [](const IniSection& section) { return FindSection(section) == nullptr; });
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -61,6 +61,9 @@
 std::optional<GatewaySettings> ParseGatewaySettings(const IniDocument& document, PlatformRole role,
                                                     Findings& findings, Findings& ignorable);
 
+/// Whether settings differ that a process reads only at its start.
+bool NeedsRestart(const GatewaySettings& running, const GatewaySettings& loaded);
+
 /// Whether the file has a section that settings do not have.
 bool HasUnknownSection(const IniDocument& document);
 
--- a/test/process/start_settings.cc
+++ b/test/process/start_settings.cc
@@ -88,6 +88,16 @@
   }
 }
 
+// Guards against a changed setting that has no effect without a word on it.
+TEST(StartSettings, AReloadTellsThatAChangeNeedsARestart) {
+  process.Start();
+  CHECK(process.Logs("daemon_started"));
+  process.Write(
+      absl::StrReplaceAll(process.settings(), {{"callers =", "link_mbps = 10\ncallers ="}}));
+  process.Signal(SIGHUP);
+  CHECK(process.Logs(R"("restart_needed":"yes")"));
+}
+
 // Guards against a reload that drops good values because of a bad one.
 TEST(StartSettings, AReloadTakesTheValuesThatCanBeUsed) {
   process.Start();
