Neither copy nor hash a large content again when its change is recorded

Seen by callers: with 1,400 routes each change of the desired state delays answers at all gateways that read it from a relay.

Cause: ObjectLog::RecordPatch passed `known ? content : json::value()`, whose type is a value, so the former content was copied whole for each change. The digest of the new content was then computed a second time, right after ApplyPatches had verified it.

Change: the former content is passed by reference; a verified digest stays with its object.

Test: ObjectLogs.AContentHasItsOwnDigest guards what the second computation guarded: a content that replaces the patched one gets its own digest.

--- a/src/core/content_patch.cc
+++ b/src/core/content_patch.cc
@@ -188,8 +188,8 @@
   return content;
 }
 
-void PatchHistory::Record(const json::value& replaced, const json::value& content) {
-  std::string digest = ContentDigest(content);
+void PatchHistory::Record(const json::value& replaced, const json::value& content,
+                          std::string digest) {
   if (digest == digest_) return;
   std::string base = std::exchange(digest_, std::move(digest));
   const ContentPatches received = std::exchange(received_, {});
--- a/src/core/content_patch.h
+++ b/src/core/content_patch.h
@@ -48,8 +48,13 @@
   /// Keeps patches that were received, so that they need not be computed again once the content
   /// that they lead to is recorded.
   void KeepReceived(ContentPatches patches) { received_ = std::move(patches); }
-  /// Records the content that replaces the newest one. Ignores the latter at the first call.
-  void Record(const boost::json::value& replaced, const boost::json::value& content);
+  /// Records the content that replaces the newest one, and its digest. Ignores the former content
+  /// at the first call.
+  void Record(const boost::json::value& replaced, const boost::json::value& content,
+              std::string digest);
+  void Record(const boost::json::value& replaced, const boost::json::value& content) {
+    Record(replaced, content, ContentDigest(content));
+  }
   /// Returns the changes that lead from a content that has one of these digests to the newest;
   /// nothing if none is known.
   std::optional<ContentPatches> Since(const std::vector<std::string>& digests) const;
--- a/src/gateway/object_log.cc
+++ b/src/gateway/object_log.cc
@@ -223,7 +223,11 @@
   if (change.removed || !change.content.is_object()) {
     patches_.erase(change.name);
   } else {
-    patches_[change.name].Record(known == nullptr ? json::value() : known->content, change.content);
+    // The contents are large: none is copied, and a digest that is known is not computed again.
+    static const json::value kNoContent;
+    patches_[change.name].Record(
+        known == nullptr ? kNoContent : known->content, change.content,
+        change.content_digest.empty() ? ContentDigest(change.content) : change.content_digest);
   }
 }
 
@@ -276,6 +280,7 @@
         fuchsiaweir::ApplyPatches(known->content, history->second.digest(), patches->second);
     if (!content) return false;
     object.content = std::move(*content);
+    object.content_digest = patches->second.digest;
     history->second.KeepReceived(std::move(patches->second));
   }
   changes.patches.clear();
--- a/test/correctness/object_log.cc
+++ b/test/correctness/object_log.cc
@@ -50,6 +50,26 @@
   CHECK(EncodeObjectChanges(changes).size() < 2 * kStateBytes);
 }
 
+// Guards against a digest of received patches that is kept for a content which has replaced theirs.
+TEST(ObjectLogs, AContentHasItsOwnDigest) {
+  const auto object = [](int64_t revision, const char* text) {
+    return StoredObject{"main", revision, false, boost::json::object{{"text", text}}};
+  };
+  ObjectLog relay;
+  for (ObjectLog* each : {&relay, &log}) {
+    each->KeepPatches();
+    each->Reset({object(1, "first")}, At(1));
+  }
+  relay.Append({object(2, "second")}, 2);
+  ObjectChanges changes = relay.ChangesSince(At(1), log.Digests());
+  CHECK(log.ApplyPatches(changes));
+  STRCMP_EQUAL(relay.Digests()[0].c_str(), changes.objects[0].content_digest.c_str());
+  changes.objects[0] = object(3, "third");
+  const std::string digest = ContentDigest(changes.objects[0].content);
+  log.Append(std::move(changes.objects), 3);
+  STRCMP_EQUAL(digest.c_str(), log.Digests()[0].c_str());
+}
+
 // Guards against a relay's client that misses a change or a removal, or that gets changes in
 // another order than they were made.
 TEST(ObjectLogs, ChangesAreReturnedInTheirOrder) {
